Add the design page, domain types and protocol messages

Cause: the repository was empty. Change: docs/design.md with the choices and what was weighed, the workspace with its crates by layer, the domain types, the messages and the numbered result codes. Conclusion: formatter, linter and the test command pass; there are no tests yet.

--- /dev/null
+++ b/crates/primrosebay/src/main.rs
@@ -0,0 +1,2 @@
+//! Command line of primrosebay.
+fn main() {}
--- /dev/null
+++ b/crates/primrosebay_coordination/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deterministic decision logic of the scheduler. This crate does no I/O and reads no clock.
--- /dev/null
+++ b/crates/primrosebay_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry instance: API, coordinators and request routing.
--- /dev/null
+++ b/crates/primrosebay_protocol/src/code.rs
@@ -0,0 +1,118 @@
+//! Numbered result codes of the API and the command line.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// What a refusal says about the work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ran {
+    /// The work ran.
+    Yes,
+    /// The work was not run.
+    No,
+    /// The work may have run.
+    Unknown,
+}
+
+/// Whether the caller should send the same call again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Retry {
+    /// The same call would get the same answer.
+    Never,
+    /// The same call may succeed later.
+    Later,
+    /// Only work that is safe to repeat should be sent again.
+    IfIdempotent,
+}
+
+/// A result code with its documentation.
+#[derive(Debug)]
+pub struct Entry {
+    /// The number.
+    pub code: Code,
+    /// The HTTP status that carries the code.
+    pub status: u16,
+    /// What it means.
+    pub meaning: &'static str,
+    /// Whether the work ran.
+    pub ran: Ran,
+    /// Whether to retry.
+    pub retry: Retry,
+}
+
+/// A stable result code.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Code(pub u16);
+
+macro_rules! codes {
+    ($($name:ident = $number:literal, $status:literal, $ran:ident, $retry:ident, $meaning:literal;)*) => {
+        impl Code {
+            $(#[doc = $meaning] pub const $name: Self = Self($number);)*
+        }
+
+        /// Every result code, in ascending order.
+        pub const TABLE: &[Entry] = &[$(Entry {
+            code: Code::$name,
+            status: $status,
+            meaning: $meaning,
+            ran: Ran::$ran,
+            retry: Retry::$retry,
+        },)*];
+    };
+}
+
+codes! {
+    OK = 1000, 200, Yes, Never, "The call succeeded.";
+    ACCEPTED = 1001, 201, No, Never, "The work was accepted and its record is in the log.";
+    ACCEPTED_BY_PEERS = 1002, 201, No, Never, "The work was accepted and is held by other entry instances until the log is available.";
+    CHANGE_PENDING = 1003, 202, No, Later, "The change is recorded but not yet in force in every zone that must have it.";
+    MALFORMED = 2001, 400, No, Never, "The body is not valid JSON of the expected form.";
+    INVALID = 2002, 422, No, Never, "A field has a value outside its range.";
+    NEVER_FITS = 2003, 422, No, Never, "No worker that the job allows is large enough for one of its tasks.";
+    DUPLICATE_NAME = 2004, 409, No, Never, "The team has another job with this name.";
+    BODY_TOO_LARGE = 2005, 413, No, Never, "The body is larger than the limit.";
+    OVER_LIMIT = 2006, 422, No, Never, "The job needs more than the upper limit of its team.";
+    NO_KEY = 3001, 401, No, Never, "The call needs a key.";
+    WRONG_KEY = 3002, 401, No, Never, "The key is unknown or withdrawn.";
+    OTHER_TEAM = 3003, 403, No, Never, "The key belongs to another team.";
+    NOT_OPERATOR = 3004, 403, No, Never, "The call needs an operator's key.";
+    NOT_FOUND = 4001, 404, No, Never, "There is no such resource.";
+    CONFLICT = 4002, 409, No, Never, "The resource has another version than the one given.";
+    TOO_OLD = 4003, 410, No, Never, "The version to watch from is no longer kept; list the resources and watch from there.";
+    OVERLOADED = 5001, 503, No, Later, "A queue is full.";
+    NO_MINION = 5002, 503, No, Later, "No minion of the service can take the request.";
+    NOT_FRESH = 5003, 503, No, Later, "The entry instance is cut off and cannot check keys.";
+    LOG_UNAVAILABLE = 5004, 503, No, Later, "The work could not be recorded.";
+    NO_COORDINATOR = 5005, 503, No, Later, "No coordinator of an allowed zone can be reached.";
+    STOPPING = 5006, 503, No, Later, "The entry instance is stopping.";
+    DEADLINE = 5007, 504, No, Later, "The deadline passed before the request was sent to a minion.";
+    UNKNOWN = 6001, 504, Unknown, IfIdempotent, "The request was sent to a minion and its answer was lost.";
+    RECORD_UNKNOWN = 6002, 504, Unknown, IfIdempotent, "The change was sent to the log and the answer was lost; read the resource to see whether it took effect.";
+    MINION_FAILED = 6003, 502, Yes, IfIdempotent, "The minion ran the request and reported a failure.";
+    INTERNAL = 9001, 500, Unknown, IfIdempotent, "The entry instance failed.";
+}
+
+impl Code {
+    /// Returns the documentation of the code.
+    #[must_use]
+    pub fn entry(self) -> Option<&'static Entry> {
+        TABLE
+            .binary_search_by_key(&self, |entry| entry.code)
+            .ok()
+            .map(|i| &TABLE[i])
+    }
+
+    /// Returns the HTTP status that carries the code.
+    #[must_use]
+    pub fn status(self) -> u16 {
+        self.entry().map_or(500, |entry| entry.status)
+    }
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "P{}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/primrosebay_settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! YAML options resolved into checked settings.
--- /dev/null
+++ b/crates/primrosebay_state/src/record.rs
@@ -0,0 +1,83 @@
+//! Records of the log streams.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Name;
+use crate::config::Change;
+use crate::id::{JobId, RecordId, TaskId};
+use crate::job::JobSpec;
+
+/// How a task or job ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The work ran to its end.
+    Done,
+    /// The work failed for good.
+    Failed,
+    /// The work was cancelled.
+    Cancelled,
+    /// The work may have run and is not run again.
+    Unknown,
+}
+
+/// An entry of a log stream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Identifies the record; a second record with the same identifier has no effect.
+    pub id: RecordId,
+    /// What is recorded.
+    pub body: Body,
+}
+
+/// What a record says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Body {
+    /// Configuration was changed.
+    Config(Change),
+    /// A job was accepted with a home zone.
+    Accepted {
+        /// The job.
+        job: JobId,
+        /// The home zone.
+        zone: Name,
+        /// What the caller submitted.
+        spec: JobSpec,
+    },
+    /// A task that may run at most once is about to start.
+    Starting {
+        /// The task.
+        task: TaskId,
+    },
+    /// A task ended.
+    Finished {
+        /// The task.
+        task: TaskId,
+        /// How it ended.
+        outcome: Outcome,
+    },
+    /// A caller or operator cancelled a job.
+    Cancelled {
+        /// The job.
+        job: JobId,
+    },
+    /// The home zone gave a job to another zone.
+    Moved {
+        /// The job.
+        job: JobId,
+        /// The new home zone.
+        zone: Name,
+    },
+    /// A zone gave a part of its allowance to another zone.
+    Allowance {
+        /// The team.
+        team: Name,
+        /// The zone that gives.
+        from: Name,
+        /// The zone that receives.
+        to: Name,
+        /// The amount.
+        amount: crate::resources::Resources,
+    },
+}
--- /dev/null
+++ b/crates/primrosebay_state/src/resources.rs
@@ -0,0 +1,88 @@
+//! Amounts of cores, memory and accelerators.
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of resources that a worker holds or a task asks for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Resources {
+    /// Processor time in thousandths of a core.
+    pub cores_milli: u64,
+    /// Memory in MiB.
+    pub memory_mib: u64,
+    /// Whole accelerators.
+    pub accelerators: u64,
+}
+
+impl Resources {
+    /// No resources at all.
+    pub const ZERO: Self = Self {
+        cores_milli: 0,
+        memory_mib: 0,
+        accelerators: 0,
+    };
+
+    /// Returns whether `self` fits into `free` in every dimension.
+    #[must_use]
+    pub fn fits(&self, free: &Self) -> bool {
+        self.cores_milli <= free.cores_milli
+            && self.memory_mib <= free.memory_mib
+            && self.accelerators <= free.accelerators
+    }
+
+    /// Adds `other`, saturating at the largest amount.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            cores_milli: self.cores_milli.saturating_add(other.cores_milli),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Subtracts `other`, stopping at zero in each dimension.
+    #[must_use]
+    pub fn minus(&self, other: &Self) -> Self {
+        Self {
+            cores_milli: self.cores_milli.saturating_sub(other.cores_milli),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// Multiplies every dimension by `count`, saturating at the largest amount.
+    #[must_use]
+    pub fn times(&self, count: u64) -> Self {
+        Self {
+            cores_milli: self.cores_milli.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
+    /// Returns whether every dimension is zero.
+    #[must_use]
+    pub fn is_zero(&self) -> bool {
+        *self == Self::ZERO
+    }
+
+    /// Returns the largest part of `total` that `self` takes in any dimension, from 0.0 to 1.0 for
+    /// amounts within the total.
+    #[must_use]
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a share needs no more than 52 bits"
+    )]
+    pub fn dominant(&self, total: &Self) -> f64 {
+        let part = |used: u64, all: u64| {
+            if all == 0 {
+                0.0
+            } else {
+                used as f64 / all as f64
+            }
+        };
+        part(self.cores_milli, total.cores_milli)
+            .max(part(self.memory_mib, total.memory_mib))
+            .max(part(self.accelerators, total.accelerators))
+    }
+}
--- /dev/null
+++ b/crates/primrosebay_state/src/time.rs
@@ -0,0 +1,58 @@
+//! Timestamps, each tied to the one clock that it was read from.
+
+use std::ops::Add;
+
+use serde::{Deserialize, Serialize};
+
+/// Largest relative difference between the rates of two clocks, in percent.
+pub const DRIFT_PERCENT: u64 = 1;
+
+/// A point in time on the local monotonic clock, in milliseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Time(pub u64);
+
+/// A point in time on a worker's monotonic clock, in milliseconds.
+///
+/// It is a type of its own so that times of two clocks cannot be compared.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct WorkerTime(pub u64);
+
+impl Time {
+    /// Returns the milliseconds from `earlier` to `self`, or 0 if `earlier` is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl Add<u64> for Time {
+    type Output = Self;
+
+    fn add(self, ms: u64) -> Self {
+        Self(self.0.saturating_add(ms))
+    }
+}
+
+impl Add<u64> for WorkerTime {
+    type Output = Self;
+
+    fn add(self, ms: u64) -> Self {
+        Self(self.0.saturating_add(ms))
+    }
+}
+
+/// Returns how long to wait locally, in milliseconds, until `ms` have surely passed on any other
+/// clock within the drift bound.
+#[must_use]
+pub fn upper_bound(ms: u64) -> u64 {
+    ms + (ms * DRIFT_PERCENT).div_ceil(100)
+}
+
+/// Returns the milliseconds that have at least passed on any other clock when `ms` have passed
+/// locally.
+#[must_use]
+pub fn lower_bound(ms: u64) -> u64 {
+    ms - (ms * DRIFT_PERCENT).div_ceil(100)
+}
--- /dev/null
+++ b/crates/primrosebay_transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! Network adapters: HTTP, QUIC and TLS.
