Add transport, entry instance, stand-ins and command line of the thin path

Cause: no request could travel from a caller to a worker. Change: HTTP server and client, adapters for log, list and workers, an entry instance with submission, reading and cancellation of jobs, stand-ins for log, list and worker, and the commands that drive them.

--- /dev/null
+++ b/crates/primrosebay/src/cli.rs
@@ -0,0 +1,176 @@
+//! Commands and arguments.
+
+use clap::{Arg, ArgAction, Command, value_parser};
+
+/// Returns the whole command line.
+pub fn command() -> Command {
+    Command::new("primrosebay")
+        .about("Schedules services, batch, gang jobs and requests on one fleet")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .args(global_args())
+        .subcommands([serve(), stand_in(), submit(), get(), cancel(), call(), codes()])
+}
+
+fn global_args() -> [Arg; 3] {
+    [
+        Arg::new("server")
+            .long("server")
+            .global(true)
+            .env("PRIMROSEBAY_SERVER")
+            .value_name("ADDRESS")
+            .default_value("127.0.0.1:7400")
+            .help("Address of an entry instance or of the balancer"),
+        Arg::new("key")
+            .long("key")
+            .global(true)
+            .env("PRIMROSEBAY_KEY")
+            .hide_env_values(true)
+            .value_name("KEY")
+            .help("Key of a team or of the operators"),
+        Arg::new("output")
+            .short('o')
+            .long("output")
+            .global(true)
+            .value_name("FORMAT")
+            .value_parser(["table", "json", "yaml"])
+            .default_value("table")
+            .help("Format of the output"),
+    ]
+}
+
+fn settings_arg() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .required(true)
+        .help("Settings in YAML")
+}
+
+fn serve() -> Command {
+    Command::new("serve")
+        .about("Runs an entry instance")
+        .arg(settings_arg())
+}
+
+fn listen_arg() -> Arg {
+    Arg::new("listen")
+        .long("listen")
+        .value_name("ADDRESS")
+        .default_value("127.0.0.1:0")
+        .help("Address to listen on; port 0 takes a free port, which is printed")
+}
+
+fn stand_in() -> Command {
+    Command::new("stand-in")
+        .about("Runs a small stand-in for a part of the platform, for tests")
+        .subcommand_required(true)
+        .subcommands([
+            Command::new("log").about("The log service").arg(listen_arg()),
+            Command::new("list")
+                .about("The list of instances")
+                .arg(listen_arg())
+                .arg(
+                    Arg::new("instances")
+                        .long("instances")
+                        .value_name("FILE")
+                        .help("Instances in YAML"),
+                ),
+            Command::new("worker")
+                .about("A worker")
+                .arg(listen_arg())
+                .arg(
+                    Arg::new("cores")
+                        .long("cores")
+                        .value_parser(value_parser!(u64))
+                        .default_value("64"),
+                )
+                .arg(
+                    Arg::new("memory-mib")
+                        .long("memory-mib")
+                        .value_parser(value_parser!(u64))
+                        .default_value("131072"),
+                )
+                .arg(
+                    Arg::new("accelerators")
+                        .long("accelerators")
+                        .value_parser(value_parser!(u64))
+                        .default_value("0"),
+                ),
+        ])
+}
+
+fn file_arg() -> Arg {
+    Arg::new("file")
+        .short('f')
+        .long("file")
+        .value_name("FILE")
+        .required(true)
+        .help("YAML file; - reads standard input")
+}
+
+fn id_arg() -> Arg {
+    Arg::new("id")
+        .value_name("ID")
+        .required(true)
+        .help("Identifier of the job")
+}
+
+fn submit() -> Command {
+    Command::new("submit")
+        .about("Submits the jobs of a file")
+        .arg(file_arg())
+        .arg(
+            Arg::new("wait")
+                .long("wait")
+                .action(ArgAction::SetTrue)
+                .help("Wait until the jobs have ended"),
+        )
+}
+
+fn get() -> Command {
+    Command::new("get")
+        .about("Shows jobs")
+        .arg(
+            Arg::new("kind")
+                .value_name("KIND")
+                .required(true)
+                .help("Kind of the resource, such as jobs"),
+        )
+        .arg(Arg::new("name").value_name("NAME"))
+}
+
+fn cancel() -> Command {
+    Command::new("cancel").about("Cancels a job").arg(id_arg())
+}
+
+fn call() -> Command {
+    Command::new("call")
+        .about("Sends a request to a service")
+        .arg(Arg::new("service").value_name("SERVICE").required(true))
+        .arg(
+            Arg::new("data")
+                .short('d')
+                .long("data")
+                .value_name("TEXT")
+                .default_value("")
+                .help("Body of the request"),
+        )
+        .arg(
+            Arg::new("once")
+                .long("once")
+                .action(ArgAction::SetTrue)
+                .help("Run the request at most once"),
+        )
+        .arg(
+            Arg::new("deadline-ms")
+                .long("deadline-ms")
+                .value_parser(value_parser!(u64))
+                .default_value("10000"),
+        )
+}
+
+fn codes() -> Command {
+    Command::new("codes").about("Lists the result codes")
+}
--- /dev/null
+++ b/crates/primrosebay/src/commands/mod.rs
@@ -0,0 +1,44 @@
+//! The commands.
+
+mod codes;
+mod jobs;
+mod request;
+mod serve;
+mod stand_in;
+
+use clap::ArgMatches;
+use eyre::eyre;
+
+/// Runs the selected command.
+pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    let (name, matches) = matches
+        .subcommand()
+        .ok_or_else(|| eyre!("no command given"))?;
+    match name {
+        "serve" => async_std::task::block_on(serve::run(matches)),
+        "stand-in" => async_std::task::block_on(stand_in::run(matches)),
+        "submit" => async_std::task::block_on(jobs::submit(matches)),
+        "get" => async_std::task::block_on(jobs::get(matches)),
+        "cancel" => async_std::task::block_on(jobs::cancel(matches)),
+        "call" => async_std::task::block_on(request::call(matches)),
+        "codes" => codes::run(matches),
+        other => Err(eyre!("unknown command {other}")),
+    }
+}
+
+/// Returns a required text argument.
+fn text<'a>(matches: &'a ArgMatches, name: &str) -> eyre::Result<&'a str> {
+    matches
+        .get_one::<String>(name)
+        .map(String::as_str)
+        .ok_or_else(|| eyre!("{name} is missing"))
+}
+
+/// Reads a file, or standard input for `-`.
+fn read_input(path: &str) -> eyre::Result<String> {
+    use eyre::WrapErr;
+    if path == "-" {
+        return std::io::read_to_string(std::io::stdin()).wrap_err("cannot read standard input");
+    }
+    std::fs::read_to_string(path).wrap_err_with(|| format!("cannot read {path}"))
+}
--- /dev/null
+++ b/crates/primrosebay/src/commands/request.rs
@@ -0,0 +1,34 @@
+//! `primrosebay call`.
+
+use std::io::Write;
+
+use clap::ArgMatches;
+use http_types::Method;
+
+use super::text;
+use crate::client::Client;
+
+/// Sends a request to a service and prints the body of the answer.
+pub async fn call(matches: &ArgMatches) -> eyre::Result<()> {
+    let client = Client::new(matches)?;
+    let service = text(matches, "service")?;
+    let deadline = matches
+        .get_one::<u64>("deadline-ms")
+        .copied()
+        .unwrap_or(10_000)
+        .to_string();
+    let repeat = if matches.get_flag("once") {
+        "once"
+    } else {
+        "idempotent"
+    };
+    let headers = [("x-deadline-ms", deadline.as_str()), ("x-repeat", repeat)];
+    let body = text(matches, "data")?.as_bytes().to_vec();
+    let path = format!("/v1/services/{service}/requests");
+    let answer = client
+        .bytes(Method::Post, &path, &headers, Some(body))
+        .await?;
+    std::io::stdout().write_all(&answer)?;
+    println!();
+    Ok(())
+}
--- /dev/null
+++ b/crates/primrosebay/src/dev/cell.rs
@@ -0,0 +1,127 @@
+//! Starts a cell of stand-ins and entry instances in one process.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use eyre::WrapErr;
+use primrosebay_entry::auth;
+use primrosebay_entry::instance::Instance;
+use primrosebay_entry::shared::Setup;
+use primrosebay_protocol::list::{self, Liveness, Role};
+use primrosebay_standin::list::ListService;
+use primrosebay_standin::log::{LogService, Settings};
+use primrosebay_standin::worker::WorkerService;
+use primrosebay_state::Name;
+use primrosebay_state::resources::Resources;
+use primrosebay_transport::http_server::{Limits, Server};
+
+use super::plan::Plan;
+
+/// The operators' key of a development cell.
+pub const OPERATOR_KEY: &str = "operator-key";
+
+/// A running development cell.
+#[derive(Debug)]
+pub struct Cell {
+    platform: Vec<Server>,
+    workers: Vec<Server>,
+    entries: Vec<Instance>,
+}
+
+impl Cell {
+    /// Starts the platform's stand-ins, the workers and an entry instance for each zone.
+    pub async fn start(plan: &Plan) -> eyre::Result<Self> {
+        let mut instances = Vec::new();
+        let mut workers = Vec::new();
+        for i in 0..plan.workers.count {
+            let run = rand::random::<u64>().max(1);
+            let app = WorkerService::new(run, plan.workers.resources).app();
+            let server = listen(app).await?;
+            instances.push(worker(plan, i, server.address()));
+            workers.push(server);
+        }
+        instances.extend(plan.zones.iter().map(entry));
+        let log = listen(LogService::new(Settings::default()).app()).await?;
+        let list = listen(ListService::new(instances).app()).await?;
+        let mut entries = Vec::new();
+        for zone in &plan.zones {
+            let setup = setup(zone, log.address(), list.address());
+            entries.push(Instance::start(setup).await.wrap_err("cannot start")?);
+        }
+        Ok(Self {
+            platform: vec![log, list],
+            workers,
+            entries,
+        })
+    }
+
+    /// Returns the addresses of the entry instances' APIs.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(Instance::address).collect()
+    }
+
+    /// Returns the addresses of the workers.
+    pub fn workers(&self) -> Vec<SocketAddr> {
+        self.workers.iter().map(Server::address).collect()
+    }
+
+    /// Stops the entry instances first, then the stand-ins.
+    pub async fn close(self) {
+        for entry in self.entries {
+            entry.close().await;
+        }
+        for server in self.workers.into_iter().chain(self.platform) {
+            server.close().await;
+        }
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+async fn listen<S: Clone + Send + Sync + 'static>(app: tide::Server<S>) -> eyre::Result<Server> {
+    Server::start(loopback(), app, Limits::default())
+        .await
+        .wrap_err("cannot listen on loopback")
+}
+
+fn worker(plan: &Plan, i: usize, address: SocketAddr) -> list::Instance {
+    let zone = &plan.zones[i % plan.zones.len()];
+    let rack = i / plan.zones.len() / plan.workers.per_rack;
+    list::Instance {
+        name: format!("worker-{i:03}").into(),
+        role: Role::Worker,
+        zone: zone.clone(),
+        rack: format!("{zone}-rack-{rack}").into(),
+        service: Name::from(""),
+        address: address.to_string().into(),
+        state: Liveness::Live,
+        resources: plan.workers.resources,
+    }
+}
+
+fn entry(zone: &Name) -> list::Instance {
+    list::Instance {
+        name: format!("entry-{zone}").into(),
+        role: Role::Entry,
+        zone: zone.clone(),
+        rack: Name::from(""),
+        service: Name::from(""),
+        address: Name::from(""),
+        state: Liveness::Live,
+        resources: Resources::ZERO,
+    }
+}
+
+fn setup(zone: &Name, log: SocketAddr, list: SocketAddr) -> Setup {
+    Setup {
+        name: format!("entry-{zone}").into(),
+        zone: zone.clone(),
+        address: loopback(),
+        log,
+        list,
+        operator_hash: auth::hash(OPERATOR_KEY).into(),
+        call_timeout: Duration::from_secs(1),
+    }
+}
--- /dev/null
+++ b/crates/primrosebay/src/logging.rs
@@ -0,0 +1,33 @@
+//! Sets up logs on standard error.
+
+use logforth::layout::{JsonLayout, TextLayout};
+
+/// Starts logging as text, or as JSON if `json` is set. `RUST_LOG` selects the level.
+pub fn start(json: bool) {
+    if std::env::var_os("RUST_LOG").is_none() {
+        // The logger shows errors only unless a level is selected.
+        logforth::starter_log::builder()
+            .dispatch(|d| {
+                let d = d.filter(logforth::record::LevelFilter::MoreSevereEqual(
+                    logforth::record::Level::Info,
+                ));
+                if json {
+                    d.append(logforth::append::Stderr::default().with_layout(JsonLayout::default()))
+                } else {
+                    d.append(
+                        logforth::append::Stderr::default()
+                            .with_layout(TextLayout::default().no_color()),
+                    )
+                }
+            })
+            .apply();
+    } else if json {
+        logforth::starter_log::stderr()
+            .layout(JsonLayout::default())
+            .apply();
+    } else {
+        logforth::starter_log::stderr()
+            .layout(TextLayout::default().no_color())
+            .apply();
+    }
+}
--- /dev/null
+++ b/crates/primrosebay_entry/src/api/jobs.rs
@@ -0,0 +1,128 @@
+//! Submission, reading and cancellation of jobs.
+
+use primrosebay_protocol::api::{JobView, Submitted};
+use primrosebay_protocol::code::Code;
+use primrosebay_state::Name;
+use primrosebay_state::id::JobId;
+use primrosebay_state::job::{JobSpec, Problem};
+use primrosebay_state::record::Body;
+
+use super::{ApiRequest, fail, fail_with, json};
+use crate::auth;
+use crate::publisher::PublishError;
+use crate::zones::stream_of;
+
+/// Handles `POST /v1/jobs`.
+pub(crate) async fn submit(mut request: ApiRequest) -> tide::Result {
+    let team = match auth::team(&request) {
+        Ok(team) => team,
+        Err(code) => return fail(code),
+    };
+    let bytes = request.body_bytes().await?;
+    let mut spec: JobSpec = match serde_json::from_slice(&bytes) {
+        Ok(spec) => spec,
+        Err(e) => {
+            let problem = Problem::new("", e.to_string());
+            return fail_with(Code::MALFORMED, vec![problem]);
+        }
+    };
+    if !spec.team.is_empty() && spec.team != team {
+        return fail(Code::OTHER_TEAM);
+    }
+    spec.team = team;
+    let problems = spec.check();
+    if !problems.is_empty() {
+        return fail_with(Code::INVALID, problems);
+    }
+    accept(&request, spec).await
+}
+
+async fn accept(request: &ApiRequest, spec: JobSpec) -> tide::Result {
+    let shared = request.state();
+    let Some(zone) = home_zone(request, &spec) else {
+        return fail(Code::NO_COORDINATOR);
+    };
+    let id = shared.next_job();
+    let body = Body::Accepted {
+        job: id,
+        zone: zone.clone(),
+        spec,
+    };
+    match shared.publisher.append(&stream_of(&zone), body).await {
+        Ok(_) => json(
+            Code::ACCEPTED.status(),
+            &Submitted {
+                code: Code::ACCEPTED,
+                id,
+                zone,
+            },
+        ),
+        Err(PublishError::NotAppended) => fail(Code::LOG_UNAVAILABLE),
+        Err(PublishError::Unknown) => fail(Code::RECORD_UNKNOWN),
+    }
+}
+
+/// Chooses the home zone: a zone that the job allows, with the own zone first.
+fn home_zone(request: &ApiRequest, spec: &JobSpec) -> Option<Name> {
+    let own = &request.state().setup.zone;
+    if spec.zones.is_empty() || spec.zones.contains(own) {
+        return Some(own.clone());
+    }
+    spec.zones.first().cloned()
+}
+
+/// Handles `GET /v1/jobs`.
+pub(crate) async fn list(request: ApiRequest) -> tide::Result {
+    let team = match auth::team(&request) {
+        Ok(team) => team,
+        Err(code) => return fail(code),
+    };
+    let jobs: Vec<JobView> = request
+        .state()
+        .zones()
+        .iter()
+        .flat_map(|zone| zone.read(|coordinator| coordinator.jobs()))
+        .filter(|job| job.spec.team == team)
+        .collect();
+    json(200, &jobs)
+}
+
+/// Handles `GET /v1/jobs/{id}`.
+pub(crate) async fn get(request: ApiRequest) -> tide::Result {
+    match find(&request) {
+        Ok(job) => json(200, &job),
+        Err(code) => fail(code),
+    }
+}
+
+/// Handles `DELETE /v1/jobs/{id}`.
+pub(crate) async fn cancel(request: ApiRequest) -> tide::Result {
+    let job = match find(&request) {
+        Ok(job) => job,
+        Err(code) => return fail(code),
+    };
+    let body = Body::Cancelled { job: job.id };
+    let publisher = &request.state().publisher;
+    match publisher.append(&stream_of(&job.zone), body).await {
+        Ok(_) => json(200, &job),
+        Err(PublishError::NotAppended) => fail(Code::LOG_UNAVAILABLE),
+        Err(PublishError::Unknown) => fail(Code::RECORD_UNKNOWN),
+    }
+}
+
+/// Finds the job of the request's path for the team of its key.
+fn find(request: &ApiRequest) -> Result<JobView, Code> {
+    let team = auth::team(request)?;
+    let id: JobId = request
+        .param("id")
+        .ok()
+        .and_then(|id| id.parse().ok())
+        .ok_or(Code::NOT_FOUND)?;
+    request
+        .state()
+        .zones()
+        .iter()
+        .find_map(|zone| zone.read(|coordinator| coordinator.job(id)))
+        .filter(|job| job.spec.team == team)
+        .ok_or(Code::NOT_FOUND)
+}
--- /dev/null
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -0,0 +1,94 @@
+//! Starts and stops an entry instance.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use primrosebay_protocol::log::{CONFIG_STREAM, Page};
+use primrosebay_state::id::Incarnation;
+use primrosebay_state::record::Body;
+use primrosebay_transport::http_server::{Limits, Server};
+use primrosebay_transport::list::{HttpList, LiveList};
+use primrosebay_transport::log::HttpLog;
+
+use crate::api;
+use crate::log_reader;
+use crate::shared::{Setup, Shared};
+use crate::zones::Zone;
+
+/// How often the platform's list is fetched.
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+
+/// A running entry instance.
+#[derive(Debug)]
+pub struct Instance {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+impl Instance {
+    /// Starts the API and the coordinator of the instance's zone.
+    ///
+    /// # Errors
+    /// Returns the error of binding the API's address.
+    pub async fn start(setup: Setup) -> io::Result<Self> {
+        let incarnation = Incarnation(rand::random());
+        let log = Arc::new(HttpLog::new(setup.log, setup.call_timeout));
+        let shared = Arc::new(Shared::new(setup, incarnation, log));
+        let app = api::app(Arc::clone(&shared));
+        let server = Server::start(shared.setup.address, app, Limits::default()).await?;
+        let zone = Zone::start(&shared, &shared.setup.zone);
+        task::spawn(follow_config(Arc::clone(&shared)));
+        task::spawn(follow_list(Arc::clone(&shared), zone));
+        log::info!("entry: serving on {}", server.address());
+        Ok(Self { shared, server })
+    }
+
+    /// Returns the address of the API.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Stops the instance after the requests in flight.
+    pub async fn close(self) {
+        log::info!("entry: stopping");
+        self.server.close().await;
+        for zone in self.shared.zones() {
+            zone.handle(primrosebay_coordination::zone::Event::Stop);
+        }
+    }
+}
+
+async fn follow_config(shared: Arc<Shared>) {
+    let log = Arc::clone(&shared.log);
+    let apply = |page: Option<Page>| {
+        if let Some(page) = page.filter(|p| !p.records.is_empty()) {
+            let mut config = (*shared.config()).clone();
+            for placed in page.records {
+                if let Body::Config(change) = &placed.record.body {
+                    config.apply(placed.offset, change);
+                }
+            }
+            shared.set_config(config);
+        }
+        true
+    };
+    log_reader::follow(&log, CONFIG_STREAM, apply).await;
+}
+
+async fn follow_list(shared: Arc<Shared>, zone: Arc<Zone>) {
+    let list = HttpList::new(shared.setup.list, shared.setup.call_timeout);
+    loop {
+        match list.fetch().await {
+            Ok(fetched) => {
+                shared.set_directory(fetched.instances);
+                zone.update_directory(&shared);
+            }
+            Err(e) => log::warn!("list: cannot fetch the instances: {e}"),
+        }
+        task::sleep(LIST_PERIOD).await;
+    }
+}
--- a/crates/primrosebay_entry/src/lib.rs
+++ b/crates/primrosebay_entry/src/lib.rs
@@ -1,1 +1,9 @@
 //! The entry instance: API, coordinators and request routing.
+
+pub mod api;
+pub mod auth;
+pub mod instance;
+pub mod log_reader;
+pub mod publisher;
+pub mod shared;
+pub mod zones;
--- /dev/null
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -0,0 +1,157 @@
+//! What the parts of an entry instance share.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use primrosebay_protocol::list::Instance;
+use primrosebay_state::Name;
+use primrosebay_state::config::Config;
+use primrosebay_state::id::{Incarnation, JobId};
+use primrosebay_state::time::Time;
+use primrosebay_transport::log::HttpLog;
+use primrosebay_transport::worker::HttpWorkers;
+
+use crate::publisher::Publisher;
+use crate::zones::Zone;
+
+/// What an entry instance is told at its start.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// The name of the instance on the platform's list.
+    pub name: Name,
+    /// The availability zone of the instance.
+    pub zone: Name,
+    /// Address of the API.
+    pub address: SocketAddr,
+    /// Address of the platform's log.
+    pub log: SocketAddr,
+    /// Address of the platform's list of instances.
+    pub list: SocketAddr,
+    /// SHA-256 of the operators' key, in hexadecimal digits.
+    pub operator_hash: Name,
+    /// Time-out of a call to the platform.
+    pub call_timeout: Duration,
+}
+
+/// The state that the parts of an entry instance share.
+#[derive(Debug)]
+pub struct Shared {
+    /// What the instance was told at its start.
+    pub setup: Setup,
+    /// Identifies this run of the process.
+    pub incarnation: Incarnation,
+    /// Appends records to the log.
+    pub publisher: Publisher,
+    /// Reads the log.
+    pub log: Arc<HttpLog>,
+    /// Exchanges messages with workers.
+    pub workers: HttpWorkers,
+    started: Instant,
+    jobs: AtomicU64,
+    config: RwLock<Arc<Config>>,
+    directory: RwLock<Arc<[Instance]>>,
+    zones: Mutex<Vec<Arc<Zone>>>,
+}
+
+impl Shared {
+    /// Creates the shared state around the adapters.
+    #[must_use]
+    pub fn new(setup: Setup, incarnation: Incarnation, log: Arc<HttpLog>) -> Self {
+        Self {
+            publisher: Publisher::start(Arc::clone(&log), incarnation),
+            workers: HttpWorkers::new(setup.call_timeout),
+            incarnation,
+            log,
+            setup,
+            started: Instant::now(),
+            jobs: AtomicU64::new(0),
+            config: RwLock::default(),
+            directory: RwLock::new(Arc::from([])),
+            zones: Mutex::default(),
+        }
+    }
+
+    /// Returns the time on the local clock.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        Time(u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// Returns a new identifier for a job.
+    #[must_use]
+    pub fn next_job(&self) -> JobId {
+        JobId {
+            incarnation: self.incarnation,
+            sequence: self.jobs.fetch_add(1, Ordering::Relaxed) + 1,
+        }
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Arc<Config> {
+        Arc::clone(&self.config.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts a configuration in force.
+    pub fn set_config(&self, config: Config) {
+        *self.config.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(config);
+    }
+
+    /// Returns the platform's list of instances as last fetched, by name.
+    #[must_use]
+    pub fn directory(&self) -> Arc<[Instance]> {
+        Arc::clone(
+            &self
+                .directory
+                .read()
+                .unwrap_or_else(PoisonError::into_inner),
+        )
+    }
+
+    /// Replaces the list of instances.
+    pub fn set_directory(&self, mut instances: Vec<Instance>) {
+        instances.sort_by(|a, b| a.name.cmp(&b.name));
+        *self
+            .directory
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = instances.into();
+    }
+
+    /// Returns the address of the instance with `name`.
+    #[must_use]
+    pub fn address_of(&self, name: &str) -> Option<SocketAddr> {
+        let directory = self.directory();
+        let i = directory
+            .binary_search_by(|instance| (*instance.name).cmp(name))
+            .ok()?;
+        directory[i].address.parse().ok()
+    }
+
+    /// Returns the zones that this instance coordinates or may come to coordinate.
+    #[must_use]
+    pub fn zones(&self) -> Vec<Arc<Zone>> {
+        self.lock_zones().clone()
+    }
+
+    /// Returns the zone with `name`, if this instance is a candidate for it.
+    #[must_use]
+    pub fn zone(&self, name: &str) -> Option<Arc<Zone>> {
+        let zones = self.lock_zones();
+        let i = zones.binary_search_by(|z| (*z.name).cmp(name)).ok()?;
+        Some(Arc::clone(&zones[i]))
+    }
+
+    /// Adds a zone for which this instance is a candidate.
+    pub fn add_zone(&self, zone: Arc<Zone>) {
+        let mut zones = self.lock_zones();
+        if let Err(i) = zones.binary_search_by(|z| z.name.cmp(&zone.name)) {
+            zones.insert(i, zone);
+        }
+    }
+
+    fn lock_zones(&self) -> MutexGuard<'_, Vec<Arc<Zone>>> {
+        self.zones.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/primrosebay_transport/src/http_client.rs
@@ -0,0 +1,195 @@
+//! A pooled HTTP/1.1 client for short calls to the platform and to workers.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use futures_lite::future;
+use http_types::{Body, Method, Request, StatusCode, Url};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Idle connections kept for each address.
+const IDLE_CONNECTIONS: usize = 8;
+
+/// Why a call got no usable answer.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// Nothing was sent, so the call had no effect.
+    #[error("cannot connect to {address}: {reason}")]
+    NotSent {
+        /// The address that was called.
+        address: SocketAddr,
+        /// What the connection attempt reported.
+        reason: String,
+    },
+    /// The call may have had its effect.
+    #[error("no answer from {address}: {reason}")]
+    Lost {
+        /// The address that was called.
+        address: SocketAddr,
+        /// What happened to the connection.
+        reason: String,
+    },
+    /// The server answered with an error status.
+    #[error("status {status} from {address}")]
+    Status {
+        /// The address that was called.
+        address: SocketAddr,
+        /// The HTTP status.
+        status: u16,
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// The answer could not be read as the expected type.
+    #[error("malformed answer from {address}: {reason}")]
+    Malformed {
+        /// The address that was called.
+        address: SocketAddr,
+        /// What the decoder reported.
+        reason: String,
+    },
+}
+
+/// Keeps connections open between calls.
+#[derive(Debug, Default)]
+pub struct Client {
+    idle: Mutex<Vec<(SocketAddr, Vec<TcpStream>)>>,
+}
+
+impl Client {
+    /// Creates a client without open connections.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sends `body` as JSON, or nothing for a call without a body, and reads a JSON answer.
+    ///
+    /// # Errors
+    /// Returns a [`CallError`] that tells whether the call may have had an effect.
+    pub async fn json<B: Serialize + Sync, T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Option<&B>,
+        timeout: Duration,
+    ) -> Result<T, CallError> {
+        let body = body.map(|b| serde_json::to_vec(b).unwrap_or_default());
+        let (status, bytes) = self
+            .bytes(address, method, path, &[], body, timeout)
+            .await?;
+        if !status.is_success() {
+            return Err(CallError::Status {
+                address,
+                status: status.into(),
+                body: bytes,
+            });
+        }
+        serde_json::from_slice(&bytes).map_err(|e| CallError::Malformed {
+            address,
+            reason: e.to_string(),
+        })
+    }
+
+    /// Sends a request and returns the status and the whole body of the answer.
+    ///
+    /// # Errors
+    /// Returns [`CallError::NotSent`] if no connection could be made and [`CallError::Lost`] if
+    /// the answer did not arrive within `timeout`.
+    pub async fn bytes(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Option<Vec<u8>>,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Vec<u8>), CallError> {
+        let mut request = request(address, method, path)?;
+        for (name, value) in headers {
+            request.insert_header(*name, *value);
+        }
+        if let Some(body) = body {
+            request.set_body(Body::from_bytes(body));
+            request.insert_header("content-type", "application/json");
+        }
+        let stream = self.connection(address, timeout).await?;
+        let lost = |reason: String| CallError::Lost { address, reason };
+        // The stream goes back to the pool only after a whole answer. A connection that timed out
+        // could deliver this answer to a later call.
+        let exchange = async {
+            let mut response = async_h1::connect(stream.clone(), request).await?;
+            let bytes = response.body_bytes().await?;
+            Ok::<_, http_types::Error>((response, bytes))
+        };
+        let (response, bytes) = async_std::future::timeout(timeout, exchange)
+            .await
+            .map_err(|_| lost("timed out".into()))?
+            .map_err(|e| lost(e.to_string()))?;
+        if response
+            .header("connection")
+            .is_none_or(|v| !v.as_str().eq_ignore_ascii_case("close"))
+        {
+            self.put_back(address, stream);
+        }
+        Ok((response.status(), bytes))
+    }
+
+    async fn connection(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<TcpStream, CallError> {
+        while let Some(stream) = self.take_idle(address) {
+            if is_open(&stream).await {
+                return Ok(stream);
+            }
+        }
+        let not_sent = |reason: String| CallError::NotSent { address, reason };
+        let stream = async_std::future::timeout(timeout, TcpStream::connect(address))
+            .await
+            .map_err(|_| not_sent("timed out".into()))?
+            .map_err(|e| not_sent(e.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|e| not_sent(e.to_string()))?;
+        Ok(stream)
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<TcpStream> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let i = idle.binary_search_by_key(&address, |e| e.0).ok()?;
+        idle[i].1.pop()
+    }
+
+    fn put_back(&self, address: SocketAddr, stream: TcpStream) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let i = match idle.binary_search_by_key(&address, |e| e.0) {
+            Ok(i) => i,
+            Err(i) => {
+                idle.insert(i, (address, Vec::new()));
+                i
+            }
+        };
+        if idle[i].1.len() < IDLE_CONNECTIONS {
+            idle[i].1.push(stream);
+        }
+    }
+}
+
+fn request(address: SocketAddr, method: Method, path: &str) -> Result<Request, CallError> {
+    let url = Url::parse(&format!("http://{address}{path}")).map_err(|e| CallError::NotSent {
+        address,
+        reason: e.to_string(),
+    })?;
+    Ok(Request::new(method, url))
+}
+
+/// Returns whether an idle connection is neither closed nor has unexpected bytes waiting.
+async fn is_open(stream: &TcpStream) -> bool {
+    let mut buffer = [0; 1];
+    future::poll_once(stream.peek(&mut buffer)).await.is_none()
+}
--- /dev/null
+++ b/crates/primrosebay_transport/src/http_server.rs
@@ -0,0 +1,142 @@
+//! Accepts HTTP/1.1 connections for a `tide` application.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task::{self, JoinHandle};
+use http_types::{Request, Response, StatusCode};
+
+/// Bounds of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Most open connections; further ones are closed at once.
+    pub connections: usize,
+    /// Time that requests in flight get at a planned stop.
+    pub grace: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            grace: Duration::from_secs(10),
+        }
+    }
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    limits: Limits,
+    shared: Arc<Shared>,
+    accepting: JoinHandle<()>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    stopping: AtomicBool,
+    connections: AtomicUsize,
+    requests: AtomicUsize,
+}
+
+impl Server {
+    /// Binds `address` and serves `app` on it. Port 0 takes a free port.
+    ///
+    /// # Errors
+    /// Returns the error of binding the address.
+    pub async fn start<S: Clone + Send + Sync + 'static>(
+        address: SocketAddr,
+        app: tide::Server<S>,
+        limits: Limits,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared::default());
+        let accepting = task::spawn(accept(listener, app, limits, Arc::clone(&shared)));
+        Ok(Self {
+            address,
+            limits,
+            shared,
+            accepting,
+        })
+    }
+
+    /// Returns the bound address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, lets requests in flight finish within the grace period and closes.
+    pub async fn close(self) {
+        self.shared.stopping.store(true, Ordering::SeqCst);
+        self.accepting.cancel().await;
+        let step = Duration::from_millis(10);
+        let mut left = self.limits.grace;
+        while self.shared.requests.load(Ordering::SeqCst) > 0 && !left.is_zero() {
+            task::sleep(step).await;
+            left = left.saturating_sub(step);
+        }
+    }
+}
+
+async fn accept<S: Clone + Send + Sync + 'static>(
+    listener: TcpListener,
+    app: tide::Server<S>,
+    limits: Limits,
+    shared: Arc<Shared>,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!("http: cannot accept a connection: {e}");
+                // Accepting fails at once while file descriptors are short, so the loop pauses.
+                task::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        if shared.connections.fetch_add(1, Ordering::SeqCst) >= limits.connections {
+            shared.connections.fetch_sub(1, Ordering::SeqCst);
+            continue;
+        }
+        task::spawn(serve(stream, app.clone(), Arc::clone(&shared)));
+    }
+}
+
+async fn serve<S: Clone + Send + Sync + 'static>(
+    stream: TcpStream,
+    app: tide::Server<S>,
+    shared: Arc<Shared>,
+) {
+    let peer = stream.peer_addr().ok();
+    // Without this option small answers can wait 40 ms for a delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let answer = |request: Request| respond(request, peer, app.clone(), Arc::clone(&shared));
+    if let Err(e) = async_h1::accept(stream, answer).await {
+        log::debug!("http: connection closed: {e}");
+    }
+    shared.connections.fetch_sub(1, Ordering::SeqCst);
+}
+
+async fn respond<S: Clone + Send + Sync + 'static>(
+    mut request: Request,
+    peer: Option<SocketAddr>,
+    app: tide::Server<S>,
+    shared: Arc<Shared>,
+) -> http_types::Result<Response> {
+    request.set_peer_addr(peer);
+    shared.requests.fetch_add(1, Ordering::SeqCst);
+    let answer = app.respond::<_, Response>(request).await;
+    shared.requests.fetch_sub(1, Ordering::SeqCst);
+    let mut response = answer.unwrap_or_else(|_| Response::new(StatusCode::InternalServerError));
+    if shared.stopping.load(Ordering::SeqCst) {
+        response.insert_header("connection", "close");
+    }
+    Ok(response)
+}
--- a/crates/primrosebay_transport/src/lib.rs
+++ b/crates/primrosebay_transport/src/lib.rs
@@ -1,1 +1,7 @@
 //! Network adapters: HTTP, QUIC and TLS.
+
+pub mod http_client;
+pub mod http_server;
+pub mod list;
+pub mod log;
+pub mod worker;
