Add the worker's lease table and the coordinator of one zone

Cause: the entry instance's I/O loop needs the interface of the coordinator. Change: WorkerTable grants control leases by the worker's clock. Coordinator claims workers, renews them, opens terms with voters, recovers inherited tasks, starts what the scheduler places, and takes reports. Requests carry the worker's run and a sequence number, so that a restart or a reordered request voids them. Replies carry the latest opened term. A Moved record carries the epoch of the giver and an Opened record voids what a deposed giver appends later.

--- a/crates/primrosebay_coordination/src/lib.rs
+++ b/crates/primrosebay_coordination/src/lib.rs
@@ -1,3 +1,6 @@
 //! Deterministic decision logic of the scheduler. This crate does no I/O and reads no clock.
 
 pub mod schedule;
+pub mod table;
+pub mod worker;
+pub mod zone;
--- /dev/null
+++ b/crates/primrosebay_coordination/src/zone/advance.rs
@@ -0,0 +1,163 @@
+//! What the coordinator does after each event.
+
+use primrosebay_state::Name;
+use primrosebay_state::id::TaskId;
+use primrosebay_state::record::Body;
+use primrosebay_state::time::Time;
+
+use super::jobs::State;
+use super::term::Phase;
+use super::{Coordinator, Pending};
+use crate::schedule::Decision;
+
+impl Coordinator {
+    pub(super) fn advance(&mut self, now: Time) {
+        self.advance_term(now);
+        if self.terms.phase == Phase::Claiming {
+            self.advance_recovery(now);
+            self.check_members(now);
+            self.limit_teams(now);
+            self.end_backoff(now);
+            self.advance_moves(now);
+            self.schedule(now);
+        }
+        self.send_all(now);
+    }
+
+    /// Ends the tasks of workers that have not answered for too long, and tells the scheduler
+    /// which workers it may use.
+    fn check_members(&mut self, now: Time) {
+        let names: Vec<_> = self.members.iter().map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.check_member(now, &name);
+        }
+        let voters = &self.terms.voters.names;
+        let scheduler = &mut self.scheduler;
+        self.members.retain(|name, member| {
+            let keep = member.listed
+                || voters.contains(name)
+                || !member.tasks.is_empty()
+                || !member.placed.is_empty();
+            if !keep && member.known.is_some() {
+                scheduler.remove_worker(name);
+            }
+            keep
+        });
+    }
+
+    fn check_member(&mut self, now: Time, name: &Name) {
+        let allowed = self.may_use(now, name);
+        let ttl = self.settings.task_ttl;
+        let Some(member) = self.members.get_mut(name) else {
+            return;
+        };
+        let held = member.is_held(now, self.settings.control_ttl);
+        let over = member.tasks_end(ttl).is_some_and(|end| now >= end);
+        let usable = allowed && member.is_trusted(now);
+        let size = Some((member.rack.clone(), member.total));
+        if member.known != size {
+            member.known = size;
+            member.usable = usable;
+            self.scheduler
+                .set_worker(name.clone(), member.rack.clone(), member.total);
+            self.scheduler.set_usable(name, usable);
+            self.changed = true;
+        } else if member.usable != usable {
+            member.usable = usable;
+            self.scheduler.set_usable(name, usable);
+            self.changed = true;
+        }
+        if !allowed {
+            for id in std::mem::take(&mut member.placed) {
+                self.requeue_placed(now, id);
+            }
+        }
+        if !held && over {
+            self.lose_tasks(now, name);
+        }
+    }
+
+    /// Returns whether tasks may start on a worker, quarantine apart. Only voters get tasks: a
+    /// successor looks for tasks on the voters of the latest term.
+    fn may_use(&self, now: Time, name: &Name) -> bool {
+        let Some(member) = self.members.get::<Name>(name) else {
+            return false;
+        };
+        let proposal = &self.terms.proposal;
+        member.is_held(now, self.settings.control_ttl)
+            && member.listed
+            && !member.leaving
+            && !self.lost.contains(name)
+            && self.terms.voters.names.contains(name)
+            && proposal.as_ref().is_none_or(|names| names.contains(name))
+    }
+
+    /// Gives a task whose start has not been sent back to the scheduler.
+    pub(super) fn requeue_placed(&mut self, now: Time, id: TaskId) {
+        let Some(worker) = self
+            .jobs
+            .task(id)
+            .and_then(|(_, task)| task.worker().cloned())
+        else {
+            return;
+        };
+        self.detach(now, id, &worker);
+        self.set_state(id, State::Waiting);
+        if self
+            .jobs
+            .all
+            .get(&id.job)
+            .is_some_and(super::jobs::Job::is_gang)
+        {
+            self.hold_back(now, id);
+        } else {
+            self.submit(now, id.job);
+        }
+    }
+
+    fn schedule(&mut self, now: Time) {
+        if !self.changed || !self.may_send_starts(now) {
+            return;
+        }
+        self.changed = false;
+        let decisions = self.scheduler.schedule(now, self.settings.decisions);
+        self.changed = !decisions.is_empty();
+        for decision in decisions {
+            match decision {
+                Decision::Place { task, worker } => self.place(task, worker),
+                Decision::Preempt {
+                    task,
+                    worker,
+                    checkpoint,
+                } => self.preempt(task, &worker, checkpoint),
+            }
+        }
+    }
+
+    fn place(&mut self, id: TaskId, worker: Name) {
+        let Some((job, task)) = self.jobs.task(id) else {
+            return;
+        };
+        if job.is_once() && !task.started {
+            self.set_state(id, State::Recording(worker));
+            self.append(Pending::Starting(id), Body::Starting { task: id });
+            return;
+        }
+        if let Some(member) = self.members.get_mut(&worker) {
+            member.placed.push(id);
+        }
+        self.set_state(id, State::Placed(worker));
+    }
+
+    fn preempt(&mut self, id: TaskId, worker: &Name, checkpoint: bool) {
+        if let Some(task) = self.jobs.task_mut(id)
+            && let State::Active(active) = &mut task.state
+            && active.worker == *worker
+        {
+            active.stop = Some(checkpoint);
+            if let Some(member) = self.members.get_mut(worker) {
+                member.stops = true;
+            }
+        }
+    }
+}
--- a/crates/primrosebay_protocol/src/worker.rs
+++ b/crates/primrosebay_protocol/src/worker.rs
@@ -58,12 +58,18 @@
 /// A request of a coordinator, or of a candidate that claims the worker.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Request {
-    /// The term under which the request is made.
+    /// The term under which the request is made; without voters until the term has opened.
     pub term: Term,
+    /// The worker's run that the request is meant for; 0 for a first claim. Times of the worker's
+    /// clock mean nothing to a worker that has restarted.
+    pub run: u64,
+    /// Increases with every request of the sender; a request that arrives after a later one is void.
+    pub sequence: u64,
     /// The request is void after this time on the worker's clock; nothing for a first claim, which
     /// carries no commands.
     pub deadline: Option<WorkerTime>,
-    /// How long the control lease is to last, in milliseconds from `deadline`'s base.
+    /// How long the control lease is to last, in milliseconds from the arrival; 0 to read the state
+    /// of the worker without a claim.
     pub lease_ms: u64,
     /// Running attempts are stopped at this time on the worker's clock unless it is moved on.
     pub tasks_until: WorkerTime,
@@ -125,12 +131,20 @@
 pub struct Reply {
     /// The worker's clock when it answered.
     pub clock: WorkerTime,
-    /// Whether the sender holds the control lease now.
+    /// Identifies the run of the worker's process; never 0.
+    pub run: u64,
+    /// The number of the request that is answered.
+    pub sequence: u64,
+    /// Whether the request took effect: the lease was granted or renewed and the commands done.
     pub granted: bool,
     /// The latest term that the worker granted.
     pub term: Option<Term>,
+    /// The latest term with voters that the worker was told of.
+    pub opened: Option<Term>,
     /// Remaining milliseconds of the lease that another holder has.
     pub held_ms: u64,
+    /// Milliseconds for which nobody has held the lease; 0 while it is held.
+    pub free_ms: u64,
     /// What the worker holds in total.
     pub resources: Resources,
     /// Reports after the acknowledged one, by sequence; complete after a claim.
--- a/crates/primrosebay_state/src/record.rs
+++ b/crates/primrosebay_state/src/record.rs
@@ -4,7 +4,7 @@
 
 use crate::Name;
 use crate::config::Change;
-use crate::id::{JobId, RecordId, TaskId};
+use crate::id::{Incarnation, JobId, RecordId, TaskId};
 use crate::job::JobSpec;
 
 /// How a task or job ended.
@@ -66,9 +66,23 @@
     Moved {
         /// The job.
         job: JobId,
+        /// The zone that gives the job.
+        from: Name,
+        /// The epoch under which it gives the job; the record is void if a later term of the zone
+        /// is recorded before it.
+        epoch: u64,
         /// The new home zone.
         zone: Name,
     },
+    /// A coordinator took a zone over. Records that its predecessors append later are void.
+    Opened {
+        /// The zone.
+        zone: Name,
+        /// The epoch of the new coordinator's first term.
+        epoch: u64,
+        /// The new coordinator.
+        holder: Incarnation,
+    },
     /// A zone gave a part of its allowance to another zone.
     Allowance {
         /// The team.
