Run a job from the caller to a worker through separate processes

Cause: the parts were not connected. Change: the entry instance drives the zone's coordinator, follows the zone's log stream and feeds it teams and zone states.

--- a/crates/primrosebay/src/cli.rs
+++ b/crates/primrosebay/src/cli.rs
@@ -10,7 +10,15 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .args(global_args())
-        .subcommands([serve(), stand_in(), submit(), get(), cancel(), call(), codes()])
+        .subcommands([
+            serve(),
+            stand_in(),
+            submit(),
+            get(),
+            cancel(),
+            call(),
+            codes(),
+        ])
 }
 
 fn global_args() -> [Arg; 3] {
@@ -67,7 +75,9 @@
         .about("Runs a small stand-in for a part of the platform, for tests")
         .subcommand_required(true)
         .subcommands([
-            Command::new("log").about("The log service").arg(listen_arg()),
+            Command::new("log")
+                .about("The log service")
+                .arg(listen_arg()),
             Command::new("list")
                 .about("The list of instances")
                 .arg(listen_arg())
--- a/crates/primrosebay/src/commands/jobs.rs
+++ b/crates/primrosebay/src/commands/jobs.rs
@@ -30,13 +30,11 @@
         answers.push(answer);
     }
     let mut rows = vec![["ID", "ZONE", "CODE"].map(str::to_owned).to_vec()];
-    rows.extend(answers.iter().map(|a| {
-        vec![
-            a.id.to_string(),
-            a.zone.to_string(),
-            a.code.to_string(),
-        ]
-    }));
+    rows.extend(
+        answers
+            .iter()
+            .map(|a| vec![a.id.to_string(), a.zone.to_string(), a.code.to_string()]),
+    );
     output::print(matches, &answers, &rows)?;
     if matches.get_flag("wait") {
         for answer in &answers {
--- a/crates/primrosebay_entry/src/api/jobs.rs
+++ b/crates/primrosebay_entry/src/api/jobs.rs
@@ -81,7 +81,7 @@
         .state()
         .zones()
         .iter()
-        .flat_map(|zone| zone.read(|coordinator| coordinator.jobs()))
+        .flat_map(|zone| zone.read(|coordinator| coordinator.jobs().collect::<Vec<_>>()))
         .filter(|job| job.spec.team == team)
         .collect();
     json(200, &jobs)
--- a/crates/primrosebay_entry/src/instance.rs
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -20,6 +20,8 @@
 
 /// How often the platform's list is fetched.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// Longest wait for workers to take their leases back at a planned stop.
+const STOP_GRACE: Duration = Duration::from_secs(5);
 
 /// A running entry instance.
 #[derive(Debug)]
@@ -57,7 +59,7 @@
         log::info!("entry: stopping");
         self.server.close().await;
         for zone in self.shared.zones() {
-            zone.handle(primrosebay_coordination::zone::Event::Stop);
+            zone.stop(STOP_GRACE).await;
         }
     }
 }
@@ -73,6 +75,9 @@
                 }
             }
             shared.set_config(config);
+            for zone in shared.zones() {
+                zone.update_config(&shared);
+            }
         }
         true
     };
--- a/crates/primrosebay_entry/src/zones.rs
+++ b/crates/primrosebay_entry/src/zones.rs
@@ -1,5 +1,6 @@
 //! Runs the coordinator of a zone: feeds it events and carries out its commands.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use primrosebay_protocol::log::{JOBS_STREAM, Page};
 use primrosebay_protocol::worker;
 use primrosebay_state::Name;
+use primrosebay_state::config::Resource;
 use primrosebay_state::record::Body;
 use primrosebay_transport::worker::WorkerLink;
 
@@ -34,6 +36,7 @@
     /// The zone.
     pub name: Name,
     coordinator: Mutex<Coordinator>,
+    stopped: AtomicBool,
     shared: Weak<Shared>,
 }
 
@@ -46,6 +49,7 @@
         let zone = Arc::new(Self {
             name: name.clone(),
             coordinator: Mutex::new(coordinator),
+            stopped: AtomicBool::new(false),
             shared: Arc::downgrade(shared),
         });
         shared.add_zone(Arc::clone(&zone));
@@ -89,6 +93,7 @@
                 Command::Append { token, body } => {
                     task::spawn(append(Arc::clone(self), Arc::clone(&shared), token, body));
                 }
+                Command::Stopped => self.stopped.store(true, Ordering::SeqCst),
             }
         }
     }
@@ -107,6 +112,32 @@
         ]);
     }
 
+    /// Tells the coordinator about the teams and the state of its zone.
+    pub fn update_config(self: &Arc<Self>, shared: &Shared) {
+        let config = shared.config();
+        let parts = config.list("zone").count().max(1) as u64;
+        let teams = config.list("team").filter_map(|item| match &item.spec {
+            Resource::Team { share, limit } => Some(Event::Team {
+                team: item.name.clone(),
+                share: *share,
+                allowance: limit.divided(parts),
+            }),
+            _ => None,
+        });
+        let state = Event::ZoneState(config.zone_state(&self.name));
+        self.handle_all(teams.chain([state, Event::MayStart(true)]));
+    }
+
+    /// Gives the leases of the zone back and waits until that is done or `grace` has passed.
+    pub async fn stop(self: &Arc<Self>, grace: Duration) {
+        self.handle(Event::Stop);
+        let mut left = grace;
+        while !self.stopped.load(Ordering::SeqCst) && !left.is_zero() {
+            task::sleep(TICK).await;
+            left = left.saturating_sub(TICK);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Coordinator> {
         self.coordinator
             .lock()
--- a/crates/primrosebay_state/src/resources.rs
+++ b/crates/primrosebay_state/src/resources.rs
@@ -60,6 +60,17 @@
         }
     }
 
+    /// Divides every dimension by `parts`, rounding down; 0 parts count as one.
+    #[must_use]
+    pub fn divided(&self, parts: u64) -> Self {
+        let parts = parts.max(1);
+        Self {
+            cores_milli: self.cores_milli / parts,
+            memory_mib: self.memory_mib / parts,
+            accelerators: self.accelerators / parts,
+        }
+    }
+
     /// Returns whether every dimension is zero.
     #[must_use]
     pub fn is_zero(&self) -> bool {
