--- a/crates/primrosebay/src/cli.rs
+++ b/crates/primrosebay/src/cli.rs
@@ -62,6 +62,17 @@
         .arg(settings_arg())
 }
 
+fn dev() -> Command {
+    Command::new("dev")
+        .about("Runs a whole cell of stand-ins with a workload in one process")
+        .arg(
+            Arg::new("plan")
+                .value_name("FILE")
+                .required(true)
+                .help("The cell and its workload in YAML, such as examples/thistlewood.yaml"),
+        )
+}
+
 fn listen_arg() -> Arg {
     Arg::new("listen")
         .long("listen")
--- a/crates/primrosebay/src/client.rs
+++ b/crates/primrosebay/src/client.rs
@@ -7,6 +7,7 @@
 use eyre::{WrapErr, eyre};
 use http_types::Method;
 use primrosebay_protocol::api::Failure;
+use primrosebay_state::config::{Resource, Stored};
 use primrosebay_transport::http_client;
 use serde::de::DeserializeOwned;
 
@@ -38,6 +39,15 @@
         })
     }
 
+    /// Creates a client of the instance at `address` with `key`.
+    pub fn with_key(address: SocketAddr, key: &str) -> Self {
+        Self {
+            http: http_client::Client::new(),
+            address,
+            authorization: Some(format!("Bearer {key}")),
+        }
+    }
+
     /// Sends a request and returns the body of a successful answer.
     pub async fn bytes(
         &self,
@@ -72,6 +82,17 @@
         let bytes = self.bytes(method, path, &[], body).await?;
         serde_json::from_slice(&bytes).wrap_err("malformed answer")
     }
+
+    /// Writes a resource, whatever version it has.
+    pub async fn put(&self, name: &str, spec: &Resource) -> eyre::Result<()> {
+        let path = format!("/v1/{}/{name}", spec.kind());
+        let current: Option<Stored> = self.json(Method::Get, &path, None).await.ok();
+        let version = current.map_or(0, |c| c.version);
+        let body = serde_json::json!({ "version": version, "spec": spec });
+        let body = serde_json::to_vec(&body)?;
+        self.bytes(Method::Put, &path, &[], Some(body)).await?;
+        Ok(())
+    }
 }
 
 fn describe(failure: &Failure) -> String {
--- a/crates/primrosebay/src/commands/mod.rs
+++ b/crates/primrosebay/src/commands/mod.rs
@@ -9,6 +9,8 @@
 use clap::ArgMatches;
 use eyre::eyre;
 
+use crate::dev;
+
 /// Runs the selected command.
 pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
     let (name, matches) = matches
@@ -16,6 +18,7 @@
         .ok_or_else(|| eyre!("no command given"))?;
     match name {
         "serve" => async_std::task::block_on(serve::run(matches)),
+        "dev" => async_std::task::block_on(dev::run(matches)),
         "stand-in" => async_std::task::block_on(stand_in::run(matches)),
         "submit" => async_std::task::block_on(jobs::submit(matches)),
         "get" => async_std::task::block_on(jobs::get(matches)),
@@ -27,7 +30,7 @@
 }
 
 /// Returns a required text argument.
-fn text<'a>(matches: &'a ArgMatches, name: &str) -> eyre::Result<&'a str> {
+pub fn text<'a>(matches: &'a ArgMatches, name: &str) -> eyre::Result<&'a str> {
     matches
         .get_one::<String>(name)
         .map(String::as_str)
@@ -35,7 +38,7 @@
 }
 
 /// Reads a file, or standard input for `-`.
-fn read_input(path: &str) -> eyre::Result<String> {
+pub fn read_input(path: &str) -> eyre::Result<String> {
     use eyre::WrapErr;
     if path == "-" {
         return std::io::read_to_string(std::io::stdin()).wrap_err("cannot read standard input");
--- a/crates/primrosebay/src/commands/serve.rs
+++ b/crates/primrosebay/src/commands/serve.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use async_signal::{Signal, Signals};
+use async_std::stream::StreamExt;
 use clap::ArgMatches;
 use eyre::WrapErr;
 use primrosebay_entry::auth;
@@ -42,5 +44,14 @@
     .await
     .wrap_err("cannot start")?;
     println!("entry listening on {}", instance.address());
-    std::future::pending().await
+    wait_for_stop().await?;
+    instance.close().await;
+    Ok(())
+}
+
+/// Waits for a signal that asks the process to stop.
+async fn wait_for_stop() -> eyre::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).wrap_err("no signals")?;
+    let _ = signals.next().await;
+    Ok(())
 }
--- a/crates/primrosebay/src/commands/stand_in.rs
+++ b/crates/primrosebay/src/commands/stand_in.rs
@@ -1,5 +1,7 @@
 //! `primrosebay stand-in`.
 
+use std::sync::Arc;
+
 use clap::ArgMatches;
 use eyre::{WrapErr, eyre};
 use primrosebay_protocol::list::Instances;
@@ -30,7 +32,8 @@
             Server::start(address, list.app(), limits).await
         }
         _ => {
-            let worker = WorkerService::new(rand::random::<u64>().max(1), held(matches));
+            let run = rand::random::<u64>().max(1);
+            let worker = Arc::new(WorkerService::new(run, held(matches)));
             Server::start(address, worker.app(), limits).await
         }
     }
--- a/crates/primrosebay/src/dev/cell.rs
+++ b/crates/primrosebay/src/dev/cell.rs
@@ -1,6 +1,7 @@
 //! Starts a cell of stand-ins and entry instances in one process.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -10,7 +11,7 @@
 use primrosebay_protocol::list::{self, Liveness, Role};
 use primrosebay_standin::list::ListService;
 use primrosebay_standin::log::{LogService, Settings};
-use primrosebay_standin::worker::WorkerService;
+use primrosebay_standin::worker::{Status, WorkerService};
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
 use primrosebay_transport::http_server::{Limits, Server};
@@ -24,7 +25,7 @@
 #[derive(Debug)]
 pub struct Cell {
     platform: Vec<Server>,
-    workers: Vec<Server>,
+    workers: Vec<(Arc<WorkerService>, Server)>,
     entries: Vec<Instance>,
 }
 
@@ -35,10 +36,10 @@
         let mut workers = Vec::new();
         for i in 0..plan.workers.count {
             let run = rand::random::<u64>().max(1);
-            let app = WorkerService::new(run, plan.workers.resources).app();
-            let server = listen(app).await?;
+            let service = Arc::new(WorkerService::new(run, plan.workers.resources));
+            let server = listen(service.app()).await?;
             instances.push(worker(plan, i, server.address()));
-            workers.push(server);
+            workers.push((service, server));
         }
         instances.extend(plan.zones.iter().map(entry));
         let log = listen(LogService::new(Settings::default()).app()).await?;
@@ -60,9 +61,9 @@
         self.entries.iter().map(Instance::address).collect()
     }
 
-    /// Returns the addresses of the workers.
-    pub fn workers(&self) -> Vec<SocketAddr> {
-        self.workers.iter().map(Server::address).collect()
+    /// Returns what each worker holds and has run.
+    pub fn statuses(&self) -> Vec<Status> {
+        self.workers.iter().map(|(w, _)| w.status()).collect()
     }
 
     /// Stops the entry instances first, then the stand-ins.
@@ -70,7 +71,8 @@
         for entry in self.entries {
             entry.close().await;
         }
-        for server in self.workers.into_iter().chain(self.platform) {
+        let workers = self.workers.into_iter().map(|(_, server)| server);
+        for server in workers.chain(self.platform) {
             server.close().await;
         }
     }
--- a/crates/primrosebay/src/main.rs
+++ b/crates/primrosebay/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod client;
 mod commands;
+mod dev;
 mod logging;
 mod output;
 
--- a/crates/primrosebay_standin/src/worker.rs
+++ b/crates/primrosebay_standin/src/worker.rs
@@ -2,11 +2,12 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use async_std::task;
 use primrosebay_coordination::worker::WorkerTable;
 use primrosebay_protocol::worker::{AttemptState, Command, Request as Exchange, Start};
+use primrosebay_state::Name;
 use primrosebay_state::id::AttemptId;
 use primrosebay_state::resources::Resources;
 use primrosebay_state::time::WorkerTime;
@@ -21,9 +22,13 @@
 pub struct Started {
     /// The attempt.
     pub attempt: AttemptId,
-    /// Milliseconds since the worker started.
+    /// The team that the task counts for.
+    pub team: Name,
+    /// What the attempt was given.
+    pub resources: Resources,
+    /// When the attempt started, in milliseconds of Unix time.
     pub at: u64,
-    /// Milliseconds from the worker's start to the end of the attempt; nothing while it runs.
+    /// When the attempt ended, in milliseconds of Unix time; nothing while it runs.
     pub ended: Option<u64>,
     /// How the attempt ended.
     pub state: AttemptState,
@@ -80,16 +85,28 @@
 
     /// Starts the worker's timers and returns the HTTP application that serves it.
     #[must_use]
-    pub fn app(self) -> tide::Server<Arc<Self>> {
-        let service = Arc::new(self);
-        task::spawn(run_timers(Arc::downgrade(&service)));
-        let mut app = tide::with_state(service);
+    pub fn app(self: &Arc<Self>) -> tide::Server<Arc<Self>> {
+        task::spawn(run_timers(Arc::downgrade(self)));
+        let mut app = tide::with_state(Arc::clone(self));
         app.at("/exchange").post(exchange);
         app.at("/status").get(status);
         app.at("/faults").put(set_faults);
         app
     }
 
+    /// Returns what the worker holds and has run.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        let clock = self.clock();
+        let mut inner = self.lock();
+        inner.run_due(clock);
+        Status {
+            total: inner.table.total(),
+            used: inner.table.used(),
+            history: inner.history.clone(),
+        }
+    }
+
     fn clock(&self) -> WorkerTime {
         WorkerTime(u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX))
     }
@@ -106,7 +123,9 @@
         }
         self.history.push(Started {
             attempt: start.attempt,
-            at: clock.0,
+            team: start.team.clone(),
+            resources: start.resources,
+            at: unix_ms(),
             ended: None,
             state: AttemptState::Running,
         });
@@ -118,8 +137,12 @@
     }
 
     fn finish(&mut self, clock: WorkerTime, attempt: AttemptId, state: AttemptState) {
-        self.table.finish(clock, attempt, state);
-        self.note_ends(clock);
+        let ended = self.table.finish(clock, attempt, state);
+        let entry = self.history.iter_mut().find(|s| s.attempt == attempt);
+        if let Some(entry) = entry.filter(|_| ended) {
+            entry.ended = Some(unix_ms());
+            entry.state = state;
+        }
     }
 
     fn run_due(&mut self, clock: WorkerTime) {
@@ -127,22 +150,29 @@
         let (due, later): (Vec<_>, Vec<_>) = self.timers.drain(..).partition(|t| t.0 <= clock);
         self.timers = later;
         for (_, attempt) in due {
-            self.table.finish(clock, attempt, AttemptState::Done);
+            self.finish(clock, attempt, AttemptState::Done);
         }
-        self.note_ends(clock);
+        self.note_stops();
     }
 
-    /// Marks the attempts of the history that no longer run.
-    fn note_ends(&mut self, clock: WorkerTime) {
+    /// Marks the attempts of the history that were stopped.
+    fn note_stops(&mut self) {
         for entry in self.history.iter_mut().filter(|s| s.ended.is_none()) {
             if !self.table.running().any(|r| r.attempt == entry.attempt) {
-                entry.ended = Some(clock.0);
+                entry.ended = Some(unix_ms());
                 entry.state = AttemptState::Stopped;
             }
         }
     }
 }
 
+/// Returns the wall-clock time. It is only shown to tests and decides nothing.
+#[must_use]
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
 async fn run_timers(service: std::sync::Weak<WorkerService>) {
     while let Some(service) = service.upgrade() {
         let clock = service.clock();
@@ -173,7 +203,7 @@
                 inner.note_start(clock, start, fail);
             }
         }
-        inner.note_ends(clock);
+        inner.note_stops();
     }
     drop(inner);
     Ok(Response::builder(StatusCode::Ok)
@@ -182,19 +212,8 @@
 }
 
 async fn status(request: Request<Arc<WorkerService>>) -> tide::Result {
-    let service = request.state();
-    let clock = service.clock();
-    let status = {
-        let mut inner = service.lock();
-        inner.run_due(clock);
-        Status {
-            total: inner.table.total(),
-            used: inner.table.used(),
-            history: inner.history.clone(),
-        }
-    };
     Ok(Response::builder(StatusCode::Ok)
-        .body(Body::from_json(&status)?)
+        .body(Body::from_json(&request.state().status())?)
         .build())
 }
 
