Add routing decisions for requests

Adds the deterministic part of request routing: the minion table with the less loaded of two random choices, zone preference, ejection with a cap of 30%, slow start and draining; retry budget, backoff, deadlines of attempts, hedging rule; the bounded queue that is fair between accounts; shedding by deadline; attempt ids.

A property test found that the floor of the retry budget lost fractions to rounding: 27 retries in 10 s instead of 30 when asked every millisecond. The balance is now kept in thousandths of a retry, which one millisecond adds exactly.

--- a/crates/primrosebay_coordination/src/lib.rs
+++ b/crates/primrosebay_coordination/src/lib.rs
@@ -1,1 +1,3 @@
 //! Deterministic decision logic of the scheduler. This crate does no I/O and reads no clock.
+
+pub mod routing;
--- /dev/null
+++ b/crates/primrosebay_coordination/src/routing/minion.rs
@@ -0,0 +1,133 @@
+//! A minion as one entry instance sees it.
+
+use primrosebay_state::Name;
+use primrosebay_state::time::Time;
+
+use super::outlier::Health;
+use super::slow_start::weight;
+
+/// Requests that a minion runs at the same time.
+pub const SLOTS: u32 = 8;
+/// Connections that a minion accepts.
+pub const CONNECTIONS: u32 = 64;
+/// How long a minion's report of its load counts, in milliseconds. The load of other entry
+/// instances changes within a few service times.
+const REPORT_TTL: u64 = 200;
+/// How long a minion's own announcement that it leaves counts without the live list, in
+/// milliseconds. After that one request finds out whether the minion has been restarted.
+const LEAVING_TTL: u64 = 60_000;
+
+/// Where a minion is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Site {
+    /// The unique name.
+    pub name: Name,
+    /// The availability zone.
+    pub zone: Name,
+    /// Address and port.
+    pub address: Name,
+}
+
+/// One minion of the live list.
+#[derive(Debug, Clone)]
+pub struct Listed {
+    /// Where the minion is.
+    pub site: Site,
+    /// Whether the list says that it is leaving.
+    pub leaving: bool,
+}
+
+/// What the end of an attempt tells about its minion.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Feedback {
+    /// Whether the minion failed; nothing if the attempt does not tell.
+    pub failed: Option<bool>,
+    /// Occupied slots that the minion reported.
+    pub busy: Option<u32>,
+    /// Whether the minion said that it is leaving.
+    pub leaving: bool,
+}
+
+/// The load and health of a minion.
+#[derive(Debug)]
+pub struct Minion {
+    /// Where the minion is.
+    pub site: Site,
+    /// Requests of this entry instance that the minion has not answered.
+    pub running: u32,
+    /// Recent results.
+    pub health: Health,
+    pub(super) joined: Option<Time>,
+    pub(super) listed: bool,
+    pub(super) list_leaving: bool,
+    pub(super) own_leaving: Option<Time>,
+    others: u32,
+    reported: Option<Time>,
+}
+
+impl Minion {
+    /// Creates a minion without load that came into service at `joined`, or that has
+    /// served all along.
+    #[must_use]
+    pub fn new(site: Site, joined: Option<Time>) -> Self {
+        Self {
+            site,
+            running: 0,
+            health: Health::default(),
+            joined,
+            listed: true,
+            list_leaving: false,
+            own_leaving: None,
+            others: 0,
+            reported: None,
+        }
+    }
+
+    /// Records the occupied slots that the minion reported. The part beyond this instance's own
+    /// requests is the load of other entry instances.
+    pub fn report(&mut self, busy: u32, now: Time) {
+        self.others = busy.saturating_sub(self.running);
+        self.reported = Some(now);
+    }
+
+    /// Returns the slots that are taken as far as this instance knows.
+    #[must_use]
+    pub fn load(&self, now: Time) -> u32 {
+        let recent = self.reported.is_some_and(|at| now.since(at) < REPORT_TTL);
+        self.running + if recent { self.others } else { 0 }
+    }
+
+    /// Returns whether the minion gets no new requests because it is about to stop.
+    #[must_use]
+    pub fn leaving(&self, now: Time) -> bool {
+        !self.listed
+            || self.list_leaving
+            || self
+                .own_leaving
+                .is_some_and(|at| now.since(at) < LEAVING_TTL)
+    }
+
+    /// Returns whether the minion gets requests when it has a free slot.
+    #[must_use]
+    pub fn in_service(&self, now: Time) -> bool {
+        !self.leaving(now) && !self.health.ejected(now)
+    }
+
+    /// Returns the share of its normal load that the minion gets, in percent.
+    #[must_use]
+    pub fn weight(&self, now: Time, window: u64) -> u64 {
+        let since = self.joined.max(self.health.returns());
+        since.map_or(100, |since| weight(since, now, window))
+    }
+
+    /// Returns how many more requests the minion can take.
+    #[must_use]
+    pub fn free(&self, now: Time, window: u64) -> u32 {
+        if !self.in_service(now) {
+            return 0;
+        }
+        let share = self.weight(now, window) * u64::from(SLOTS);
+        let allowed = u32::try_from(share.div_ceil(100)).unwrap_or(SLOTS);
+        allowed.saturating_sub(self.load(now))
+    }
+}
--- /dev/null
+++ b/crates/primrosebay_coordination/src/routing/retry.rs
@@ -0,0 +1,103 @@
+//! Whether a request is sent again after an attempt.
+
+use primrosebay_state::job::Repeat;
+use primrosebay_state::time::Time;
+use rand::rngs::SmallRng;
+
+use super::backoff::Backoff;
+use super::budget::Budget;
+
+/// Most attempts of one request.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// How an attempt without a usable answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// No byte of the request was sent.
+    NotSent,
+    /// The minion said that it did not run the request.
+    Refused,
+    /// The request was sent, at least in part, and no answer came.
+    Lost,
+    /// The minion ran the request and failed.
+    Failed,
+}
+
+/// What the attempts of a request prove together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Proof {
+    /// No attempt ran.
+    NotRun,
+    /// An attempt may have run.
+    Unknown,
+    /// An attempt ran and failed.
+    Failed,
+}
+
+/// The attempts of one request so far.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Attempts {
+    /// How many there were.
+    pub count: u32,
+    lost: bool,
+    failed: bool,
+}
+
+impl Attempts {
+    /// Records how one attempt ended.
+    pub fn record(&mut self, ended: Ended) {
+        self.count += 1;
+        self.lost |= ended == Ended::Lost;
+        self.failed |= ended == Ended::Failed;
+    }
+
+    /// Returns what is known about all attempts, not only the last one. A later refusal does not
+    /// undo an earlier attempt that may have run.
+    #[must_use]
+    pub fn proof(&self) -> Proof {
+        match (self.failed, self.lost) {
+            (true, _) => Proof::Failed,
+            (false, true) => Proof::Unknown,
+            (false, false) => Proof::NotRun,
+        }
+    }
+}
+
+/// A request whose last attempt has ended.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate {
+    /// Whether the request may run more than once.
+    pub repeat: Repeat,
+    /// When the caller stops waiting.
+    pub deadline: Time,
+    /// Whether the whole body is still at hand.
+    pub replayable: bool,
+    /// All attempts, the last one included.
+    pub attempts: Attempts,
+    /// How the last attempt ended.
+    pub ended: Ended,
+}
+
+/// Returns after how many milliseconds the request is sent again, or nothing if it is not.
+pub fn retry_after(
+    candidate: &Candidate,
+    now: Time,
+    backoff: &Backoff,
+    budget: &mut Budget,
+    rng: &mut SmallRng,
+) -> Option<u64> {
+    if !candidate.replayable || candidate.attempts.count >= MAX_ATTEMPTS {
+        return None;
+    }
+    let proved = matches!(candidate.ended, Ended::NotSent | Ended::Refused);
+    if candidate.repeat == Repeat::Once && !proved {
+        return None;
+    }
+    let wait = backoff.wait(candidate.attempts.count, rng);
+    if now + wait >= candidate.deadline {
+        return None;
+    }
+    // A refusal cost the minion nothing and stops further requests to it, so it needs no budget.
+    let paid = candidate.ended == Ended::Refused || budget.take(now);
+    paid.then_some(wait)
+}
--- /dev/null
+++ b/crates/primrosebay_coordination/tests/routing_retry.rs
@@ -0,0 +1,174 @@
+//! Retries, budgets, deadlines of attempts, hedging and attempt ids.
+
+use primrosebay_coordination::routing::attempt::RequestIds;
+use primrosebay_coordination::routing::backoff::Backoff;
+use primrosebay_coordination::routing::budget::{Budget, BudgetRules};
+use primrosebay_coordination::routing::hop::{hedge_after, hop_deadline};
+use primrosebay_coordination::routing::retry::{Attempts, Candidate, Ended, Proof, retry_after};
+use primrosebay_state::id::Incarnation;
+use primrosebay_state::job::Repeat;
+use primrosebay_state::time::Time;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+fn candidate(repeat: Repeat, ended: Ended) -> Candidate {
+    let mut attempts = Attempts::default();
+    attempts.record(ended);
+    Candidate {
+        repeat,
+        deadline: Time(10_000),
+        replayable: true,
+        attempts,
+        ended,
+    }
+}
+
+fn retried(candidate: &Candidate, budget: &mut Budget) -> bool {
+    let mut rng = SmallRng::seed_from_u64(1);
+    retry_after(candidate, Time(0), &Backoff::default(), budget, &mut rng).is_some()
+}
+
+fn floor_budget() -> Budget {
+    Budget::new(BudgetRules::default(), Time(0))
+}
+
+/// Guards against a second run of a request that runs at most once.
+#[rstest]
+#[case(Repeat::Once, Ended::NotSent, true)]
+#[case(Repeat::Once, Ended::Refused, true)]
+#[case(Repeat::Once, Ended::Lost, false)]
+#[case(Repeat::Once, Ended::Failed, false)]
+#[case(Repeat::Idempotent, Ended::Lost, true)]
+#[case(Repeat::Idempotent, Ended::Failed, true)]
+fn only_proof_allows_a_second_attempt(
+    #[case] repeat: Repeat,
+    #[case] ended: Ended,
+    #[case] expected: bool,
+) {
+    assert_eq!(
+        retried(&candidate(repeat, ended), &mut floor_budget()),
+        expected
+    );
+}
+
+/// Guards against a request that is sent again without its whole body, or when no time is left.
+#[test]
+fn consumed_bodies_and_passed_deadlines_are_not_retried() {
+    let base = candidate(Repeat::Idempotent, Ended::NotSent);
+    let consumed = Candidate {
+        replayable: false,
+        ..base
+    };
+    let late = Candidate {
+        deadline: Time(1),
+        ..base
+    };
+    assert!(!retried(&consumed, &mut floor_budget()));
+    assert!(!retried(&late, &mut floor_budget()));
+}
+
+/// Guards against "not run" in an answer after an earlier attempt that may have run.
+#[rstest]
+#[case(&[Ended::Refused, Ended::NotSent], Proof::NotRun)]
+#[case(&[Ended::Lost, Ended::Refused], Proof::Unknown)]
+#[case(&[Ended::Failed, Ended::Lost, Ended::NotSent], Proof::Failed)]
+fn the_proof_covers_all_attempts(#[case] ends: &[Ended], #[case] expected: Proof) {
+    let mut attempts = Attempts::default();
+    for end in ends {
+        attempts.record(*end);
+    }
+    assert_eq!(attempts.proof(), expected);
+}
+
+/// Guards against attempts that take all time of a request that could be tried elsewhere, and
+/// against giving up early where a second attempt is not allowed.
+#[rstest]
+#[case(Repeat::Idempotent, 1_000, false, 500)]
+#[case(Repeat::Idempotent, 120, false, 100)]
+#[case(Repeat::Idempotent, 50, false, 50)]
+#[case(Repeat::Idempotent, 1_000, true, 1_000)]
+#[case(Repeat::Once, 1_000, false, 1_000)]
+fn each_attempt_has_its_deadline(
+    #[case] repeat: Repeat,
+    #[case] left: u64,
+    #[case] last: bool,
+    #[case] expected: u64,
+) {
+    let end = hop_deadline(repeat, Time(70), Time(70 + left), last);
+    assert_eq!(end, Time(70 + expected));
+}
+
+/// Guards against hedged requests that must not run twice, and against hedging by default.
+#[rstest]
+#[case(Repeat::Once, true, None)]
+#[case(Repeat::Idempotent, false, None)]
+#[case(Repeat::Idempotent, true, Some(20))]
+fn only_idempotent_requests_are_hedged(
+    #[case] repeat: Repeat,
+    #[case] enabled: bool,
+    #[case] expected: Option<u64>,
+) {
+    assert_eq!(hedge_after(repeat, enabled, 20, 100), expected);
+}
+
+/// Guards against two attempts with the same id, which a minion would refuse.
+#[test]
+fn attempt_ids_differ() {
+    let mut ids = RequestIds::new(Incarnation(0xab));
+    let (first, second) = (ids.allocate(), ids.allocate());
+    let texts = [first.attempt(1), first.attempt(2), second.attempt(1)].map(|a| a.to_string());
+    assert_eq!(
+        texts,
+        [
+            "00000000000000ab-1.1",
+            "00000000000000ab-1.2",
+            "00000000000000ab-2.1"
+        ]
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(12),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against retries that multiply an overload.
+    #[test]
+    fn retries_stay_within_the_budget(
+        steps in prop::collection::vec((any::<bool>(), 0_u64..50), 1..2_000),
+    ) {
+        let (mut budget, mut now) = (floor_budget(), Time(0));
+        let (mut requests, mut retries) = (0, 0);
+        for (request, ms) in steps {
+            now = now + ms;
+            if request {
+                requests += 1;
+                budget.earn();
+            } else {
+                retries += u64::from(budget.take(now));
+            }
+            prop_assert!(retries <= requests / 10 + 3 + now.0 * 3 / 1_000);
+        }
+    }
+
+    /// Guards against a floor that is lost to rounding when retries are asked for often.
+    #[test]
+    fn the_floor_is_there_without_requests(gap in 1_u64..40) {
+        let mut budget = floor_budget();
+        let granted = (0..10_000 / gap).filter(|i| budget.take(Time(i * gap))).count();
+        prop_assert!((29..=33).contains(&granted), "{granted} retries in 10 s");
+    }
+
+    /// Guards against waits that are equal for all callers, or that grow without bound.
+    #[test]
+    fn waits_grow_up_to_the_cap(attempts in 1_u32..64, seed in any::<u64>()) {
+        let backoff = Backoff::default();
+        let wait = backoff.wait(attempts, &mut SmallRng::seed_from_u64(seed));
+        let step = (backoff.base << (attempts - 1).min(20)).min(backoff.cap);
+        prop_assert!((step / 2..=step).contains(&wait));
+    }
+}
--- /dev/null
+++ b/crates/primrosebay_coordination/tests/routing_table.rs
@@ -0,0 +1,197 @@
+//! Choice of minions, ejection, slow start and draining.
+
+use primrosebay_coordination::routing::minion::{Feedback, Listed, SLOTS, Site};
+use primrosebay_coordination::routing::table::{Choice, Table, TableRules};
+use primrosebay_state::Name;
+use primrosebay_state::time::Time;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+const FAILED: Feedback = Feedback {
+    failed: Some(true),
+    busy: None,
+    leaving: false,
+};
+
+fn listed(name: &str, zone: &str) -> Listed {
+    Listed {
+        site: Site {
+            name: name.into(),
+            zone: zone.into(),
+            address: "127.0.0.1:1".into(),
+        },
+        leaving: false,
+    }
+}
+
+fn fleet(zone: &str, count: usize) -> Vec<Listed> {
+    (0..count)
+        .map(|i| listed(&format!("{zone}-{i:03}"), zone))
+        .collect()
+}
+
+fn table(list: &[Listed]) -> (Table, SmallRng) {
+    let mut table = Table::new("a".into(), TableRules::default());
+    table.update(list, Time(0));
+    (table, SmallRng::seed_from_u64(7))
+}
+
+fn picks(table: &mut Table, rng: &mut SmallRng, now: Time) -> Vec<Name> {
+    std::iter::from_fn(|| table.pick(None, now, rng).map(|site| site.name)).collect()
+}
+
+/// Guards against minions that get more requests than they have slots.
+#[test]
+fn no_minion_gets_more_requests_than_slots() {
+    let (mut table, mut rng) = table(&fleet("a", 6));
+    assert_eq!(
+        picks(&mut table, &mut rng, Time(0)).len(),
+        6 * SLOTS as usize
+    );
+    assert!(table.minions().iter().all(|m| m.running == SLOTS));
+}
+
+/// Guards against calls to far zones while the own zone has room, and against refusals while only
+/// the own zone is full.
+#[test]
+fn the_own_zone_is_used_first_and_then_the_others() {
+    let list = [fleet("a", 2), fleet("b", 2)].concat();
+    let (mut table, mut rng) = table(&list);
+    let order = picks(&mut table, &mut rng, Time(0));
+    let near = 2 * SLOTS as usize;
+    assert!(order[..near].iter().all(|name| name.starts_with('a')));
+    assert_eq!(order.len(), 2 * near);
+}
+
+/// Guards against load that piles up on a few minions, as it does with a random choice.
+#[test]
+fn least_of_two_spreads_better_than_random() {
+    let spread = |choice| {
+        let rules = TableRules {
+            choice,
+            ..TableRules::default()
+        };
+        let mut table = Table::new("a".into(), rules);
+        table.update(&fleet("a", 48), Time(0));
+        let mut rng = SmallRng::seed_from_u64(3);
+        for _ in 0..48 * 3 {
+            table.pick(None, Time(0), &mut rng);
+        }
+        table.minions().iter().map(|m| m.running).max()
+    };
+    assert!(spread(Choice::LeastOfTwo) < spread(Choice::Random));
+}
+
+/// Guards against requests that are refused because other entry instances filled the minion.
+#[test]
+fn reported_load_of_others_counts_for_a_while() {
+    let (mut table, mut rng) = table(&fleet("a", 1));
+    let site = table.pick(None, Time(0), &mut rng).unwrap();
+    let full = Feedback {
+        busy: Some(SLOTS),
+        ..Feedback::default()
+    };
+    table.finish(&site.name, full, Time(10));
+    assert!(table.pick(None, Time(11), &mut rng).is_none());
+    assert!(table.pick(None, Time(10_000), &mut rng).is_some());
+}
+
+/// Guards against minions that fail everything and, being fast, attract most requests.
+#[test]
+fn a_minion_that_fails_everything_is_ejected_and_returns_slowly() {
+    let (mut table, mut rng) = table(&fleet("a", 10));
+    for _ in 0..5 {
+        table.finish("a-000", FAILED, Time(0));
+    }
+    assert!(!picks(&mut table, &mut rng, Time(1)).contains(&"a-000".into()));
+    let back = picks(&mut table, &mut rng, Time(5_000));
+    assert_eq!(
+        back,
+        [Name::from("a-000")],
+        "a returning minion gets one slot"
+    );
+    assert_eq!(picks(&mut table, &mut rng, Time(15_000)).len(), 7);
+}
+
+/// Guards against a minion that fails every second request and never five in a row.
+#[test]
+fn a_minion_that_fails_often_is_ejected() {
+    let (mut table, _) = table(&fleet("a", 10));
+    for i in 0..20 {
+        let result = Feedback {
+            failed: Some(i % 2 == 0),
+            ..Feedback::default()
+        };
+        table.finish("a-000", result, Time(0));
+    }
+    assert_eq!(table.ejected(Time(1)), 1);
+}
+
+/// Guards against requests to a minion that is about to stop, whichever source says so first.
+#[rstest]
+#[case::live_list(true)]
+#[case::own_response(false)]
+fn a_leaving_minion_gets_nothing_new(#[case] from_list: bool) {
+    let mut list = fleet("a", 2);
+    let (mut table, mut rng) = table(&list);
+    if from_list {
+        list[0].leaving = true;
+    } else {
+        let leaving = Feedback {
+            leaving: true,
+            ..Feedback::default()
+        };
+        table.finish("a-000", leaving, Time(1));
+    }
+    // A list that lags behind the minion's own announcement must not undo it.
+    table.update(&list, Time(2));
+    assert!(!picks(&mut table, &mut rng, Time(3)).contains(&"a-000".into()));
+    // A restart shows in the list as an absence or as another state.
+    table.update(&list[1..], Time(4));
+    list[0].leaving = false;
+    table.update(&list, Time(5));
+    assert!(picks(&mut table, &mut rng, Time(6)).contains(&"a-000".into()));
+}
+
+/// Guards against a wrong list that takes all minions away at once.
+#[test]
+fn an_emptied_list_is_doubted_for_a_while() {
+    let (mut table, mut rng) = table(&fleet("a", 4));
+    table.update(&[], Time(0));
+    assert!(table.pick(None, Time(1), &mut rng).is_some());
+    table.update(&[], Time(40_000));
+    assert!(table.pick(None, Time(40_001), &mut rng).is_none());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against ejections that take the service down when all minions fail for a shared
+    /// reason, and against slots that leak or are given twice.
+    #[test]
+    fn at_most_thirty_percent_are_ejected(
+        count in 1_usize..40,
+        steps in prop::collection::vec((any::<bool>(), any::<bool>(), 0_u64..400), 1..400),
+    ) {
+        let (mut table, mut rng) = table(&fleet("a", count));
+        let (mut running, mut now) = (Vec::new(), Time(0));
+        for (start, failed, ms) in steps {
+            now = now + ms;
+            if start {
+                running.extend(table.pick(None, now, &mut rng));
+            } else if let Some(site) = running.pop() {
+                table.finish(&site.name, Feedback { failed: Some(failed), ..FAILED }, now);
+            }
+            prop_assert!(table.ejected(now) * 100 <= count * 30);
+            let total: u32 = table.minions().iter().map(|m| m.running).sum();
+            prop_assert_eq!(total as usize, running.len());
+            prop_assert!(table.minions().iter().all(|m| m.running <= SLOTS));
+        }
+    }
+}
