--- a/crates/primrosebay_coordination/src/routing/admission.rs
+++ b/crates/primrosebay_coordination/src/routing/admission.rs
@@ -52,6 +52,11 @@
     }
 }
 
+/// Returns the team of an account, whose name has the form `team/account`.
+fn team(account: &str) -> &str {
+    account.split_once('/').map_or(account, |(team, _)| team)
+}
+
 /// Requests that wait for a slot, by account.
 #[derive(Debug)]
 pub struct Queue {
@@ -142,14 +147,28 @@
         self.accounts[from].waiting.pop_back().map(|w| w.ticket)
     }
 
-    /// Takes the first request of the account that has the fewest running; of equals, the one that
-    /// was served longest ago.
+    /// Takes the first request of the team that has the fewest running and, within the team, of
+    /// the account that has the fewest; of equals, the one that was served longest ago.
+    ///
+    /// A caller chooses the account's name within its team, so accounts alone would let a team
+    /// raise its part by inventing names.
     pub fn pop(&mut self) -> Option<(Name, Waiting)> {
-        let entry = self
+        let mut best: Option<((u32, u32, u64), usize)> = None;
+        let mut start = 0;
+        for members in self
             .accounts
-            .iter_mut()
-            .filter(|a| !a.waiting.is_empty())
-            .min_by_key(|a| (a.running, a.served))?;
+            .chunk_by(|a, b| team(&a.name) == team(&b.name))
+        {
+            let total: u32 = members.iter().map(|a| a.running).sum();
+            for (i, member) in members.iter().enumerate() {
+                let rank = (total, member.running, member.served);
+                if !member.waiting.is_empty() && best.is_none_or(|(least, _)| rank < least) {
+                    best = Some((rank, start + i));
+                }
+            }
+            start += members.len();
+        }
+        let entry = &mut self.accounts[best?.1];
         let request = entry.waiting.pop_front()?;
         self.count -= 1;
         Some((entry.name.clone(), request))
--- a/crates/primrosebay_coordination/src/routing/attempt.rs
+++ b/crates/primrosebay_coordination/src/routing/attempt.rs
@@ -22,33 +22,6 @@
     pub number: u32,
 }
 
-/// Numbers the requests of one process.
-#[derive(Debug)]
-pub struct RequestIds {
-    incarnation: Incarnation,
-    last: u64,
-}
-
-impl RequestIds {
-    /// Creates the numbering of a process that has taken no request yet.
-    #[must_use]
-    pub fn new(incarnation: Incarnation) -> Self {
-        Self {
-            incarnation,
-            last: 0,
-        }
-    }
-
-    /// Returns an id that was never returned before.
-    pub fn allocate(&mut self) -> RequestId {
-        self.last += 1;
-        RequestId {
-            incarnation: self.incarnation,
-            sequence: self.last,
-        }
-    }
-}
-
 impl RequestId {
     /// Returns the id of the attempt with `number`.
     #[must_use]
--- a/crates/primrosebay_coordination/src/routing/router.rs
+++ b/crates/primrosebay_coordination/src/routing/router.rs
@@ -161,12 +161,11 @@
             let result = Err(Shed::Late);
             return Some(Next { ticket, result });
         }
-        let site = self.pick(request.avoid.as_ref(), now)?;
-        self.queue.started(&account);
-        Some(Next {
-            ticket,
-            result: Ok(site),
-        })
+        let result = self.pick(request.avoid.as_ref(), now).ok_or(Shed::NoMinion);
+        if result.is_ok() {
+            self.queue.started(&account);
+        }
+        Some(Next { ticket, result })
     }
 
     fn pick(&mut self, avoid: Option<&Name>, now: Time) -> Option<Site> {
--- a/crates/primrosebay_coordination/tests/routing_admission.rs
+++ b/crates/primrosebay_coordination/tests/routing_admission.rs
@@ -83,6 +83,22 @@
     assert_eq!(order, [0, 10, 1, 11, 2]);
 }
 
+/// Guards against a team that gets a larger part by inventing accounts.
+#[test]
+fn accounts_of_one_team_share_its_part() {
+    let mut queue = queue(100);
+    for (ticket, account) in (0..).zip(["a/1", "a/2", "a/3", "b/1", "b/1", "b/1"]) {
+        queue.push(&account.into(), waiting(ticket, 100), false);
+    }
+    let order: Vec<Name> = std::iter::from_fn(|| {
+        let (account, _) = queue.pop()?;
+        queue.started(&account);
+        Some(account)
+    })
+    .collect();
+    assert_eq!(order.concat(), "a/1b/1a/2b/1a/3b/1");
+}
+
 /// Guards against queues without a bound, and against an account that fills the queue and so
 /// locks the others out.
 #[test]
--- a/crates/primrosebay_coordination/tests/routing_retry.rs
+++ b/crates/primrosebay_coordination/tests/routing_retry.rs
@@ -1,6 +1,6 @@
 //! Retries, budgets, deadlines of attempts, hedging and attempt ids.
 
-use primrosebay_coordination::routing::attempt::RequestIds;
+use primrosebay_coordination::routing::attempt::RequestId;
 use primrosebay_coordination::routing::backoff::Backoff;
 use primrosebay_coordination::routing::budget::{Budget, BudgetRules};
 use primrosebay_coordination::routing::hop::{hedge_after, hop_deadline};
@@ -116,8 +116,10 @@
 /// Guards against two attempts with the same id, which a minion would refuse.
 #[test]
 fn attempt_ids_differ() {
-    let mut ids = RequestIds::new(Incarnation(0xab));
-    let (first, second) = (ids.allocate(), ids.allocate());
+    let [first, second] = [1, 2].map(|sequence| RequestId {
+        incarnation: Incarnation(0xab),
+        sequence,
+    });
     let texts = [first.attempt(1), first.attempt(2), second.attempt(1)].map(|a| a.to_string());
     assert_eq!(
         texts,
--- a/crates/primrosebay_protocol/src/minion.rs
+++ b/crates/primrosebay_protocol/src/minion.rs
@@ -10,3 +10,5 @@
 pub const LEAVING_HEADER: &str = "x-leaving";
 /// Occupied slots of the minion when it sent the response.
 pub const BUSY_HEADER: &str = "x-busy-slots";
+/// The path of calls.
+pub const RUN_PATH: &str = "/run";
--- a/crates/primrosebay_standin/src/lib.rs
+++ b/crates/primrosebay_standin/src/lib.rs
@@ -1,1 +1,3 @@
-//! Small stand-ins for the platform: log, live list, workers and minions.
+//! Small stand-ins for the log, the live list, workers and minions.
+
+pub mod minion;
--- /dev/null
+++ b/crates/primrosebay_transport/src/minion/exact.rs
@@ -0,0 +1,44 @@
+//! A reader that fails when its source ends early.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use futures_lite::AsyncRead;
+
+/// Reads exactly the declared number of bytes. A body reader alone reports a connection that broke
+/// like the regular end of the body.
+#[derive(Debug)]
+pub struct Exact<R> {
+    inner: R,
+    left: u64,
+}
+
+impl<R> Exact<R> {
+    /// Creates a reader of `length` bytes from `inner`.
+    pub fn new(inner: R, length: u64) -> Self {
+        Self {
+            inner,
+            left: length,
+        }
+    }
+}
+
+impl<R: AsyncRead + Unpin> AsyncRead for Exact<R> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.left == 0 || buffer.is_empty() {
+            return Poll::Ready(Ok(0));
+        }
+        let most = usize::try_from(self.left).map_or(buffer.len(), |left| left.min(buffer.len()));
+        let read = ready!(Pin::new(&mut self.inner).poll_read(cx, &mut buffer[..most]))?;
+        if read == 0 {
+            return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+        }
+        self.left -= read as u64;
+        Poll::Ready(Ok(read))
+    }
+}
