--- a/crates/primrosebay_entry/src/lib.rs
+++ b/crates/primrosebay_entry/src/lib.rs
@@ -1,1 +1,3 @@
-//! The entry instance: API, coordinators and request routing.
+//! The entry instance: API, coordinator and request routing.
+
+pub mod requests;
--- a/crates/primrosebay_transport/src/minion.rs
+++ b/crates/primrosebay_transport/src/minion.rs
@@ -6,7 +6,6 @@
 mod tap;
 
 use std::future::Future;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
@@ -17,6 +16,7 @@
 use primrosebay_protocol::minion::{
     ATTEMPT_HEADER, BUSY_HEADER, DEADLINE_HEADER, LEAVING_HEADER, RAN_HEADER, RUN_PATH,
 };
+use primrosebay_state::Name;
 
 pub use body::AnswerBody;
 pub use exact::Exact;
@@ -42,8 +42,8 @@
 /// One attempt at a minion.
 #[derive(Debug)]
 pub struct Call {
-    /// The minion's address.
-    pub address: SocketAddr,
+    /// The minion's IP address and port.
+    pub address: Name,
     /// Identifies the attempt.
     pub attempt: String,
     /// The media type of the body, if the caller gave one.
@@ -161,7 +161,11 @@
 impl MinionLink for HttpMinions {
     async fn call(&self, call: Call) -> Result<Answer, MinionError> {
         let until = Instant::now() + call.limit;
-        let connection = self.pool.get(call.address, call.limit).await?;
+        let address = call
+            .address
+            .parse()
+            .map_err(|_| MinionError::NotSent(format!("bad address {}", call.address)))?;
+        let connection = self.pool.get(address, call.limit).await?;
         let sent = AtomicBool::new(false);
         let limit = until.saturating_duration_since(Instant::now());
         match timeout(limit, exchange(call, connection, &sent, until)).await {
--- a/crates/primrosebay_transport/src/minion/body.rs
+++ b/crates/primrosebay_transport/src/minion/body.rs
@@ -1,7 +1,7 @@
 //! The body of a minion's answer.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
 use futures_lite::AsyncReadExt;
@@ -46,6 +46,12 @@
         self.length
     }
 
+    /// Returns the time until the answer must be complete.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
     /// Reads the next piece; nothing at the end of the body.
     ///
     /// # Errors
@@ -90,8 +96,7 @@
             .and_then(|left| usize::try_from(left).ok())
             .map_or(CHUNK, |left| left.min(CHUNK));
         let mut buffer = vec![0; size];
-        let limit = self.until.saturating_duration_since(Instant::now());
-        let count = timeout(limit, self.reader.read(&mut buffer))
+        let count = timeout(self.left(), self.reader.read(&mut buffer))
             .await
             .map_err(|_| MinionError::TimedOut)?
             .map_err(|e| lost(&e))?;
--- /dev/null
+++ b/crates/primrosebay_transport/tests/minion_link.rs
@@ -0,0 +1,134 @@
+//! What the link to minions reports about attempts that fail.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::TcpListener;
+use async_std::task;
+use primrosebay_standin::minion::{Faults, Minion, Settings};
+use primrosebay_transport::minion::{
+    Call, HttpMinions, LinkSettings, MinionError, MinionLink, Payload,
+};
+use rstest::rstest;
+
+fn call(address: SocketAddr, attempt: &str, limit_ms: u64) -> Call {
+    Call {
+        address: address.to_string().into(),
+        attempt: attempt.to_owned(),
+        media: None,
+        body: Payload::Whole(attempt.as_bytes().into()),
+        limit: Duration::from_millis(limit_ms),
+    }
+}
+
+async fn text(link: &HttpMinions, call: Call) -> Result<String, MinionError> {
+    let mut answer = link.call(call).await?;
+    let bytes = answer.body.whole(1 << 20).await?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+async fn minion() -> Minion {
+    let address = "127.0.0.1:0".parse().unwrap();
+    Minion::start(address, Settings::default()).await.unwrap()
+}
+
+/// Serves each connection with `answer` after a whole request and closes it.
+async fn broken_minion(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut seen = Vec::new();
+            while !seen.ends_with(b"1.1") {
+                let mut buffer = [0; 1024];
+                let count = stream.read(&mut buffer).await.unwrap_or(0);
+                if count == 0 {
+                    break;
+                }
+                seen.extend_from_slice(&buffer[..count]);
+            }
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
+/// Guards against calling a request lost that was never sent.
+#[async_std::test]
+async fn a_refused_connection_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let result = text(&HttpMinions::default(), call(address, "1.1", 5_000)).await;
+    assert!(matches!(result, Err(MinionError::NotSent(_))), "{result:?}");
+}
+
+/// Guards against calling a request "not sent" once any byte has left, and against passing on a
+/// broken or foreign answer as a whole one.
+#[rstest]
+#[case::closed("")]
+#[case::broken_head("HTTP/1.1 200 OK\r\ncontent-le")]
+#[case::short_body("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nshort")]
+#[case::short_chunk("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nshort")]
+#[case::no_length("HTTP/1.1 200 OK\r\n\r\nwhole or not")]
+#[case::other("HTTP/1.1 200 OK\r\nx-attempt-id: 9.9\r\ncontent-length: 2\r\n\r\nok")]
+fn a_broken_answer_is_lost(#[case] answer: &'static str) {
+    task::block_on(async {
+        let address = broken_minion(answer).await;
+        let result = text(&HttpMinions::default(), call(address, "1.1", 5_000)).await;
+        assert!(matches!(result, Err(MinionError::Lost(_))), "{result:?}");
+    });
+}
+
+/// Guards against a late answer that reaches the next request on the same connection.
+#[async_std::test]
+async fn a_connection_that_timed_out_is_not_used_again() {
+    let (minion, link) = (minion().await, HttpMinions::default());
+    minion.set_faults(Faults {
+        frozen: true,
+        ..Faults::default()
+    });
+    let late = text(&link, call(minion.address(), "late", 300)).await;
+    assert!(matches!(late, Err(MinionError::TimedOut)), "{late:?}");
+    minion.set_faults(Faults::default());
+    for i in 0..8 {
+        let attempt = format!("next-{i}");
+        let answer = text(&link, call(minion.address(), &attempt, 10_000)).await;
+        assert_eq!(answer.unwrap(), attempt);
+    }
+}
+
+/// Guards against bytes that follow an answer and would be read as the next one.
+#[async_std::test]
+async fn an_answer_to_nobody_is_not_read_as_the_next_one() {
+    let (minion, link) = (minion().await, HttpMinions::default());
+    minion.set_faults(Faults {
+        stray: true,
+        ..Faults::default()
+    });
+    for i in 0..50 {
+        let attempt = format!("{i}");
+        let answer = text(&link, call(minion.address(), &attempt, 10_000)).await;
+        assert_eq!(answer.unwrap(), attempt);
+    }
+}
+
+/// Guards against more connections to a minion than it accepts.
+#[async_std::test]
+async fn connections_to_a_minion_are_bounded() {
+    let minion = minion().await;
+    let link = HttpMinions::new(LinkSettings {
+        connections: 1,
+        ..LinkSettings::default()
+    });
+    let held = link
+        .call(call(minion.address(), "1", 10_000))
+        .await
+        .unwrap();
+    let second = text(&link, call(minion.address(), "2", 10_000)).await;
+    assert!(matches!(second, Err(MinionError::Full)), "{second:?}");
+    drop(held);
+    let third = text(&link, call(minion.address(), "3", 10_000)).await;
+    assert_eq!(third.unwrap(), "3");
+}
