--- a/crates/primrosebay_entry/src/lib.rs
+++ b/crates/primrosebay_entry/src/lib.rs
@@ -1,3 +1,10 @@
-//! The entry instance: API, coordinator and request routing.
+//! The entry instance: API, coordinators and request routing.
 
+pub mod api;
+pub mod auth;
+pub mod instance;
+pub mod log_reader;
+pub mod publisher;
 pub mod requests;
+pub mod shared;
+pub mod zones;
--- a/crates/primrosebay_transport/src/lib.rs
+++ b/crates/primrosebay_transport/src/lib.rs
@@ -1,3 +1,8 @@
 //! Network adapters: HTTP, QUIC and TLS.
 
+pub mod http_client;
+pub mod http_server;
+pub mod list;
+pub mod log;
 pub mod minion;
+pub mod worker;
