--- a/crates/primrosebay_entry/src/lib.rs
+++ b/crates/primrosebay_entry/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod instance;
 pub mod log_reader;
 pub mod publisher;
+pub mod requests;
 pub mod shared;
 pub mod zones;
