Add the links between entry instances

A link belongs to the name that the certificate is valid for. Certificates are reloaded without a restart; connections are closed when the roots change. The instance with the lower name connects; the other one does so after a second, because the list of the first may lag. A new process replaces the link of its predecessor at once instead of after the idle time-out.

--- a/crates/primrosebay_protocol/src/peer.rs
+++ b/crates/primrosebay_protocol/src/peer.rs
@@ -16,6 +16,7 @@
 use primrosebay_state::resources::Resources;
 
 use crate::api::{Failure, JobView, Submitted};
+use crate::code::Code;
 use crate::log::{Page, Placed};
 
 /// The version of the frames that this process writes and reads.
@@ -240,7 +241,9 @@
     Job(Document<JobView>),
     /// Jobs.
     Jobs(Document<Vec<JobView>>),
-    /// The request was refused or failed.
+    /// The request was refused or failed with the documented meaning of the code.
+    Refused(Code),
+    /// The request was refused or failed, with details.
     Failed(Document<Failure>),
 }
 
--- a/crates/primrosebay_transport/src/lib.rs
+++ b/crates/primrosebay_transport/src/lib.rs
@@ -1,1 +1,3 @@
 //! Network adapters: HTTP, QUIC and TLS.
+
+pub mod peer;
--- /dev/null
+++ b/crates/primrosebay_transport/src/peer/net.rs
@@ -0,0 +1,440 @@
+//! All links of one entry instance.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::task::{self, JoinHandle};
+use quinn::{
+    Connection, Endpoint, EndpointConfig, IdleTimeout, Incoming, SmolRuntime, TransportConfig,
+    VarInt,
+};
+
+use primrosebay_protocol::peer::{FrameError, Heartbeat, MAX_FRAME, Request, Response};
+use primrosebay_state::Name;
+use primrosebay_state::id::Incarnation;
+
+use super::backoff::Backoff;
+use super::link::{self, Link};
+use super::tls::{Files, Identity, TlsError};
+use super::{CallError, Handler, LinkError, Settings};
+
+/// Most connections that are being set up by peers at the same time.
+const MAX_HANDSHAKES: usize = 64;
+/// How long the instance with the higher name waits for the other one to connect. The other one
+/// may not be on its list yet.
+const ACCEPT_WAIT: Duration = Duration::from_secs(1);
+/// Bytes of datagrams that wait in each direction; the oldest are dropped beyond that.
+const DATAGRAM_BUFFER: usize = 64 << 10;
+
+/// Bytes and packets of the connection to a peer. Bytes are UDP payloads.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Bytes sent.
+    pub sent: u64,
+    /// Packets sent.
+    pub sent_packets: u64,
+    /// Bytes received.
+    pub received: u64,
+    /// Packets received.
+    pub received_packets: u64,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Counters {
+    malformed: AtomicU64,
+    refused: AtomicU64,
+}
+
+impl Counters {
+    pub(super) fn malformed(&self, peer: &Name, error: &FrameError) {
+        self.malformed.fetch_add(1, Ordering::Relaxed);
+        log::warn!("peer: A frame of {peer} was dropped: {error}.");
+    }
+
+    fn refused(&self, error: &LinkError) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+        log::warn!("peer: A connection was refused: {error}.");
+    }
+}
+
+struct Target {
+    name: Name,
+    address: SocketAddr,
+    dial: JoinHandle<()>,
+}
+
+struct Shared {
+    endpoint: Endpoint,
+    settings: Settings,
+    handler: Arc<dyn Handler>,
+    identity: Mutex<Identity>,
+    client: Mutex<quinn::ClientConfig>,
+    /// Sorted by name.
+    links: Mutex<Vec<(Name, Link)>>,
+    handshakes: AtomicUsize,
+    closing: AtomicBool,
+    counters: Arc<Counters>,
+}
+
+/// The links to all peers.
+pub struct Net {
+    shared: Arc<Shared>,
+    targets: Mutex<Vec<Target>>,
+    tasks: Mutex<Vec<JoinHandle<()>>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn transport(settings: &Settings) -> Arc<TransportConfig> {
+    let mut config = TransportConfig::default();
+    let window = VarInt::from_u32(u32::try_from(MAX_FRAME).unwrap_or(u32::MAX));
+    let millis = u32::try_from(settings.idle.as_millis()).unwrap_or(u32::MAX);
+    config
+        .max_concurrent_bidi_streams(VarInt::from_u32(settings.streams))
+        .max_concurrent_uni_streams(VarInt::from_u32(0))
+        .stream_receive_window(window)
+        // All streams of a peer together hold at most four frames of the longest kind.
+        .receive_window(VarInt::from_u32(4 << 20))
+        .send_window(4 << 20)
+        .datagram_receive_buffer_size(Some(DATAGRAM_BUFFER))
+        .datagram_send_buffer_size(DATAGRAM_BUFFER)
+        .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(millis))));
+    Arc::new(config)
+}
+
+fn server_config(
+    identity: &Identity,
+    settings: &Settings,
+) -> Result<quinn::ServerConfig, TlsError> {
+    let mut config = quinn::ServerConfig::with_crypto(Arc::new(identity.server()?));
+    config.transport_config(transport(settings));
+    Ok(config)
+}
+
+fn client_config(
+    identity: &Identity,
+    settings: &Settings,
+) -> Result<quinn::ClientConfig, TlsError> {
+    let mut config = quinn::ClientConfig::new(Arc::new(identity.client()?));
+    config.transport_config(transport(settings));
+    Ok(config)
+}
+
+impl Net {
+    /// Opens the socket and accepts connections of peers.
+    ///
+    /// # Errors
+    /// Returns an error if the socket cannot be opened or the identity cannot be used.
+    pub fn bind(
+        settings: Settings,
+        identity: Identity,
+        handler: Arc<dyn Handler>,
+    ) -> Result<Self, LinkError> {
+        let server = server_config(&identity, &settings)?;
+        let client = client_config(&identity, &settings)?;
+        let socket = UdpSocket::bind(settings.address)?;
+        let endpoint = Endpoint::new(
+            EndpointConfig::default(),
+            Some(server),
+            socket,
+            Arc::new(SmolRuntime),
+        )?;
+        let shared = Arc::new(Shared {
+            endpoint,
+            settings,
+            handler,
+            identity: Mutex::new(identity),
+            client: Mutex::new(client),
+            links: Mutex::default(),
+            handshakes: AtomicUsize::new(0),
+            closing: AtomicBool::new(false),
+            counters: Arc::default(),
+        });
+        let accept = task::spawn(accept(shared.clone()));
+        Ok(Self {
+            shared,
+            targets: Mutex::default(),
+            tasks: Mutex::new(vec![accept]),
+        })
+    }
+
+    /// Returns the local address.
+    ///
+    /// # Errors
+    /// Returns an error if the socket has been closed.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.shared.endpoint.local_addr()
+    }
+
+    /// Sets the peers to connect to. Connections to other peers stay until they end by themselves,
+    /// because the list of instances lags.
+    pub fn set_peers(&self, peers: &[(Name, SocketAddr)]) {
+        let mut targets = lock(&self.targets);
+        targets.retain_mut(|target| {
+            let kept = peers.contains(&(target.name.clone(), target.address));
+            if !kept {
+                let dial = std::mem::replace(&mut target.dial, task::spawn(async {}));
+                task::spawn(dial.cancel());
+            }
+            kept
+        });
+        for (name, address) in peers {
+            let known = targets.iter().any(|target| target.name == *name);
+            if !known && *name != self.shared.settings.name {
+                let dial = dial(self.shared.clone(), name.clone(), *address);
+                targets.push(Target {
+                    name: name.clone(),
+                    address: *address,
+                    dial: task::spawn(dial),
+                });
+            }
+        }
+    }
+
+    /// Returns the names of the connected peers, sorted.
+    #[must_use]
+    pub fn connected(&self) -> Vec<Name> {
+        let links = lock(&self.shared.links);
+        links.iter().map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Sends a request to a peer and returns the response.
+    ///
+    /// # Errors
+    /// Returns an error if there is no response; [`CallError::may_have_run`] tells whether the peer
+    /// may have carried out the request.
+    pub async fn call(&self, peer: &str, request: &Request) -> Result<Response, CallError> {
+        let link = self.shared.link(peer).ok_or(CallError::Disconnected)?;
+        link.call(request, &self.shared.settings).await
+    }
+
+    /// Sends a heartbeat to a peer, if it is connected. Heartbeats are not sent again when lost.
+    pub fn heartbeat(&self, peer: &str, heartbeat: Heartbeat) {
+        if let Some(link) = self.shared.link(peer) {
+            link.heartbeat(heartbeat, &self.shared.settings);
+        }
+    }
+
+    /// Returns the traffic of the present connection to a peer.
+    #[must_use]
+    pub fn traffic(&self, peer: &str) -> Option<Traffic> {
+        let stats = self.shared.link(peer)?.connection.stats();
+        Some(Traffic {
+            sent: stats.udp_tx.bytes,
+            sent_packets: stats.udp_tx.datagrams,
+            received: stats.udp_rx.bytes,
+            received_packets: stats.udp_rx.datagrams,
+        })
+    }
+
+    /// Returns how many frames of peers were dropped because they could not be decoded.
+    #[must_use]
+    pub fn malformed(&self) -> u64 {
+        self.shared.counters.malformed.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many connections failed to be set up, in both directions.
+    #[must_use]
+    pub fn refused(&self) -> u64 {
+        self.shared.counters.refused.load(Ordering::Relaxed)
+    }
+
+    /// Uses another identity for new connections. Present connections are closed if the roots
+    /// changed, so that a withdrawn root is not used any longer.
+    ///
+    /// # Errors
+    /// Returns an error if the identity cannot be used; the previous one stays in use.
+    pub fn reload(&self, identity: Identity) -> Result<(), TlsError> {
+        self.shared.reload(identity)
+    }
+
+    /// Reads the files again every `interval` and uses them when they have changed. Files that
+    /// cannot be used are reported and read again later.
+    pub fn watch(&self, files: Files, interval: Duration) {
+        let shared = self.shared.clone();
+        let watch = task::spawn(async move {
+            loop {
+                task::sleep(interval).await;
+                let known = lock(&shared.identity).clone();
+                let result = Identity::load(&files).and_then(|identity| {
+                    if identity == known {
+                        return Ok(());
+                    }
+                    shared.reload(identity)?;
+                    log::info!("peer: The certificates were reloaded.");
+                    Ok(())
+                });
+                if let Err(error) = result {
+                    log::warn!("peer: The certificates were not reloaded: {error}.");
+                }
+            }
+        });
+        lock(&self.tasks).push(watch);
+    }
+
+    /// Closes all links, and waits until peers have been told or the connection time-out passed.
+    pub async fn close(self) {
+        self.shared.closing.store(true, Ordering::Relaxed);
+        let targets = std::mem::take(&mut *lock(&self.targets));
+        let tasks = std::mem::take(&mut *lock(&self.tasks));
+        for task in targets.into_iter().map(|target| target.dial).chain(tasks) {
+            task.cancel().await;
+        }
+        let endpoint = &self.shared.endpoint;
+        endpoint.close(VarInt::from_u32(0), b"stopping");
+        let _ = timeout(self.shared.settings.connect, endpoint.wait_idle()).await;
+    }
+}
+
+impl Shared {
+    fn link(&self, peer: &str) -> Option<Link> {
+        let links = lock(&self.links);
+        let at = links
+            .binary_search_by(|(name, _)| (**name).cmp(peer))
+            .ok()?;
+        Some(links[at].1.clone())
+    }
+
+    fn reload(&self, identity: Identity) -> Result<(), TlsError> {
+        let server = server_config(&identity, &self.settings)?;
+        let client = client_config(&identity, &self.settings)?;
+        self.endpoint.set_server_config(Some(server));
+        *lock(&self.client) = client;
+        let mut current = lock(&self.identity);
+        if !identity.same_roots(&current) {
+            for (_, link) in lock(&self.links).iter() {
+                let code = VarInt::from_u32(1);
+                link.connection.close(code, b"certificates changed");
+            }
+        }
+        *current = identity;
+        Ok(())
+    }
+
+    /// Makes the connection the link to `peer`, unless a better one exists. When two instances
+    /// connect to each other at the same time, both keep the connection that the one with the lower
+    /// name opened. The connection of a new process always replaces that of the previous one, which
+    /// would otherwise count as alive until the idle time-out.
+    fn register(&self, peer: &Name, link: Link) -> bool {
+        let mut links = lock(&self.links);
+        match links.binary_search_by(|(name, _)| name.cmp(peer)) {
+            Ok(at) => {
+                let current = &links[at].1;
+                let alive = current.connection.close_reason().is_none();
+                let same = current.incarnation == link.incarnation;
+                let (worse, code) = (!link.preferred, VarInt::from_u32(2));
+                if alive && same && current.preferred && worse {
+                    link.connection.close(code, b"duplicate");
+                    return false;
+                }
+                current.connection.close(code, b"duplicate");
+                links[at].1 = link;
+            }
+            Err(at) => links.insert(at, (peer.clone(), link)),
+        }
+        true
+    }
+
+    fn unregister(&self, peer: &Name, connection: &Connection) {
+        lock(&self.links).retain(|(name, link)| {
+            name != peer || link.connection.stable_id() != connection.stable_id()
+        });
+    }
+
+    /// Registers the connection and serves it in a task of its own until it ends, because the list
+    /// may drop a peer that is still connected.
+    fn start(self: &Arc<Self>, peer: Name, connection: Connection, link: Link) {
+        if !self.register(&peer, link) {
+            return;
+        }
+        let shared = self.clone();
+        task::spawn(async move {
+            let handler = shared.handler.clone();
+            let counters = shared.counters.clone();
+            let limit = shared.settings.call;
+            link::serve(connection.clone(), peer.clone(), handler, counters, limit).await;
+            shared.unregister(&peer, &connection);
+        });
+    }
+
+    async fn connect(
+        &self,
+        peer: &Name,
+        address: SocketAddr,
+    ) -> Result<(Connection, Incarnation), LinkError> {
+        let client = lock(&self.client).clone();
+        let connecting = self.endpoint.connect_with(client, address, peer)?;
+        let connection = connecting.await?;
+        let incarnation = link::introduce(&connection, peer, &self.settings).await?;
+        Ok((connection, incarnation))
+    }
+
+    async fn welcome(
+        &self,
+        incoming: Incoming,
+    ) -> Result<(Name, Connection, Incarnation), LinkError> {
+        let connection = incoming.await?;
+        let (peer, incarnation) = link::welcome(&connection, &self.settings).await?;
+        Ok((peer, connection, incarnation))
+    }
+}
+
+async fn accept(shared: Arc<Shared>) {
+    while let Some(incoming) = shared.endpoint.accept().await {
+        if shared.handshakes.fetch_add(1, Ordering::Relaxed) >= MAX_HANDSHAKES {
+            shared.handshakes.fetch_sub(1, Ordering::Relaxed);
+            incoming.refuse();
+            continue;
+        }
+        let shared = shared.clone();
+        task::spawn(async move {
+            let result = timeout(shared.settings.connect, shared.welcome(incoming)).await;
+            shared.handshakes.fetch_sub(1, Ordering::Relaxed);
+            match result.unwrap_or(Err(LinkError::Timeout)) {
+                Ok((peer, connection, incarnation)) => {
+                    let preferred = peer < shared.settings.name;
+                    let link = Link::new(connection.clone(), incarnation, preferred);
+                    shared.start(peer, connection, link);
+                }
+                Err(error) => shared.counters.refused(&error),
+            }
+        });
+    }
+}
+
+/// Keeps a connection to `peer` for as long as the task lives.
+async fn dial(shared: Arc<Shared>, peer: Name, address: SocketAddr) {
+    let seed = shared.settings.incarnation.0 ^ u64::from(address.port());
+    let mut backoff = Backoff::new(shared.settings.backoff, seed);
+    while !shared.closing.load(Ordering::Relaxed) {
+        if let Some(link) = shared.link(&peer) {
+            link.connection.closed().await;
+            shared.unregister(&peer, &link.connection);
+            backoff.reset();
+        }
+        if shared.settings.name > peer {
+            task::sleep(ACCEPT_WAIT).await;
+            if shared.link(&peer).is_some() {
+                continue;
+            }
+        }
+        let attempt = timeout(shared.settings.connect, shared.connect(&peer, address)).await;
+        match attempt.unwrap_or(Err(LinkError::Timeout)) {
+            Ok((connection, incarnation)) => {
+                backoff.reset();
+                let preferred = shared.settings.name < peer;
+                let link = Link::new(connection.clone(), incarnation, preferred);
+                shared.start(peer.clone(), connection, link);
+            }
+            Err(error) => {
+                shared.counters.refused(&error);
+                task::sleep(backoff.pause()).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/primrosebay_transport/src/peer/tls.rs
@@ -0,0 +1,174 @@
+//! Certificates and TLS settings of the links.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use rustls::RootCertStore;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls::server::{ParsedCertificate, WebPkiClientVerifier};
+
+/// Keeps other QUIC services on the network from being taken for a peer.
+const ALPN: &[u8] = b"primrosebay-peer";
+
+/// Certificates that cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum TlsError {
+    /// A file cannot be read.
+    #[error("the file {0} cannot be read: {1}")]
+    Read(PathBuf, std::io::Error),
+    /// The text is not PEM.
+    #[error("the {0} is not valid PEM")]
+    Pem(&'static str),
+    /// The text has no item of the expected kind.
+    #[error("the PEM text has no {0}")]
+    Missing(&'static str),
+    /// The items cannot be used together.
+    #[error("the certificate, key or root cannot be used: {0}")]
+    Refused(String),
+    /// A development certificate cannot be made.
+    #[error("the development certificate cannot be made: {0}")]
+    Make(#[from] rcgen::Error),
+}
+
+/// The files that hold an identity, in PEM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Files {
+    /// The certificate of this instance, followed by intermediate certificates.
+    pub certificate: PathBuf,
+    /// The private key.
+    pub key: PathBuf,
+    /// The roots that certificates of peers must lead to.
+    pub roots: PathBuf,
+}
+
+/// A certificate with its key, and the roots that peers are checked against.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Identity {
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+    roots: Vec<CertificateDer<'static>>,
+}
+
+impl Clone for Identity {
+    fn clone(&self) -> Self {
+        Self {
+            chain: self.chain.clone(),
+            key: self.key.clone_key(),
+            roots: self.roots.clone(),
+        }
+    }
+}
+
+impl Identity {
+    /// Reads an identity from files.
+    ///
+    /// # Errors
+    /// Returns an error if a file cannot be read or its contents cannot be used.
+    pub fn load(files: &Files) -> Result<Self, TlsError> {
+        let read = |path: &PathBuf| {
+            std::fs::read(path).map_err(|error| TlsError::Read(path.clone(), error))
+        };
+        Self::from_pem(
+            &read(&files.certificate)?,
+            &read(&files.key)?,
+            &read(&files.roots)?,
+        )
+    }
+
+    /// Decodes an identity from PEM.
+    ///
+    /// # Errors
+    /// Returns an error if a text is not PEM, lacks its item, or the key is of another certificate.
+    pub fn from_pem(certificate: &[u8], key: &[u8], roots: &[u8]) -> Result<Self, TlsError> {
+        let identity = Self {
+            chain: certificates(certificate, "certificate")?,
+            key: rustls_pemfile::private_key(&mut &*key)
+                .map_err(|_| TlsError::Pem("key"))?
+                .ok_or(TlsError::Missing("key"))?,
+            roots: certificates(roots, "root")?,
+        };
+        // Building the settings checks that the key belongs to the certificate, so that files that
+        // are replaced one after the other are not taken half-way.
+        identity.server()?;
+        Ok(identity)
+    }
+
+    /// Returns whether both identities trust the same roots.
+    #[must_use]
+    pub fn same_roots(&self, other: &Self) -> bool {
+        self.roots == other.roots
+    }
+
+    pub(super) fn server(&self) -> Result<QuicServerConfig, TlsError> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let verifier = WebPkiClientVerifier::builder_with_provider(self.store()?, provider.clone())
+            .build()
+            .map_err(refused)?;
+        let mut config = rustls::ServerConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(refused)?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(self.chain.clone(), self.key.clone_key())
+            .map_err(refused)?;
+        config.alpn_protocols = vec![ALPN.to_vec()];
+        QuicServerConfig::try_from(config).map_err(refused)
+    }
+
+    /// Returns the settings for opening connections with this identity.
+    ///
+    /// # Errors
+    /// Returns an error if the certificate, key or roots cannot be used.
+    pub fn client(&self) -> Result<QuicClientConfig, TlsError> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let mut config = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(refused)?
+            .with_root_certificates(self.store()?)
+            .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
+            .map_err(refused)?;
+        config.alpn_protocols = vec![ALPN.to_vec()];
+        QuicClientConfig::try_from(config).map_err(refused)
+    }
+
+    fn store(&self) -> Result<Arc<RootCertStore>, TlsError> {
+        let mut store = RootCertStore::empty();
+        for root in &self.roots {
+            store.add(root.clone()).map_err(refused)?;
+        }
+        Ok(Arc::new(store))
+    }
+}
+
+/// Returns whether the peer's certificate is valid for `name`.
+pub(super) fn valid_for(connection: &quinn::Connection, name: &str) -> bool {
+    let identity = connection.peer_identity();
+    let chain = identity.and_then(|any| any.downcast::<Vec<CertificateDer<'static>>>().ok());
+    let Some(first) = chain.as_ref().and_then(|chain| chain.first()) else {
+        return false;
+    };
+    let (Ok(certificate), Ok(name)) = (
+        ParsedCertificate::try_from(first),
+        ServerName::try_from(name),
+    ) else {
+        return false;
+    };
+    rustls::client::verify_server_name(&certificate, &name).is_ok()
+}
+
+fn certificates(pem: &[u8], kind: &'static str) -> Result<Vec<CertificateDer<'static>>, TlsError> {
+    let found: Result<Vec<_>, _> = rustls_pemfile::certs(&mut &*pem).collect();
+    let found = found.map_err(|_| TlsError::Pem(kind))?;
+    if found.is_empty() {
+        return Err(TlsError::Missing(kind));
+    }
+    Ok(found)
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "the function is passed to map_err"
+)]
+fn refused(error: impl ToString) -> TlsError {
+    TlsError::Refused(error.to_string())
+}
--- /dev/null
+++ b/crates/primrosebay_transport/tests/peer.rs
@@ -0,0 +1,354 @@
+//! Links between entry instances over loopback.
+
+use std::future::Future;
+use std::path::Path;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_std::task;
+use rstest::rstest;
+
+use primrosebay_protocol::code::Code;
+use primrosebay_protocol::peer::{Heartbeat, Request, Response, Summary, ZoneTerm, encode};
+use primrosebay_state::Name;
+use primrosebay_state::id::Incarnation;
+use primrosebay_transport::peer::{
+    Backoff, CallError, DevAuthority, Files, Handler, Identity, Net, Settings,
+};
+
+/// Turns after which a condition that never holds fails the test.
+const TURNS: u32 = 1_000;
+
+#[derive(Default)]
+struct Recorder {
+    heartbeats: Mutex<Vec<(Name, Heartbeat)>>,
+    requests: Mutex<Vec<Request>>,
+    frozen: bool,
+}
+
+impl Handler for Recorder {
+    fn heartbeat(&self, peer: &Name, heartbeat: Heartbeat) {
+        let mut heartbeats = self.heartbeats.lock().unwrap();
+        heartbeats.push((peer.clone(), heartbeat));
+    }
+
+    fn call<'a>(
+        &'a self,
+        _: &'a Name,
+        request: Request,
+    ) -> Pin<Box<dyn Future<Output = Response> + Send + 'a>> {
+        Box::pin(async move {
+            if self.frozen {
+                std::future::pending::<()>().await;
+            }
+            // The code tells which request was answered.
+            let code = match &request {
+                Request::Config { from } => Code(u16::try_from(*from).unwrap()),
+                _ => Code::OK,
+            };
+            self.requests.lock().unwrap().push(request);
+            Response::Refused(code)
+        })
+    }
+}
+
+fn settings(name: &str) -> Settings {
+    Settings {
+        name: name.into(),
+        incarnation: Incarnation(1),
+        backoff: (Duration::from_millis(5), Duration::from_millis(20)),
+        ..Settings::default()
+    }
+}
+
+fn node(name: &str, identity: Identity) -> (Net, Arc<Recorder>) {
+    let recorder = Arc::new(Recorder::default());
+    let net = Net::bind(settings(name), identity, recorder.clone()).unwrap();
+    (net, recorder)
+}
+
+fn join(from: &Net, name: &str, to: &Net) {
+    from.set_peers(&[(name.into(), to.address().unwrap())]);
+}
+
+/// Waits for a condition, and fails after a bounded number of turns.
+async fn until(what: &str, condition: impl Fn() -> bool) {
+    for _ in 0..TURNS {
+        if condition() {
+            return;
+        }
+        task::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what}");
+}
+
+async fn pair() -> [(Net, Arc<Recorder>); 2] {
+    pair_of(&DevAuthority::new().unwrap()).await
+}
+
+async fn pair_of(authority: &DevAuthority) -> [(Net, Arc<Recorder>); 2] {
+    let a = node("entry-a", authority.issue("entry-a").unwrap());
+    let b = node("entry-b", authority.issue("entry-b").unwrap());
+    join(&a.0, "entry-b", &b.0);
+    join(&b.0, "entry-a", &a.0);
+    until("the links were not set up", || {
+        a.0.connected().len() == 1 && b.0.connected().len() == 1
+    })
+    .await;
+    [a, b]
+}
+
+fn config(from: u64) -> Request {
+    Request::Config { from }
+}
+
+/// Guards against responses that reach the caller of another request when many are in flight.
+#[test]
+fn responses_belong_to_their_requests() {
+    task::block_on(async {
+        let [(a, _), (b, _)] = pair().await;
+        let a = Arc::new(a);
+        let calls: Vec<_> = (0..100)
+            .map(|i| {
+                let a = a.clone();
+                task::spawn(async move { a.call("entry-b", &config(i)).await.unwrap() })
+            })
+            .collect();
+        for (i, call) in (0..).zip(calls) {
+            let Response::Refused(code) = call.await else {
+                panic!("another response");
+            };
+            assert_eq!(code, Code(i));
+        }
+        b.close().await;
+    });
+}
+
+/// Guards against heartbeats that get lost because they do not fit into a datagram.
+#[rstest]
+#[case::datagram(1)]
+#[case::stream(500)]
+fn heartbeats_of_any_length_arrive(#[case] zones: u64) {
+    task::block_on(async {
+        let [(a, _), (b, recorder)] = pair().await;
+        let terms = (0..zones).map(|epoch| ZoneTerm {
+            zone: "zone".into(),
+            epoch,
+        });
+        let sent = Heartbeat {
+            summary: Summary {
+                zones: terms.collect(),
+                ..Summary::default()
+            },
+            ..Heartbeat::default()
+        };
+        a.heartbeat("entry-b", sent.clone());
+        until("the heartbeat was lost", || {
+            recorder.heartbeats.lock().unwrap().len() == 1
+        })
+        .await;
+        let (peer, received) = recorder.heartbeats.lock().unwrap().remove(0);
+        assert_eq!((&*peer, received), ("entry-a", sent));
+        b.close().await;
+    });
+}
+
+/// Guards against a caller that waits for ever, or takes the request for not sent, when the peer
+/// accepts it and then freezes.
+#[test]
+fn frozen_peer_gives_an_unknown_outcome() {
+    task::block_on(async {
+        let authority = DevAuthority::new().unwrap();
+        let (a, _) = node("entry-a", authority.issue("entry-a").unwrap());
+        let frozen = Arc::new(Recorder {
+            frozen: true,
+            ..Recorder::default()
+        });
+        let limits = Settings {
+            call: Duration::from_millis(50),
+            ..settings("entry-b")
+        };
+        let b = Net::bind(limits, authority.issue("entry-b").unwrap(), frozen).unwrap();
+        join(&a, "entry-b", &b);
+        until("no link", || a.connected().len() == 1).await;
+        let error = a.call("entry-b", &config(1)).await.unwrap_err();
+        assert!(error.may_have_run(), "{error}");
+        b.close().await;
+    });
+}
+
+/// Guards against a process that stops or drops the link because of a frame it cannot decode.
+#[test]
+fn malformed_frames_are_counted_and_refused() {
+    task::block_on(async {
+        let authority = DevAuthority::new().unwrap();
+        let [(a, _), (b, _)] = pair_of(&authority).await;
+        // A request longer than a frame is refused before it is sent.
+        let long = Request::Hello {
+            name: "x".repeat(2 << 20).into(),
+            incarnation: Incarnation(1),
+        };
+        let error = a.call("entry-b", &long).await.unwrap_err();
+        assert!(matches!(error, CallError::Encode(_)) && !error.may_have_run());
+        let raw = raw_client(&b, &authority.issue("entry-c").unwrap(), &[9, 9, 9]).await;
+        assert_eq!(raw, encode(&Response::Refused(Code::MALFORMED)).unwrap());
+        until("the frames were not counted", || b.malformed() == 2).await;
+        assert!(a.call("entry-b", &config(3)).await.is_ok());
+        b.close().await;
+    });
+}
+
+/// Connects as `entry-c`, sends `frame` as a datagram and as a request, and returns the answer.
+async fn raw_client(to: &Net, identity: &Identity, frame: &[u8]) -> Vec<u8> {
+    let any = Settings::default().address;
+    let endpoint = quinn::Endpoint::client(any).unwrap();
+    let config = quinn::ClientConfig::new(Arc::new(identity.client().unwrap()));
+    let connecting = endpoint.connect_with(config, to.address().unwrap(), "entry-b");
+    let connection = connecting.unwrap().await.unwrap();
+    let hello = Request::Hello {
+        name: "entry-c".into(),
+        incarnation: Incarnation(1),
+    };
+    exchange(&connection, &encode(&hello).unwrap()).await;
+    connection.send_datagram(frame.to_vec().into()).unwrap();
+    exchange(&connection, frame).await
+}
+
+async fn exchange(connection: &quinn::Connection, frame: &[u8]) -> Vec<u8> {
+    let (mut send, mut receive) = connection.open_bi().await.unwrap();
+    send.write_all(frame).await.unwrap();
+    send.finish().unwrap();
+    receive.read_to_end(1 << 20).await.unwrap()
+}
+
+/// Guards against instances that accept peers of another authority or under another instance's
+/// name.
+#[rstest]
+#[case::authority(false, "entry-b")]
+#[case::name(true, "entry-c")]
+fn wrong_certificates_are_refused(#[case] same: bool, #[case] name: &str) {
+    task::block_on(async {
+        let authority = DevAuthority::new().unwrap();
+        let other = DevAuthority::new().unwrap();
+        let issuer = if same { &authority } else { &other };
+        let (a, seen) = node("entry-a", authority.issue("entry-a").unwrap());
+        let (b, _) = node("entry-b", issuer.issue(name).unwrap());
+        join(&b, "entry-a", &a);
+        until("the peer was not refused", || a.refused() > 0).await;
+        join(&a, "entry-b", &b);
+        until("the peer was not refused", || b.refused() > 1).await;
+        assert!(a.connected().is_empty());
+        assert!(seen.requests.lock().unwrap().is_empty());
+        b.close().await;
+    });
+}
+
+fn write(dir: &Path, pem: &[String; 3]) -> Files {
+    let files = Files {
+        certificate: dir.join("certificate.pem"),
+        key: dir.join("key.pem"),
+        roots: dir.join("roots.pem"),
+    };
+    std::fs::write(&files.certificate, &pem[0]).unwrap();
+    std::fs::write(&files.key, &pem[1]).unwrap();
+    std::fs::write(&files.roots, &pem[2]).unwrap();
+    files
+}
+
+/// Guards against certificates that need a restart to be replaced, against connections that stay on
+/// a withdrawn root, and against a half-written replacement that takes the instance off the network.
+#[test]
+fn certificates_are_reloaded() {
+    task::block_on(async {
+        let (old, new) = (DevAuthority::new().unwrap(), DevAuthority::new().unwrap());
+        let [(a, _), (b, _)] = pair_of(&old).await;
+        let dir = std::env::temp_dir().join(format!("primrosebay-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let mut half = old.issue_pem("entry-a").unwrap();
+        half[1] = new.issue_pem("entry-a").unwrap()[1].clone();
+        let half = Identity::load(&write(&dir, &half));
+        assert!(half.is_err(), "a key of another certificate was accepted");
+
+        let files = write(&dir, &new.issue_pem("entry-a").unwrap());
+        a.watch(files, Duration::from_millis(5));
+        until("b was not refused", || a.refused() + b.refused() > 0).await;
+        assert!(a.call("entry-b", &config(1)).await.is_err());
+        b.reload(new.issue("entry-b").unwrap()).unwrap();
+        until("the link did not return", || {
+            a.connected().len() == 1 && b.connected().len() == 1
+        })
+        .await;
+        assert!(a.call("entry-b", &config(1)).await.is_ok());
+        std::fs::remove_dir_all(&dir).unwrap();
+        b.close().await;
+    });
+}
+
+/// Guards against a restarted peer that stays unreachable until the idle time-out of its previous
+/// process, and against two links that fight when both sides connect at once.
+#[test]
+fn restarted_peer_replaces_its_previous_process() {
+    task::block_on(async {
+        let authority = DevAuthority::new().unwrap();
+        let [(a, _), (b, _)] = pair_of(&authority).await;
+        let again = Settings {
+            incarnation: Incarnation(2),
+            ..settings("entry-b")
+        };
+        let recorder = Arc::new(Recorder::default());
+        let identity = authority.issue("entry-b").unwrap();
+        let c = Net::bind(again, identity, recorder.clone()).unwrap();
+        // The previous process does not close its links, like one that was killed.
+        b.set_peers(&[]);
+        join(&c, "entry-a", &a);
+        let reached = || !recorder.requests.lock().unwrap().is_empty();
+        for _ in 0..TURNS {
+            if reached() {
+                break;
+            }
+            let _ = a.call("entry-b", &config(1)).await;
+            task::sleep(Duration::from_millis(10)).await;
+        }
+        assert!(reached(), "the new process got no request");
+        drop(b);
+        c.close().await;
+    });
+}
+
+/// Guards against a peer that is lost for good after its connection failed, and against a stop that
+/// leaves links open.
+#[test]
+fn closed_peer_is_connected_again() {
+    task::block_on(async {
+        let authority = DevAuthority::new().unwrap();
+        let [(a, _), (b, _)] = pair_of(&authority).await;
+        let address = b.address().unwrap();
+        b.close().await;
+        until("the link stayed", || a.connected().is_empty()).await;
+        let same = Settings {
+            address,
+            ..settings("entry-b")
+        };
+        let identity = authority.issue("entry-b").unwrap();
+        let b = Net::bind(same, identity, Arc::new(Recorder::default())).unwrap();
+        until("the link did not return", || a.connected().len() == 1).await;
+        b.close().await;
+    });
+}
+
+/// Guards against attempts to connect that come in step or grow without bound.
+#[test]
+fn backoff_is_bounded_and_jittered() {
+    let limits = (Duration::from_millis(100), Duration::from_secs(1));
+    let pauses = |seed| {
+        let mut backoff = Backoff::new(limits, seed);
+        (0..50).map(|_| backoff.pause()).collect::<Vec<_>>()
+    };
+    let (one, other) = (pauses(1), pauses(2));
+    assert!(
+        one.iter()
+            .all(|pause| *pause >= limits.0 / 2 && *pause <= limits.1)
+    );
+    assert!(one.iter().zip(&other).all(|(a, b)| a != b));
+}
