--- /dev/null
+++ b/crates/primrosebay_coordination/tests/publisher.rs
@@ -0,0 +1,352 @@
+//! The publisher against a simulated log, with an injected clock.
+
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+use primrosebay_coordination::publisher::{
+    Assembler, Copies, CopyLimits, Full, Limits, Plan, Publisher, Seen, Step, Withdrawn, pieces,
+};
+use primrosebay_state::Name;
+use primrosebay_state::config::{Change, Config, Resource, ZoneState};
+use primrosebay_state::id::{Incarnation, JobId, RecordId};
+use primrosebay_state::record::{Body, Item, Record};
+use primrosebay_state::time::Time;
+
+const HOUR: u64 = 3_600_000;
+const RECORD: usize = 100;
+
+fn record(process: u64, sequence: u64) -> Record {
+    let incarnation = Incarnation(process);
+    let job = JobId {
+        incarnation,
+        sequence,
+    };
+    Record {
+        id: RecordId {
+            incarnation,
+            sequence,
+        },
+        body: Body::Cancelled { job },
+    }
+}
+
+fn publisher(limits: Limits) -> Publisher {
+    Publisher::new(limits, &["config".into(), "jobs".into()], 1)
+}
+
+fn push(publisher: &mut Publisher, now: u64, record: Record) -> Result<(), Full> {
+    publisher.push(Time(now), "jobs", record, RECORD)
+}
+
+/// What happens to an append.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fate {
+    Done,
+    Refused,
+    AnswerLost,
+    /// The answer is lost and the append takes effect later.
+    Late,
+}
+
+#[derive(Default)]
+struct FakeLog {
+    records: Vec<Record>,
+    late: Vec<(u64, Vec<Record>)>,
+    appends: Vec<u64>,
+}
+
+impl FakeLog {
+    /// Carries out all steps of a publisher that are due at `now`.
+    fn turn(&mut self, now: u64, publisher: &mut Publisher, mut fate: impl FnMut() -> Fate) {
+        let (due, later) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.late = later;
+        let due: Vec<(u64, Vec<Record>)> = due;
+        self.records
+            .extend(due.into_iter().flat_map(|(_, records)| records));
+        loop {
+            match publisher.poll(Time(now)) {
+                Step::Wait(_) => return,
+                Step::Append {
+                    ticket, records, ..
+                } => {
+                    self.appends.push(now);
+                    let first = self.records.len() as u64;
+                    let fate = fate();
+                    match fate {
+                        Fate::Done | Fate::AnswerLost => self.records.extend(records),
+                        Fate::Late => self.late.push((now + 700, records)),
+                        Fate::Refused => {}
+                    }
+                    match fate {
+                        Fate::Done => drop(publisher.appended(ticket, first)),
+                        Fate::Refused => publisher.refused(Time(now), ticket),
+                        _ => publisher.unknown(Time(now), ticket),
+                    }
+                }
+                Step::ReadBack { ticket, from, .. } => {
+                    if fate() == Fate::Refused {
+                        publisher.read_failed(Time(now), ticket);
+                        continue;
+                    }
+                    for (offset, record) in (0..).zip(&self.records) {
+                        if offset >= from {
+                            publisher.observed("jobs", offset, record.id);
+                        }
+                    }
+                    publisher.read_back(ticket);
+                }
+            }
+        }
+    }
+
+    /// Returns the sequences that take effect, in log order.
+    fn effects(&self) -> Vec<u64> {
+        let mut seen = Seen::new();
+        let placed = (0..).zip(&self.records);
+        placed
+            .filter(|(offset, record)| seen.insert(*offset, record.id))
+            .map(|(_, record)| record.id.sequence)
+            .collect()
+    }
+}
+
+/// Guards against records that are lost, applied twice or reordered when appends are refused, take
+/// effect late, or their answers are lost.
+#[test]
+fn records_take_effect_once_in_order() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]);
+    let mut runner = TestRunner::new_with_rng(ProptestConfig::with_cases(200), rng);
+    let run = |seed: u64| {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut publisher = publisher(Limits::default());
+        let mut log = FakeLog::default();
+        for now in 0..60_000 {
+            if now < 2_000 && now % 20 == 0 {
+                push(&mut publisher, now, record(1, now / 20 + 1)).unwrap();
+            }
+            // The faults end, so that the backlog can drain.
+            let faulty = now < 10_000;
+            log.turn(now, &mut publisher, || {
+                if !faulty {
+                    return Fate::Done;
+                }
+                let fates = [Fate::Done, Fate::Refused, Fate::AnswerLost, Fate::Late];
+                fates[random.random_range(0..fates.len())]
+            });
+        }
+        prop_assert_eq!(log.effects(), (1..=100).collect::<Vec<_>>());
+        prop_assert_eq!(publisher.waiting(), (0, 0));
+        Ok(())
+    };
+    runner.run(&any::<u64>(), run).unwrap();
+}
+
+/// Guards against appends that are wasted on records whose answer was lost but that are in the log.
+#[test]
+fn lost_answer_is_settled_by_reading_back() {
+    let mut publisher = publisher(Limits::default());
+    let mut log = FakeLog::default();
+    push(&mut publisher, 0, record(1, 1)).unwrap();
+    let mut fates = [Fate::AnswerLost].into_iter();
+    for now in 0..5_000 {
+        log.turn(now, &mut publisher, || fates.next().unwrap_or(Fate::Done));
+    }
+    assert_eq!(log.records.len(), 1);
+    assert_eq!(publisher.waiting(), (0, 0));
+}
+
+/// Guards against an append for each record, and against records that wait for a full batch.
+#[test]
+fn records_of_five_milliseconds_share_an_append() {
+    let mut publisher = publisher(Limits::default());
+    let mut log = FakeLog::default();
+    for now in 0..1_000 {
+        push(&mut publisher, now, record(1, now + 1)).unwrap();
+        log.turn(now, &mut publisher, || Fate::Done);
+    }
+    assert_eq!(log.appends[0], 5);
+    assert!(log.appends.len() <= 200, "{} appends", log.appends.len());
+    assert!(log.records.len() > 990);
+}
+
+/// Guards against a backlog that overloads the log when it returns after an hour, also while the
+/// list lacks an instance.
+#[rstest]
+#[case::all_listed(6, 6)]
+#[case::one_missing(6, 5)]
+#[case::design_size(27, 27)]
+#[case::design_size_one_missing(27, 26)]
+fn backlog_drains_within_the_rate(#[case] instances: u64, #[case] listed: usize) {
+    let mut log = FakeLog::default();
+    let limits = Limits {
+        // Each record is an append of its own.
+        batch_bytes: RECORD,
+        ..Limits::default()
+    };
+    let mut publishers: Vec<_> = (0..instances).map(|_| publisher(limits.clone())).collect();
+    let backlog = 3_000 / instances;
+    for (process, publisher) in (0..).zip(&mut publishers) {
+        publisher.set_instances(Time(0), listed);
+        for sequence in 1..=backlog {
+            push(publisher, 0, record(process, sequence)).unwrap();
+        }
+    }
+    // The log is down for an hour; turns before its last minute add nothing.
+    for now in (HOUR - 60_000)..(HOUR + 60_000) {
+        let fate = if now < HOUR {
+            Fate::Refused
+        } else {
+            Fate::Done
+        };
+        for publisher in &mut publishers {
+            log.turn(now, publisher, || fate);
+        }
+    }
+    assert_eq!(log.records.len() as u64, backlog * instances);
+    for (i, at) in log.appends.iter().enumerate() {
+        let second = log.appends[i..].partition_point(|other| *other < at + 1_000);
+        assert!(second <= 300, "{second} appends in the second after {at}");
+    }
+}
+
+/// Guards against memory that grows without bound in a long outage, and against records that are
+/// not offered to peers or offered without end.
+#[test]
+fn outage_fills_a_bounded_queue_and_offers_copies() {
+    let limits = Limits {
+        queue_count: 10,
+        ..Limits::default()
+    };
+    let mut publisher = publisher(limits);
+    let mut log = FakeLog::default();
+    for sequence in 1..=10 {
+        push(&mut publisher, 0, record(1, sequence)).unwrap();
+    }
+    assert_eq!(push(&mut publisher, 0, record(1, 11)), Err(Full));
+    log.turn(100, &mut publisher, || Fate::Refused);
+    assert_eq!(publisher.failing(Time(300)), Some(200));
+    assert!(publisher.overdue(Time(499)).is_empty());
+    assert_eq!(publisher.overdue(Time(500)).len(), 10);
+    assert!(publisher.overdue(Time(501)).is_empty());
+    publisher.not_held(&[record(1, 3).id]);
+    assert_eq!(publisher.overdue(Time(502))[0].1, record(1, 3));
+}
+
+/// Guards against an answer that says "not run" for a record that may reach the log.
+#[rstest]
+#[case::refused(Fate::Refused, Withdrawn::Yes)]
+#[case::lost(Fate::AnswerLost, Withdrawn::MaySurvive)]
+#[case::late(Fate::Late, Withdrawn::MaySurvive)]
+#[case::done(Fate::Done, Withdrawn::Gone)]
+fn only_unsent_records_are_withdrawn(#[case] fate: Fate, #[case] expected: Withdrawn) {
+    let mut publisher = publisher(Limits::default());
+    let mut log = FakeLog::default();
+    push(&mut publisher, 0, record(1, 1)).unwrap();
+    log.turn(10, &mut publisher, || fate);
+    assert_eq!(publisher.withdraw(record(1, 1).id), expected);
+}
+
+/// Guards against accepted records that are lost with their instance, or applied once for each
+/// holder.
+#[test]
+fn copies_of_a_dead_instance_are_appended_once_in_effect() {
+    let mut log = FakeLog::default();
+    let jobs = Name::from("jobs");
+    let mut holders = [publisher(Limits::default()), publisher(Limits::default())];
+    for publisher in &mut holders {
+        let mut copies = Copies::new(CopyLimits::default());
+        for sequence in [1, 2, 2, 3] {
+            copies.hold(&jobs, record(9, sequence), RECORD).unwrap();
+        }
+        copies.release(record(9, 1).id);
+        assert!(copies.due(|_| true).is_empty(), "the origin is alive");
+        for (stream, record, bytes) in copies.due(|_| false) {
+            publisher.push(Time(0), &stream, record, bytes).unwrap();
+        }
+        assert!(
+            copies.due(|_| false).is_empty(),
+            "copies were handed out twice"
+        );
+        assert_eq!(copies.len(), 2);
+    }
+    for publisher in &mut holders {
+        log.turn(10, publisher, || Fate::Done);
+    }
+    assert_eq!(log.records.len(), 4);
+    assert_eq!(log.effects(), [2, 3]);
+}
+
+/// Guards against a record that is taken for new after others of its process, in any order.
+#[test]
+fn seen_records_stay_seen() {
+    let mut seen = Seen::new();
+    let sequences = [5, 1, 3, 2, 9, 4];
+    for (offset, sequence) in (0..).zip(sequences) {
+        assert!(seen.insert(offset, record(1, sequence).id));
+    }
+    assert!(sequences.iter().all(|s| !seen.insert(9, record(1, *s).id)));
+    assert_eq!(seen.ranges(), 2);
+    seen.expire(10);
+    assert_eq!(seen.ranges(), 0);
+}
+
+/// Guards against a reader that starts after retention dropped records and builds another
+/// configuration than one that read them all; pieces arrive twice and out of order.
+#[test]
+fn snapshot_replaces_expired_records() {
+    let mut config = Config::new();
+    for offset in 0..200 {
+        let change = Change {
+            kind: "zone".into(),
+            name: format!("zone-{}", offset % 50).into(),
+            expected: if offset < 50 { 0 } else { offset - 49 },
+            spec: Some(Resource::Zone {
+                state: ZoneState::Out,
+            }),
+        };
+        config.apply(offset, &change);
+    }
+    let items = config.stored().iter().cloned();
+    let items = items.map(|stored| (Item::Resource(stored), 100)).collect();
+    let cut = pieces(record(1, 1).id, &"config".into(), config.next, items, 1_000);
+    assert_eq!(cut.len(), 5);
+    let mut assembler = Assembler::new();
+    let mut order: Vec<_> = cut[1..].iter().rev().chain(&cut[1..]).collect();
+    order.push(&cut[0]);
+    let restored: Vec<_> = order
+        .iter()
+        .filter_map(|piece| assembler.add(piece))
+        .collect();
+    assert_eq!(restored.len(), 1);
+    let stored = restored[0].items.iter().map(|item| match item {
+        Item::Resource(stored) => stored.clone(),
+        _ => panic!("another item"),
+    });
+    let copy = Config::restore(restored[0].through, stored.collect());
+    assert_eq!((copy.next, copy.stored()), (config.next, config.stored()));
+}
+
+/// Guards against retention that drops the latest snapshot before the next one is published.
+#[rstest]
+#[case::young(0, 1_000, None, false)]
+#[case::no_snapshot(1, 1_000, None, true)]
+#[case::recent(1_000, 2_000, Some(1_500), false)]
+#[case::half_way(1_000, 2_000, Some(1_499), true)]
+fn snapshot_is_due_before_retention(
+    #[case] oldest: u64,
+    #[case] end: u64,
+    #[case] first: Option<u64>,
+    #[case] due: bool,
+) {
+    let mut plan = Plan::new(Time(0));
+    if let Some(first) = first {
+        plan.published(Time(0), first);
+    }
+    assert_eq!(plan.due(Time(1), oldest, end), due);
+    assert!(plan.due(Time(HOUR), oldest, end));
+}
--- a/crates/primrosebay_state/src/config.rs
+++ b/crates/primrosebay_state/src/config.rs
@@ -100,6 +100,20 @@
         Self::default()
     }
 
+    /// Restores a configuration from the resources of a snapshot that includes all offsets before
+    /// `next`.
+    #[must_use]
+    pub fn restore(next: u64, mut items: Vec<Stored>) -> Self {
+        items.sort_by(|a, b| (&a.kind, &a.name).cmp(&(&b.kind, &b.name)));
+        Self { next, items }
+    }
+
+    /// Returns all resources, by kind and name.
+    #[must_use]
+    pub fn stored(&self) -> &[Stored] {
+        &self.items
+    }
+
     /// Applies the change recorded at `offset`. Offsets that were passed before have no effect, so
     /// that the configuration never goes back.
     pub fn apply(&mut self, offset: u64, change: &Change) -> Applied {
--- a/crates/primrosebay_state/src/record.rs
+++ b/crates/primrosebay_state/src/record.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
-use crate::config::Change;
+use crate::config::{Change, Stored};
 use crate::id::{JobId, RecordId, TaskId};
 use crate::job::JobSpec;
 
@@ -80,4 +80,55 @@
         /// The amount.
         amount: crate::resources::Resources,
     },
+    /// A part of a snapshot, published before retention drops the records that it stands for.
+    Snapshot(Piece),
+}
+
+/// A part of a snapshot.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Piece {
+    /// Identifies the snapshot: the identifier of the record of its first piece.
+    pub snapshot: RecordId,
+    /// What the snapshot covers: the name of a zone, or `config`.
+    pub scope: Name,
+    /// The offset after the last record that the snapshot includes.
+    pub through: u64,
+    /// The position of the piece, from 0.
+    pub index: u32,
+    /// The number of pieces.
+    pub count: u32,
+    /// The contents.
+    pub items: Vec<Item>,
+}
+
+/// One thing that a snapshot keeps.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Item {
+    /// A resource of the configuration, with its version.
+    Resource(Stored),
+    /// The part of a team's upper limit that a zone may use.
+    Allowance {
+        /// The team.
+        team: Name,
+        /// The zone.
+        zone: Name,
+        /// The amount.
+        amount: crate::resources::Resources,
+    },
+    /// A job that has not ended.
+    Job {
+        /// The job.
+        job: JobId,
+        /// The home zone.
+        zone: Name,
+        /// What the caller submitted.
+        spec: JobSpec,
+        /// The tasks that ended, by index.
+        ended: Vec<(u32, Outcome)>,
+        /// The tasks with a `Starting` record that have not ended, by index.
+        starting: Vec<u32>,
+        /// Whether the job was cancelled.
+        cancelled: bool,
+    },
 }
