--- a/crates/primrosebay_transport/src/lib.rs
+++ b/crates/primrosebay_transport/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod list;
 pub mod log;
 pub mod minion;
+pub mod peer;
 pub mod worker;
