Schedule by share with an index, gangs, spread services and preemption

Placement was first fit in submission order over all workers. It is now best fit through an index of workers by free accelerators, memory and cores that each change updates. Teams take turns by weighted dominant share; deadlines and age raise a team's rank by a bounded part of the cell. Gangs that do not fit get a reservation, which shorter tasks may use until then. Urgent work preempts batch tasks that lose least. Equal jobs form a class that fails as a whole until something is freed. Run times are learned per job family.

--- a/crates/primrosebay_coordination/src/schedule/mod.rs
+++ b/crates/primrosebay_coordination/src/schedule/mod.rs
@@ -1,9 +1,23 @@
 //! Which task starts next, and on which worker.
 
+mod blocks;
+mod counts;
 mod decision;
+mod estimate;
+mod explain;
+mod fit;
+mod fleet;
+mod gang;
+mod index;
+mod job;
+mod ledger;
+mod preempt;
+mod queue;
 mod reason;
+mod round;
 mod scheduler;
 mod settings;
+mod share;
 
 pub use decision::Decision;
 pub use reason::{Kind, Reason};
--- a/crates/primrosebay_coordination/src/schedule/reason.rs
+++ b/crates/primrosebay_coordination/src/schedule/reason.rs
@@ -115,10 +115,30 @@
         /// The tasks that fit now.
         room: u64,
     },
-    /// Other jobs come first.
-    #[error("{ahead} jobs come first")]
+    /// Workers with room are kept for jobs that need their accelerators.
+    #[error("the free cores and memory of {workers} workers are kept for accelerator jobs")]
+    Kept {
+        /// The workers that would otherwise have room.
+        workers: usize,
+    },
+    /// Workers with room are held for jobs that wait longer.
+    #[error("{workers} workers with room are held for jobs that wait longer")]
+    Held {
+        /// The workers that would otherwise have room.
+        workers: usize,
+    },
+    /// Other tasks are being stopped to make room.
+    #[error("{tasks} tasks wait for others to be stopped")]
+    Stopping {
+        /// The tasks that will start then.
+        tasks: usize,
+    },
+    /// Other work comes first.
+    #[error("{jobs} jobs of the team and {teams} teams come first")]
     Order {
-        /// The number of jobs that come first.
-        ahead: usize,
+        /// Jobs of the same team that come first.
+        jobs: usize,
+        /// Teams with pending work that are further below their share.
+        teams: usize,
     },
 }
--- a/crates/primrosebay_coordination/src/schedule/scheduler.rs
+++ b/crates/primrosebay_coordination/src/schedule/scheduler.rs
@@ -1,309 +1,473 @@
-//! The scheduler of one zone.
+//! The scheduler of one zone: its state and the events that change it.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 use primrosebay_state::Name;
 use primrosebay_state::id::{JobId, TaskId};
-use primrosebay_state::job::{JobSpec, Policy};
+use primrosebay_state::job::{JobSpec, Policy, Repeat};
 use primrosebay_state::resources::Resources;
 use primrosebay_state::time::Time;
 
-use super::{Decision, Kind, Reason, Settings};
-
-#[derive(Debug)]
-struct Worker {
-    name: Name,
-    rack: Name,
-    total: Resources,
-    free: Resources,
-    usable: bool,
-}
+use super::Settings;
+use super::counts::Counts;
+use super::estimate::Estimates;
+use super::fleet::{Fleet, Need};
+use super::gang::Reservation;
+use super::job::{Job, Jobs};
+use super::ledger::{Ledger, Running};
+use super::share::Teams;
 
-#[derive(Debug)]
-struct Team {
-    name: Name,
-    allowance: Resources,
-    used: Resources,
-}
-
-#[derive(Debug)]
-struct Pending {
-    job: JobId,
-    spec: JobSpec,
-    tasks: Vec<u32>,
-}
-
-#[derive(Debug)]
-struct Running {
-    task: TaskId,
-    worker: Name,
-    spec: JobSpec,
+/// An urgent task for which victims are being stopped on a worker.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Claim {
+    pub(super) job: usize,
+    pub(super) id: JobId,
+    pub(super) team: usize,
+    pub(super) worker: usize,
+    pub(super) amount: Resources,
 }
 
 /// Decides which pending task starts on which worker of one zone.
+///
+/// Equal seeds and calls give equal decisions. A placed task counts as running from the decision
+/// on; the coordinator reports with [`Scheduler::release`] or [`Scheduler::requeue`] when it ended
+/// or was not started after all.
 #[derive(Debug)]
 pub struct Scheduler {
-    workers: Vec<Worker>,
-    teams: Vec<Team>,
-    pending: Vec<Pending>,
-    running: Vec<Running>,
+    pub(super) settings: Settings,
+    pub(super) rng: SmallRng,
+    pub(super) fleet: Fleet,
+    pub(super) teams: Teams,
+    pub(super) jobs: Jobs,
+    pub(super) ledger: Ledger,
+    pub(super) estimates: Estimates,
+    pub(super) claims: Vec<Claim>,
+    pub(super) reservations: Vec<Reservation>,
+    /// Teams that may use more than their allowance.
+    pub(super) over: Vec<usize>,
+    /// What is kept for each free accelerator.
+    pub(super) keep: Resources,
+    /// When an accelerator job last waited.
+    pub(super) kept: Time,
+    pub(super) sequence: u64,
+    pub(super) round: u64,
 }
 
 impl Scheduler {
-    /// Creates a scheduler without workers. Equal seeds and calls give equal decisions.
+    /// Creates a scheduler without workers.
     #[must_use]
-    pub fn new(_settings: Settings, _seed: u64) -> Self {
+    pub fn new(settings: Settings, seed: u64) -> Self {
         Self {
-            workers: Vec::new(),
-            teams: Vec::new(),
-            pending: Vec::new(),
-            running: Vec::new(),
+            settings,
+            rng: SmallRng::seed_from_u64(seed),
+            fleet: Fleet::default(),
+            teams: Teams::default(),
+            jobs: Jobs::default(),
+            ledger: Ledger::default(),
+            estimates: Estimates::default(),
+            claims: Vec::new(),
+            reservations: Vec::new(),
+            over: Vec::new(),
+            keep: Resources::ZERO,
+            kept: Time(0),
+            sequence: 0,
+            round: 0,
         }
     }
 
     /// Adds a worker or changes its rack and size.
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "names are cheap to clone and the interface takes them by value"
+    )]
     pub fn set_worker(&mut self, worker: Name, rack: Name, total: Resources) {
-        let used = self
-            .running
-            .iter()
-            .filter(|r| r.worker == worker)
-            .fold(Resources::ZERO, |sum, r| sum.plus(&r.spec.resources));
-        let free = total.minus(&used);
-        match self.workers.binary_search_by(|w| w.name.cmp(&worker)) {
-            Ok(i) => {
-                let w = &mut self.workers[i];
-                (w.rack, w.total, w.free) = (rack, total, free);
-            }
-            Err(i) => self.workers.insert(
-                i,
-                Worker {
-                    name: worker,
-                    rack,
-                    total,
-                    free,
-                    usable: true,
-                },
-            ),
-        }
+        let id = self.fleet.intern(&worker);
+        self.fleet.set(id, &rack, total);
     }
 
     /// Removes a worker. Its tasks count for their teams until they are released.
     pub fn remove_worker(&mut self, worker: &str) {
-        self.workers.retain(|w| &*w.name != worker);
+        if let Some(id) = self.fleet.find(worker) {
+            self.drop_claims(|claim| claim.worker == id);
+            self.fleet.retire(id);
+        }
     }
 
     /// Sets whether tasks may be placed on a worker.
     pub fn set_usable(&mut self, worker: &str, usable: bool) {
-        if let Some(w) = self.worker(worker) {
-            w.usable = usable;
+        if let Some(id) = self.fleet.find(worker) {
+            self.fleet.update(id, |w| w.usable = usable);
         }
     }
 
     /// Adds a team or changes its share and its allowance in this zone.
-    pub fn set_team(&mut self, team: Name, _share: u32, allowance: Resources) {
-        let used = self
-            .running
-            .iter()
-            .filter(|r| r.spec.team == team)
-            .fold(Resources::ZERO, |sum, r| sum.plus(&r.spec.resources));
-        match self.teams.binary_search_by(|t| t.name.cmp(&team)) {
-            Ok(i) => self.teams[i].allowance = allowance,
-            Err(i) => self.teams.insert(
-                i,
-                Team {
-                    name: team,
-                    allowance,
-                    used,
-                },
-            ),
-        }
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "names are cheap to clone and the interface takes them by value"
+    )]
+    pub fn set_team(&mut self, team: Name, share: u32, allowance: Resources) {
+        let at = self.teams.intern(&team);
+        let team = &mut self.teams.items[at];
+        team.share = share;
+        team.allowance = allowance;
+        team.known = true;
+        self.note_over(at);
     }
 
-    /// Removes a team; its pending work no longer starts.
+    /// Removes a team. Its pending work waits and its running work goes on until it is cancelled.
     pub fn remove_team(&mut self, team: &str) {
-        self.teams.retain(|t| &*t.name != team);
+        if let Some(at) = self.teams.find(team) {
+            self.teams.items[at].known = false;
+        }
     }
 
-    /// Adds the pending tasks of a job.
-    pub fn submit(&mut self, _now: Time, job: JobId, spec: &JobSpec, tasks: &[u32]) {
-        self.pending.push(Pending {
-            job,
-            spec: spec.clone(),
-            tasks: tasks.to_vec(),
-        });
+    /// Adds pending tasks of a job. Tasks that already wait or run are not added again.
+    pub fn submit(&mut self, now: Time, job: JobId, spec: &JobSpec, tasks: &[u32]) {
+        let at = self.intern(now, job, spec);
+        self.dequeue(at);
+        if let Some(job) = self.jobs.get_mut(at) {
+            job.cancelled = false;
+            for &index in tasks {
+                job.add_pending(index);
+            }
+        }
+        self.enqueue(at);
+        self.forget(at);
     }
 
     /// Records a task that already runs on a worker.
-    pub fn occupy(&mut self, _now: Time, task: TaskId, worker: &str, spec: &JobSpec) {
-        self.drop_running(task);
-        for p in &mut self.pending {
-            if p.job == task.job {
-                p.tasks.retain(|&i| i != task.index);
-            }
+    pub fn occupy(&mut self, now: Time, task: TaskId, worker: &str, spec: &JobSpec) {
+        let at = self.intern(now, task.job, spec);
+        let Some(job) = self.jobs.get(at) else { return };
+        if let Ok(place) = job.running.binary_search_by_key(&task.index, |r| r.0) {
+            let slot = job.running[place].1;
+            self.end(slot);
+        }
+        self.dequeue(at);
+        if let Some(job) = self.jobs.get_mut(at) {
+            job.pending.retain(|&index| index != task.index);
+        }
+        let worker = self.fleet.intern(&Name::from(worker));
+        self.start(now, at, task.index, worker, true);
+        self.enqueue(at);
+        if let Some(job) = self.jobs.get(at) {
+            self.note_over(job.team);
         }
-        self.run(task, Name::from(worker), spec.clone());
     }
 
     /// Frees what an ended task used.
-    pub fn release(&mut self, _now: Time, task: TaskId) {
-        self.drop_running(task);
-    }
-
-    /// Frees what a task used and makes it pending again.
-    pub fn requeue(&mut self, now: Time, task: TaskId) {
-        if let Some(spec) = self.drop_running(task) {
-            self.submit(now, task.job, &spec, &[task.index]);
+    pub fn release(&mut self, now: Time, task: TaskId) {
+        let Some((at, slot)) = self.slot(task) else {
+            return;
+        };
+        let Some(running) = self.end(slot) else {
+            return;
+        };
+        if let Some(job) = self.jobs.get(at)
+            && !running.recovered
+            && !running.stopping
+            && !job.cancelled
+            && job.spec.policy != Policy::Service
+        {
+            let took = now.since(running.start);
+            self.estimates.learn(&job.spec.team, &job.spec.name, took);
         }
+        self.forget(at);
     }
 
-    /// Removes the pending tasks of a job; running ones count until they are released.
-    pub fn cancel(&mut self, _now: Time, job: JobId) {
-        self.pending.retain(|p| p.job != job);
-    }
-
-    /// Decides up to `max` placements, except that a gang is never split.
-    pub fn schedule(&mut self, _now: Time, max: usize) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        let mut pending = std::mem::take(&mut self.pending);
-        for p in &mut pending {
-            let before = decisions.len();
-            let mut left = Vec::new();
-            for &index in &p.tasks {
-                let task = TaskId { job: p.job, index };
-                let gang = p.spec.policy == Policy::Gang;
-                match (gang || decisions.len() < max).then(|| self.find(&p.spec)) {
-                    Some(Some(worker)) => {
-                        self.run(task, worker.clone(), p.spec.clone());
-                        decisions.push(Decision::Place { task, worker });
-                    }
-                    _ => left.push(index),
-                }
-            }
-            if p.spec.policy == Policy::Gang && !left.is_empty() {
-                for decision in decisions.drain(before..) {
-                    if let Decision::Place { task, .. } = decision {
-                        self.drop_running(task);
-                    }
-                }
-            } else {
-                p.tasks = left;
+    /// Frees what a task used and makes it pending again, unless its job was cancelled.
+    pub fn requeue(&mut self, _now: Time, task: TaskId) {
+        let Some((at, slot)) = self.slot(task) else {
+            return;
+        };
+        let Some(running) = self.end(slot) else {
+            return;
+        };
+        self.dequeue(at);
+        if let Some(job) = self.jobs.get_mut(at)
+            && !job.cancelled
+        {
+            job.add_pending(task.index);
+            if running.stopping
+                && let Err(place) = job.preempted.binary_search(&task.index)
+            {
+                job.preempted.insert(place, task.index);
             }
         }
-        pending.retain(|p| !p.tasks.is_empty());
-        self.pending = pending;
-        decisions
+        self.enqueue(at);
+        self.forget(at);
     }
 
-    /// Returns why the tasks of a job wait; nothing if none does.
-    #[must_use]
-    pub fn explain(&self, job: JobId) -> Vec<Reason> {
-        let Some(p) = self.pending.iter().find(|p| p.job == job) else {
-            return Vec::new();
+    /// Removes the pending tasks of a job; running ones count until they are released.
+    pub fn cancel(&mut self, _now: Time, job: JobId) {
+        let Some(at) = self.jobs.find(job) else {
+            return;
         };
-        let largest = self.largest_free();
-        Kind::ALL
-            .into_iter()
-            .filter(|k| k.of(&p.spec.resources) > k.of(&largest))
-            .map(|kind| Reason::NoneFree {
-                kind,
-                needed: kind.of(&p.spec.resources),
-                largest: kind.of(&largest),
-            })
-            .collect()
+        self.drop_claims(|claim| claim.job == at);
+        self.dequeue(at);
+        if let Some(job) = self.jobs.get_mut(at) {
+            job.cancelled = true;
+            job.pending.clear();
+        }
+        self.forget(at);
     }
 
-    /// Returns what is free on usable workers.
+    /// Returns what new work may use on usable workers.
     #[must_use]
     pub fn free(&self) -> Resources {
-        self.workers
-            .iter()
-            .filter(|w| w.usable)
-            .fold(Resources::ZERO, |sum, w| sum.plus(&w.free))
+        self.fleet.free
     }
 
     /// Returns what all workers hold.
     #[must_use]
     pub fn total(&self) -> Resources {
-        self.workers
-            .iter()
-            .fold(Resources::ZERO, |sum, w| sum.plus(&w.total))
+        self.fleet.total
     }
 
     /// Returns the largest free amount of each resource on one usable worker.
     #[must_use]
     pub fn largest_free(&self) -> Resources {
-        largest(self.workers.iter().filter(|w| w.usable).map(|w| w.free))
+        self.fleet.largest()
     }
 
-    /// Checks whether the job could run if nothing else did.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reason why it never can.
-    pub fn can_ever_fit(&self, spec: &JobSpec) -> Result<(), Reason> {
-        let largest = largest(self.workers.iter().map(|w| w.total));
-        for kind in Kind::ALL {
-            if kind.of(&spec.resources) > kind.of(&largest) {
-                return Err(Reason::NeverFits {
-                    kind,
-                    needed: kind.of(&spec.resources),
-                    largest: kind.of(&largest),
-                });
-            }
+    /// Returns the position of the job, which is created if it is unknown.
+    fn intern(&mut self, now: Time, id: JobId, spec: &JobSpec) -> usize {
+        if let Some(at) = self.jobs.find(id) {
+            return at;
         }
-        if self.workers.iter().any(|w| spec.resources.fits(&w.total)) {
-            Ok(())
+        let team = self.teams.intern(&spec.team);
+        let run_ms = self.estimates.run_ms(&spec.team, &spec.name, spec.run_ms);
+        let start_by = if spec.deadline_ms > 0 {
+            now + spec.deadline_ms.saturating_sub(run_ms)
         } else {
-            Err(Reason::NeverTogether)
+            now + self.settings.ageing_ms
+        };
+        self.sequence += 1;
+        let racks = self.fleet.racks.len().max(1);
+        self.jobs.insert(Job {
+            id,
+            spec: spec.clone(),
+            team,
+            run_ms,
+            submitted: now,
+            start_by,
+            sequence: self.sequence,
+            pending: Vec::new(),
+            running: Vec::new(),
+            counts: Counts::default(),
+            preempted: Vec::new(),
+            claims: 0,
+            rack: self.rng.random_range(0..racks),
+            entry: None,
+            cancelled: false,
+        })
+    }
+
+    fn slot(&self, task: TaskId) -> Option<(usize, usize)> {
+        let at = self.jobs.find(task.job)?;
+        let running = &self.jobs.get(at)?.running;
+        let place = running.binary_search_by_key(&task.index, |r| r.0).ok()?;
+        Some((at, running[place].1))
+    }
+
+    /// Drops a job that has no tasks left, and what is held for a job that waits no longer.
+    fn forget(&mut self, at: usize) {
+        if self.jobs.get(at).is_some_and(|job| job.pending.is_empty()) {
+            self.drop_reservation(at);
         }
+        self.jobs.forget(at);
     }
 
-    fn worker(&mut self, name: &str) -> Option<&mut Worker> {
-        let i = self.workers.binary_search_by(|w| (*w.name).cmp(name));
-        i.ok().map(|i| &mut self.workers[i])
+    /// Takes a job out of the queue of its team.
+    pub(super) fn dequeue(&mut self, at: usize) {
+        if let Some(job) = self.jobs.get_mut(at)
+            && let Some((key, entry)) = job.entry.take()
+        {
+            self.teams.items[job.team].queue.remove(&key, &entry);
+        }
+    }
+
+    /// Puts a job into the queue of its team if it has tasks that wait for a place.
+    pub(super) fn enqueue(&mut self, at: usize) {
+        if let Some(job) = self.jobs.get_mut(at)
+            && job.entry.is_none()
+            && job.pending.len() > job.claims
+        {
+            let entry = (job.start_by, job.sequence, at);
+            let key = job.class();
+            job.entry = Some((key, entry));
+            self.teams.items[job.team].queue.insert(key, entry);
+        }
     }
 
-    fn team(&mut self, name: &str) -> Option<&mut Team> {
-        let i = self.teams.binary_search_by(|t| (*t.name).cmp(name));
-        i.ok().map(|i| &mut self.teams[i])
+    /// Returns what the next task of the job needs.
+    pub(super) fn need(&self, at: usize, job: &Job, now: Time) -> Need {
+        Need {
+            amount: job.amount(),
+            keep: self.keep,
+            end: (job.run_ms > 0 && job.spec.policy != Policy::Service).then(|| now + job.run_ms),
+            job: at,
+            urgent: job.spec.urgent,
+        }
+    }
+
+    /// Counts a task as running on a worker.
+    pub(super) fn start(
+        &mut self,
+        now: Time,
+        at: usize,
+        index: u32,
+        worker: usize,
+        recovered: bool,
+    ) {
+        let Some(job) = self.jobs.get_mut(at) else {
+            return;
+        };
+        let spec = &job.spec;
+        let assumed = if job.run_ms > 0 {
+            job.run_ms
+        } else {
+            self.settings.run_ms
+        };
+        let yields = spec.policy == Policy::Batch
+            && spec.repeat == Repeat::Idempotent
+            && !spec.urgent
+            && job.preempted.binary_search(&index).is_err();
+        let running = Running {
+            task: TaskId { job: job.id, index },
+            job: at,
+            worker,
+            team: job.team,
+            amount: spec.resources,
+            start: now,
+            end: (spec.policy != Policy::Service).then(|| now + assumed),
+            yields,
+            checkpoint: spec.checkpoint,
+            urgent: spec.urgent,
+            stopping: false,
+            recovered,
+        };
+        let slot = self.ledger.insert(running);
+        if let Err(place) = job.running.binary_search_by_key(&index, |r| r.0) {
+            job.running.insert(place, (index, slot));
+        }
+        if job.is_counted() {
+            job.counts.add(self.fleet.workers[worker].rack, worker);
+        }
+        self.fleet.update(worker, |w| {
+            w.used = w.used.plus(&running.amount);
+            w.tasks.push(slot);
+            if yields {
+                w.yielding = w.yielding.plus(&running.amount);
+            }
+        });
+        let team = &mut self.teams.items[running.team];
+        team.used = team.used.plus(&running.amount);
+        if running.urgent {
+            team.urgent = team.urgent.plus(&running.amount);
+        }
     }
 
-    fn find(&mut self, spec: &JobSpec) -> Option<Name> {
-        let team = self.team(&spec.team)?;
-        if !team.used.plus(&spec.resources).fits(&team.allowance) {
-            return None;
+    /// Stops counting a task as running.
+    fn end(&mut self, slot: usize) -> Option<Running> {
+        let running = self.ledger.remove(slot)?;
+        let amount = running.amount;
+        let rack = self.fleet.workers[running.worker].rack;
+        if let Some(job) = self.jobs.get_mut(running.job) {
+            let index = running.task.index;
+            if let Ok(place) = job.running.binary_search_by_key(&index, |r| r.0) {
+                job.running.remove(place);
+            }
+            if job.is_counted() {
+                job.counts.remove(rack, running.worker);
+            }
         }
-        self.workers
-            .iter()
-            .find(|w| w.usable && spec.resources.fits(&w.free))
-            .map(|w| w.name.clone())
+        self.fleet.update(running.worker, |w| {
+            w.used = w.used.minus(&amount);
+            w.tasks.retain(|&other| other != slot);
+            if running.stopping {
+                w.stopping = w.stopping.minus(&amount);
+            } else if running.yields {
+                w.yielding = w.yielding.minus(&amount);
+            }
+        });
+        self.fleet.forget(running.worker);
+        let team = &mut self.teams.items[running.team];
+        team.used = team.used.minus(&amount);
+        if running.urgent {
+            team.urgent = team.urgent.minus(&amount);
+        }
+        if running.stopping {
+            team.stopping = team.stopping.minus(&amount);
+            team.victims -= 1;
+        }
+        Some(running)
     }
 
-    fn run(&mut self, task: TaskId, worker: Name, spec: JobSpec) {
-        if let Some(w) = self.worker(&worker) {
-            w.free = w.free.minus(&spec.resources);
+    /// Marks a running task as being preempted.
+    pub(super) fn stop(&mut self, slot: usize) {
+        let Some(&running) = self.ledger.get(slot) else {
+            return;
+        };
+        if running.stopping {
+            return;
         }
-        if let Some(t) = self.team(&spec.team) {
-            t.used = t.used.plus(&spec.resources);
+        self.ledger.stop(slot);
+        self.fleet.update(running.worker, |w| {
+            w.stopping = w.stopping.plus(&running.amount);
+            if running.yields {
+                w.yielding = w.yielding.minus(&running.amount);
+            }
+        });
+        let team = &mut self.teams.items[running.team];
+        team.stopping = team.stopping.plus(&running.amount);
+        team.victims += 1;
+    }
+
+    fn note_over(&mut self, team: usize) {
+        if self.teams.items[team].is_over() && !self.over.contains(&team) {
+            self.over.push(team);
         }
-        self.running.push(Running { task, worker, spec });
     }
 
-    fn drop_running(&mut self, task: TaskId) -> Option<JobSpec> {
-        let i = self.running.iter().position(|r| r.task == task)?;
-        let old = self.running.swap_remove(i);
-        if let Some(w) = self.worker(&old.worker) {
-            w.free = w.free.plus(&old.spec.resources);
+    /// Drops the claims that `gone` selects; their tasks look for a place again.
+    pub(super) fn drop_claims(&mut self, gone: impl Fn(&Claim) -> bool) {
+        let (dropped, kept) = self.claims.drain(..).partition(|claim| gone(claim));
+        self.claims = kept;
+        let dropped: Vec<Claim> = dropped;
+        for claim in dropped {
+            self.unclaim(&claim);
         }
-        if let Some(t) = self.team(&old.spec.team) {
-            t.used = t.used.minus(&old.spec.resources);
+    }
+
+    /// Gives back what was claimed; the claim is no longer in the list.
+    pub(super) fn unclaim(&mut self, claim: &Claim) {
+        self.fleet.update(claim.worker, |w| {
+            w.claimed = w.claimed.minus(&claim.amount);
+        });
+        let team = &mut self.teams.items[claim.team];
+        team.claimed = team.claimed.minus(&claim.amount);
+        self.dequeue(claim.job);
+        if let Some(job) = self.jobs.get_mut(claim.job)
+            && job.id == claim.id
+        {
+            job.claims -= 1;
         }
-        Some(old.spec)
+        self.enqueue(claim.job);
     }
-}
 
-fn largest(amounts: impl Iterator<Item = Resources>) -> Resources {
-    amounts.fold(Resources::ZERO, |max, r| Resources {
-        cores_milli: max.cores_milli.max(r.cores_milli),
-        memory_mib: max.memory_mib.max(r.memory_mib),
-        accelerators: max.accelerators.max(r.accelerators),
-    })
+    /// Drops what is held for a job.
+    pub(super) fn drop_reservation(&mut self, job: usize) {
+        let Some(at) = self.reservations.iter().position(|r| r.job == job) else {
+            return;
+        };
+        let reservation = self.reservations.remove(at);
+        for worker in reservation.workers {
+            let held = self.fleet.workers[worker].hold;
+            if held.is_some_and(|hold| hold.job == job) {
+                self.fleet.update(worker, |w| w.hold = None);
+            }
+        }
+    }
 }
--- a/crates/primrosebay_coordination/src/schedule/settings.rs
+++ b/crates/primrosebay_coordination/src/schedule/settings.rs
@@ -3,20 +3,48 @@
 /// Settings of the scheduler.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// Waiting time in milliseconds after which a job counts as if its team used nothing.
+    /// Milliseconds after which a job without a deadline should have started.
     pub ageing_ms: u64,
-    /// Part of the cell, in thousandths, that one team may use for urgent work.
-    pub urgent_permille: u64,
-    /// Most preempted tasks of one team that may be stopping at a time.
+    /// Milliseconds before a job should have started during which it becomes more pressing.
+    pub window_ms: u64,
+    /// Part of the cell, in thousandths, by which a team with a near deadline may pass others.
+    pub deadline_permille: u32,
+    /// Part of the cell, in thousandths, by which a team with aged work may pass others.
+    pub ageing_permille: u32,
+    /// Part of the cell, in thousandths, that urgent work of one team may use ahead of all others.
+    pub urgent_permille: u32,
+    /// Most tasks of one team that may be stopping for urgent work at a time.
     pub victims: usize,
+    /// Most jobs that resources are held for at a time.
+    pub reservations: usize,
+    /// Milliseconds after which a task that fits nowhere gets resources held for it.
+    pub patience_ms: u64,
+    /// Milliseconds after which a reservation is computed again.
+    pub refresh_ms: u64,
+    /// Milliseconds after which a gang that did not fit is tried again.
+    pub gang_ms: u64,
+    /// Milliseconds for which accelerator workers are kept after accelerator jobs have waited.
+    pub keep_ms: u64,
+    /// Run time in milliseconds that is assumed for a batch or gang task that declares none.
+    pub run_ms: u64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
             ageing_ms: 3_600_000,
+            window_ms: 600_000,
+            // Deadlines and ageing together stay below the 2% that a team may deviate from its share.
+            deadline_permille: 10,
+            ageing_permille: 5,
             urgent_permille: 250,
             victims: 64,
+            reservations: 4,
+            patience_ms: 60_000,
+            refresh_ms: 1_000,
+            gang_ms: 50,
+            keep_ms: 600_000,
+            run_ms: 3_600_000,
         }
     }
 }
