Build the configuration and the allowances from log records

Allowances did not exist.

An offset ahead of the next one is not applied, so a record delivered early no longer hides the ones before it. Zones carry their region, which the freshness quorum needs. allowance.rs derives the parts of each limit from the log prefix; escrow.rs is the coordinator's view of them. Transfers carry the giver's epoch, and a successor reads back a fence record before it uses more than its floor: without it a transfer of the former term that was delayed in the network takes away what the successor already uses.

--- /dev/null
+++ b/crates/primrosebay_state/src/config/mod.rs
@@ -0,0 +1,241 @@
+//! The configuration as built from the log stream `config`.
+
+mod check;
+mod history;
+mod keys;
+mod resource;
+mod seen;
+mod snapshot;
+
+pub use check::{MAX_LIMIT, MAX_SHARE};
+pub use history::{Event, HISTORY, History, TooOld};
+pub use keys::{KeyHash, KeyIndex};
+pub use resource::{Change, KINDS, Resource, Stored, ZoneState};
+pub use seen::{SEEN, Seen};
+pub use snapshot::{Loader, Piece};
+
+use crate::Name;
+use crate::allowance::Allowances;
+use crate::record::{Body, Record};
+
+/// What became of a record when it was applied in log order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// The record is in force.
+    Done,
+    /// Another change came first.
+    Conflict,
+    /// The offset had been applied before.
+    Old,
+    /// An earlier offset has not been applied yet; the record was not looked at.
+    Gap,
+    /// A record with the same identifier was applied before.
+    Duplicate,
+    /// The record has no effect: its kind does not match, its giver may not give, or it does not
+    /// belong to this stream.
+    Refused,
+}
+
+/// The configuration at one log offset.
+#[derive(Debug, Clone, Default)]
+pub struct Config {
+    /// The offset after the last applied record.
+    pub next: u64,
+    items: Vec<Stored>,
+    keys: KeyIndex,
+    seen: Seen,
+    history: History,
+    allowances: Allowances,
+}
+
+impl Config {
+    /// Creates an empty configuration.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Creates an empty configuration that keeps `bound` changes for watches.
+    #[must_use]
+    pub fn with_history(bound: usize) -> Self {
+        Self {
+            history: History::starting(0, bound),
+            ..Self::default()
+        }
+    }
+
+    /// Applies the record at `offset`. Offsets that were passed before have no effect, so that the
+    /// configuration never goes back; offsets further ahead have none either, so that no record is
+    /// left out.
+    pub fn apply_record(&mut self, offset: u64, record: &Record) -> Applied {
+        if let Some(early) = self.order(offset) {
+            return early;
+        }
+        self.next = offset + 1;
+        if !self.seen.insert(record.id) {
+            return Applied::Duplicate;
+        }
+        match &record.body {
+            Body::Config(change) => self.change(offset, change),
+            Body::Allowance {
+                team,
+                from,
+                to,
+                amount,
+                epoch,
+            } if self.allowances.give(team, from, to, amount, *epoch) => Applied::Done,
+            Body::ConfigSnapshot(_) => Applied::Done,
+            _ => Applied::Refused,
+        }
+    }
+
+    /// Applies a change at `offset` whose record identifier is known to be new.
+    pub fn apply(&mut self, offset: u64, change: &Change) -> Applied {
+        if let Some(early) = self.order(offset) {
+            return early;
+        }
+        self.next = offset + 1;
+        self.change(offset, change)
+    }
+
+    fn order(&self, offset: u64) -> Option<Applied> {
+        match offset.cmp(&self.next) {
+            std::cmp::Ordering::Less => Some(Applied::Old),
+            std::cmp::Ordering::Equal => None,
+            std::cmp::Ordering::Greater => Some(Applied::Gap),
+        }
+    }
+
+    fn change(&mut self, offset: u64, change: &Change) -> Applied {
+        if change
+            .spec
+            .as_ref()
+            .is_some_and(|spec| spec.kind() != &*change.kind)
+        {
+            return Applied::Refused;
+        }
+        if self.expect(change).is_some() {
+            return Applied::Conflict;
+        }
+        self.store(offset, change);
+        self.index(offset, change);
+        self.history.push(offset, change);
+        Applied::Done
+    }
+
+    fn store(&mut self, offset: u64, change: &Change) {
+        match (self.position(&change.kind, &change.name), &change.spec) {
+            (Ok(i), Some(spec)) => {
+                // Offset 0 would read as "does not exist", so versions are offsets plus 1.
+                self.items[i].version = offset + 1;
+                self.items[i].spec = spec.clone();
+            }
+            (Ok(i), None) => {
+                self.items.remove(i);
+            }
+            (Err(i), Some(spec)) => self.items.insert(
+                i,
+                Stored {
+                    kind: change.kind.clone(),
+                    name: change.name.clone(),
+                    version: offset + 1,
+                    spec: spec.clone(),
+                },
+            ),
+            (Err(_), None) => {}
+        }
+    }
+
+    fn index(&mut self, offset: u64, change: &Change) {
+        match (&*change.kind, &change.spec) {
+            ("key", Some(Resource::Key { hash, .. })) => {
+                self.keys.remove(&change.name);
+                if let Some(hash) = KeyHash::parse(hash) {
+                    self.keys.insert(&change.name, offset + 1, hash);
+                }
+            }
+            ("key", _) => self.keys.remove(&change.name),
+            ("team", Some(Resource::Team { limit, .. })) => {
+                self.allowances.set_limit(&change.name, limit);
+            }
+            ("team", _) => self.allowances.remove_team(&change.name),
+            ("zone", Some(_)) => self.allowances.add_zone(&change.name),
+            ("zone", None) => self.allowances.remove_zone(&change.name),
+            _ => {}
+        }
+    }
+
+    /// Returns the resource of `kind` with `name`.
+    #[must_use]
+    pub fn get(&self, kind: &str, name: &str) -> Option<&Stored> {
+        self.position(kind, name).ok().map(|i| &self.items[i])
+    }
+
+    /// Returns the version of a resource, or 0 if it does not exist.
+    #[must_use]
+    pub fn version(&self, kind: &str, name: &str) -> u64 {
+        self.get(kind, name).map_or(0, |item| item.version)
+    }
+
+    /// Returns all resources of `kind`, by name.
+    pub fn list<'a>(&'a self, kind: &'a str) -> impl Iterator<Item = &'a Stored> {
+        let start = self.items.partition_point(|item| &*item.kind < kind);
+        self.items[start..]
+            .iter()
+            .take_while(move |item| &*item.kind == kind)
+    }
+
+    /// Returns the team of the key with the SHA-256 `hash`, in hexadecimal digits. A key whose team
+    /// was deleted has none.
+    #[must_use]
+    pub fn key_team(&self, hash: &str) -> Option<Name> {
+        let name = self.keys.find(&KeyHash::parse(hash)?)?;
+        match &self.get("key", &name)?.spec {
+            Resource::Key { team, .. } if self.get("team", team).is_some() => Some(team.clone()),
+            _ => None,
+        }
+    }
+
+    /// Returns the team that `key` authenticates.
+    #[must_use]
+    pub fn authenticate(&self, key: &[u8]) -> Option<Name> {
+        self.key_team(&KeyHash::of(key).hex())
+    }
+
+    /// Returns the state of `zone`; an unknown zone is in.
+    #[must_use]
+    pub fn zone_state(&self, zone: &str) -> ZoneState {
+        match self.get("zone", zone).map(|item| &item.spec) {
+            Some(Resource::Zone { state, .. }) => *state,
+            _ => ZoneState::In,
+        }
+    }
+
+    /// Returns the declared zones with their regions, by name.
+    pub fn zones(&self) -> impl Iterator<Item = (&Name, &Name)> {
+        self.list("zone").filter_map(|item| match &item.spec {
+            Resource::Zone { region, .. } => Some((&item.name, region)),
+            _ => None,
+        })
+    }
+
+    /// Returns the changes at the offset `from` and later.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`TooOld`] if a change at `from` or later may have been dropped.
+    pub fn since(&self, from: u64) -> Result<impl Iterator<Item = &Event>, TooOld> {
+        self.history.since(from)
+    }
+
+    /// Returns the parts of the teams' upper limits that the zones may use.
+    #[must_use]
+    pub fn allowances(&self) -> &Allowances {
+        &self.allowances
+    }
+
+    fn position(&self, kind: &str, name: &str) -> Result<usize, usize> {
+        self.items
+            .binary_search_by(|item| (&*item.kind, &*item.name).cmp(&(kind, name)))
+    }
+}
--- a/crates/primrosebay_state/src/lib.rs
+++ b/crates/primrosebay_state/src/lib.rs
@@ -2,7 +2,9 @@
 //!
 //! This crate does no I/O, owns no threads and reads no clock.
 
+pub mod allowance;
 pub mod config;
+pub mod escrow;
 pub mod id;
 pub mod job;
 pub mod record;
--- a/crates/primrosebay_state/src/record.rs
+++ b/crates/primrosebay_state/src/record.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
-use crate::config::Change;
+use crate::config::{Change, Piece};
 use crate::id::{JobId, RecordId, TaskId};
 use crate::job::JobSpec;
 
@@ -79,5 +79,10 @@
         to: Name,
         /// The amount.
         amount: crate::resources::Resources,
+        /// The giver's term; records of an earlier term than the giver's latest have no effect.
+        #[serde(default)]
+        epoch: u64,
     },
+    /// A piece of a snapshot of the configuration.
+    ConfigSnapshot(Piece),
 }
