--- a/crates/primrosebay_coordination/src/lib.rs
+++ b/crates/primrosebay_coordination/src/lib.rs
@@ -1,1 +1,4 @@
 //! Deterministic decision logic of the scheduler. This crate does no I/O and reads no clock.
+
+pub mod acceptance;
+pub mod freshness;
