Resolve YAML options into settings

Cause: the settings crate was empty.

Change: options are kept as values by path, so that one pass finds every wrong, unknown and missing option. Environment variables replace options. TLS files are required unless the peer address is a loopback address.

--- a/crates/primrosebay_settings/src/lib.rs
+++ b/crates/primrosebay_settings/src/lib.rs
@@ -1,1 +1,13 @@
 //! YAML options resolved into checked settings.
+
+mod options;
+mod page;
+mod problem;
+mod reader;
+mod settings;
+
+pub use options::{Options, PREFIX};
+pub use page::page;
+pub use problem::{Problem, SettingsError};
+pub use reader::Field;
+pub use settings::{Addresses, Limits, Place, Settings, Timeouts, Tls};
--- /dev/null
+++ b/crates/primrosebay_settings/src/settings.rs
@@ -0,0 +1,253 @@
+//! Checked settings.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use crate::options::Options;
+use crate::problem::SettingsError;
+use crate::reader::{Field, Reader};
+
+/// Declares a group of numbers with their defaults, ranges and documentation.
+macro_rules! numbers {
+    ($(#[$meta:meta])* $group:ident, $prefix:literal, {
+        $($name:ident = $default:expr, $range:expr, $doc:literal;)*
+    }) => {
+        $(#[$meta])*
+        #[derive(Debug, Clone, PartialEq, Eq)]
+        pub struct $group {
+            $(#[doc = $doc] pub $name: u64,)*
+        }
+
+        impl Default for $group {
+            fn default() -> Self {
+                Self { $($name: $default,)* }
+            }
+        }
+
+        impl $group {
+            fn read(reader: &mut Reader) -> Self {
+                Self {
+                    $($name: reader.number(
+                        concat!($prefix, ".", stringify!($name)), $default, &$range, $doc,
+                    ),)*
+                }
+            }
+        }
+    };
+}
+
+numbers! {
+    /// Bounds that keep the memory of an instance below 256 MB.
+    Limits, "limits", {
+        body_bytes = 1 << 20, 1024..=64 << 20, "Largest body of a request, in bytes.";
+        header_bytes = 16 << 10, 1024..=256 << 10, "Largest head of a request, in bytes.";
+        connections = 4096, 16..=65_536, "Open HTTP connections; further ones are refused.";
+        watchers = 256, 1..=16_384, "Open watches of the configuration; further ones are refused.";
+        watch_events = 4096, 16..=65_536, "Changes of the configuration that are kept for watches.";
+        page_items = 500, 1..=5000, "Most items on one page of a list.";
+        queue_requests = 4096, 1..=1 << 20, "Requests that wait for a minion.";
+        queue_bytes = 32 << 20, 64 << 10..=1 << 30, "Bytes of requests that wait for a minion.";
+        queue_records = 65_536, 256..=1 << 20, "Records that wait to be appended to the log.";
+        append_bytes = 256 << 10, 4096..=1 << 20, "Largest append to the log, in bytes.";
+        append_rate = 240, 1..=300, "Appends a second by all entry instances together.";
+    }
+}
+
+numbers! {
+    /// Time-outs and periods, in milliseconds.
+    Timeouts, "timeouts", {
+        header_ms = 5000, 100..=60_000, "Time in which the head of a request must arrive.";
+        body_ms = 30_000, 100..=600_000, "Time in which the body of a request must arrive.";
+        idle_ms = 60_000, 1000..=3_600_000, "Time after which an idle connection is closed.";
+        accept_ms = 5000, 0..=60_000, "Time for which a change waits for its acceptance before the answer says that it is pending.";
+        append_ms = 2000, 100..=60_000, "Time after which the outcome of an append is unknown.";
+        bookmark_ms = 5000, 100..=60_000, "Longest time between two lines of a watch.";
+        stop_ms = 30_000, 0..=600_000, "Time for requests in flight at a planned stop.";
+        control_ms = 1200, 300..=60_000, "`CONTROL_TTL`: duration of a control lease.";
+        heartbeat_ms = 400, 50..=10_000, "Period of heartbeats to peers and workers.";
+        rank_ms = 300, 10..=10_000, "Delay of a candidate's claim for each rank.";
+        task_ms = 20_000, 1000..=3_600_000, "`TASK_TTL`: time after which a worker stops a task whose lease was not renewed.";
+        suspect_ms = 1200, 100..=60_000, "Time without a heartbeat after which a peer is suspected.";
+        drop_ms = 2400, 100..=60_000, "Time without a heartbeat after which nothing is forwarded to a peer.";
+        batch_ms = 5, 0..=1000, "Time for which records are collected into one append.";
+        poll_ms = 1000, 50..=3000, "Longest wait of one read of the log; below the 4 s after which an instance is not fresh.";
+        list_ms = 1000, 50..=60_000, "Period of reads of the live list.";
+    }
+}
+
+/// Where the instance belongs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// The unique name of the instance.
+    pub name: Arc<str>,
+    /// The availability zone.
+    pub zone: Arc<str>,
+    /// The region.
+    pub region: Arc<str>,
+}
+
+impl Default for Place {
+    fn default() -> Self {
+        Self {
+            name: Arc::from("entry"),
+            zone: Arc::from("zone"),
+            region: Arc::from("region"),
+        }
+    }
+}
+
+/// Addresses that the instance uses.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Addresses {
+    /// Listens for HTTP.
+    pub http: SocketAddr,
+    /// Listens for peers.
+    pub peers: SocketAddr,
+    /// The log service.
+    pub log: SocketAddr,
+    /// The live list.
+    pub list: SocketAddr,
+}
+
+impl Default for Addresses {
+    /// Loopback addresses with port 0, which tests replace.
+    fn default() -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            http: any,
+            peers: any,
+            log: any,
+            list: any,
+        }
+    }
+}
+
+/// Files for mutual TLS between entry instances, in PEM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tls {
+    /// The instance's certificate chain.
+    pub certificate: PathBuf,
+    /// The private key of the certificate.
+    pub key: PathBuf,
+    /// The authorities whose certificates are trusted.
+    pub authorities: PathBuf,
+}
+
+/// The settings of an entry instance.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Settings {
+    /// Where the instance belongs.
+    pub instance: Place,
+    /// Addresses.
+    pub addresses: Addresses,
+    /// Files for TLS; nothing on loopback addresses only.
+    pub tls: Option<Tls>,
+    /// SHA-256 of the operators' keys, in hexadecimal digits.
+    pub operators: Vec<Arc<str>>,
+    /// Bounds.
+    pub limits: Limits,
+    /// Time-outs.
+    pub timeouts: Timeouts,
+}
+
+impl Settings {
+    /// Checks `options` and fills in the defaults.
+    ///
+    /// # Errors
+    ///
+    /// Returns every wrong, unknown or missing option.
+    pub fn resolve(options: &Options) -> Result<Self, SettingsError> {
+        let mut reader = Reader::new(options);
+        let settings = Self::read(&mut reader);
+        settings.check(&mut reader);
+        reader.refuse_unknown();
+        SettingsError::check(reader.problems)?;
+        Ok(settings)
+    }
+
+    /// Returns the documentation of all options.
+    #[must_use]
+    pub fn fields() -> Vec<Field> {
+        let options = Options::default();
+        let mut reader = Reader::new(&options);
+        Self::read(&mut reader);
+        reader.fields
+    }
+
+    fn read(reader: &mut Reader) -> Self {
+        Self {
+            instance: Place {
+                name: reader.name("instance.name", "Unique name of the instance."),
+                zone: reader.name("instance.zone", "Availability zone of the instance."),
+                region: reader.name("instance.region", "Region of the instance."),
+            },
+            addresses: read_addresses(reader),
+            tls: read_tls(reader),
+            operators: reader.hashes("operators.keys", "SHA-256 of each operators' key."),
+            limits: Limits::read(reader),
+            timeouts: Timeouts::read(reader),
+        }
+    }
+
+    /// Checks what depends on several options.
+    fn check(&self, reader: &mut Reader) {
+        if self.tls.is_none() && !self.addresses.peers.ip().is_loopback() {
+            let rule = "all three files unless addresses.peers is a loopback address";
+            reader.problem("tls", rule);
+        }
+        let times = &self.timeouts;
+        let control = times.control_ms;
+        if times.heartbeat_ms * 2 > control {
+            let rule = format!("at most half of timeouts.control_ms ({control})");
+            reader.problem("timeouts.heartbeat_ms", rule);
+        }
+        if times.task_ms < control {
+            let rule = format!("at least timeouts.control_ms ({control})");
+            reader.problem("timeouts.task_ms", rule);
+        }
+        if times.drop_ms < times.suspect_ms {
+            let rule = format!("at least timeouts.suspect_ms ({})", times.suspect_ms);
+            reader.problem("timeouts.drop_ms", rule);
+        }
+    }
+}
+
+fn read_addresses(reader: &mut Reader) -> Addresses {
+    let local = |port| Some(SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
+    let any = Addresses::default();
+    let http = "Address on which callers and operators are served.";
+    let peers = "Address on which other entry instances are served, over UDP.";
+    Addresses {
+        http: reader
+            .address("addresses.http", local(8080), http)
+            .unwrap_or(any.http),
+        peers: reader
+            .address("addresses.peers", local(8081), peers)
+            .unwrap_or(any.peers),
+        log: reader
+            .address("addresses.log", None, "The log service.")
+            .unwrap_or(any.log),
+        list: reader
+            .address("addresses.list", None, "The live list.")
+            .unwrap_or(any.list),
+    }
+}
+
+fn read_tls(reader: &mut Reader) -> Option<Tls> {
+    let certificate = reader.file("tls.certificate", "Certificate chain of the instance.");
+    let key = reader.file("tls.key", "Private key of the certificate.");
+    let authorities = reader.file("tls.authorities", "Authorities of the peers' certificates.");
+    match (certificate, key, authorities) {
+        (Some(certificate), Some(key), Some(authorities)) => Some(Tls {
+            certificate,
+            key,
+            authorities,
+        }),
+        (None, None, None) => None,
+        _ => {
+            reader.problem("tls", "all three files or none");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/primrosebay_settings/tests/settings.rs
@@ -0,0 +1,71 @@
+//! Options, their errors and overrides.
+
+use primrosebay_settings::{Options, Settings};
+use rstest::rstest;
+
+const LEAST: &str = "
+instance: { name: entry-a1, zone: a, region: north }
+addresses: { log: 127.0.0.1:7000, list: '[::1]:7000' }
+";
+
+fn resolve(text: &str, vars: &[(&str, &str)]) -> Result<Settings, String> {
+    let vars = vars
+        .iter()
+        .map(|(name, text)| ((*name).to_owned(), (*text).to_owned()));
+    let options = Options::parse(text).map_err(|error| error.to_string())?;
+    Settings::resolve(&options.with_env(vars)).map_err(|error| error.to_string())
+}
+
+/// Guards against defaults that differ from the design's values.
+#[test]
+fn defaults_are_those_of_the_design() {
+    let settings = resolve(LEAST, &[]).expect("valid");
+    insta::assert_debug_snapshot!("defaults", settings);
+}
+
+/// Guards against errors that are reported one at a time or without the place.
+#[test]
+fn all_errors_come_at_once() {
+    let text = "
+instance: { name: Entry, zone: a }
+addresses: { peers: 10.0.0.1:1, log: log.example:7000, list: 127.0.0.1:7000 }
+tls: { key: key.pem }
+operators: { keys: [abc] }
+limits: { body_bytes: 1, bodybytes: 2 }
+timeouts: { heartbeat_ms: 700, drop_ms: '1', header_ms: -1 }
+colour: red
+";
+    let error = resolve(
+        text,
+        &[("PRIMROSEBAY_LIMITS__WATCHERS", "many"), ("PATH", "x")],
+    );
+    insta::assert_snapshot!("errors", error.expect_err("many errors"));
+}
+
+/// Guards against overrides that are ignored, and against misspelt ones.
+#[test]
+fn environment_replaces_options() {
+    let hash = "0".repeat(64);
+    let vars = [
+        ("PRIMROSEBAY_LIMITS__BODY_BYTES", "2048"),
+        ("PRIMROSEBAY_OPERATORS__KEYS", &format!("['{hash}']")),
+    ];
+    let settings = resolve(LEAST, &vars).expect("valid");
+    assert_eq!(settings.limits.body_bytes, 2048);
+    assert_eq!(settings.operators, [hash.into()]);
+    let error = resolve(LEAST, &[("PRIMROSEBAY_LIMIT__BODY_BYTES", "2048")]).expect_err("unknown");
+    assert!(
+        error.contains("limit.body_bytes: expected an option of docs/settings.md"),
+        "{error}"
+    );
+}
+
+/// Guards against a start without options because the document is not what it seems.
+#[rstest]
+#[case::not_yaml("a: [")]
+#[case::not_a_mapping("- a")]
+#[case::keys_not_text("limits: { 1: 2 }")]
+#[case::empty("")]
+fn documents_that_are_not_options_are_refused(#[case] text: &str) {
+    assert!(resolve(text, &[]).is_err());
+}
