--- a/crates/primrosebay/src/cli.rs
+++ b/crates/primrosebay/src/cli.rs
@@ -12,6 +12,7 @@
         .args(global_args())
         .subcommands([
             serve(),
+            dev(),
             stand_in(),
             submit(),
             get(),
--- a/crates/primrosebay/src/dev/cell.rs
+++ b/crates/primrosebay/src/dev/cell.rs
@@ -11,6 +11,7 @@
 use primrosebay_protocol::list::{self, Liveness, Role};
 use primrosebay_standin::list::ListService;
 use primrosebay_standin::log::{LogService, Settings};
+use primrosebay_standin::minion::{self, Minion};
 use primrosebay_standin::worker::{Status, WorkerService};
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
@@ -26,6 +27,7 @@
 pub struct Cell {
     platform: Vec<Server>,
     workers: Vec<(Arc<WorkerService>, Server)>,
+    minions: Vec<Minion>,
     entries: Vec<Instance>,
 }
 
@@ -41,6 +43,19 @@
             instances.push(worker(plan, i, server.address()));
             workers.push((service, server));
         }
+        let mut minions = Vec::new();
+        for i in 0..plan.minions.count {
+            let settings = minion::Settings {
+                slots: plan.minions.slots,
+                connections: plan.minions.connections,
+                service: Duration::from_millis(plan.minions.service_ms),
+            };
+            let minion = Minion::start(loopback(), settings)
+                .await
+                .wrap_err("cannot listen on loopback")?;
+            instances.push(minion_entry(plan, i, minion.address()));
+            minions.push(minion);
+        }
         instances.extend(plan.zones.iter().map(entry));
         let log = listen(LogService::new(Settings::default()).app()).await?;
         let list = listen(ListService::new(instances).app()).await?;
@@ -52,6 +67,7 @@
         Ok(Self {
             platform: vec![log, list],
             workers,
+            minions,
             entries,
         })
     }
@@ -71,6 +87,9 @@
         for entry in self.entries {
             entry.close().await;
         }
+        for minion in self.minions {
+            minion.close().await;
+        }
         let workers = self.workers.into_iter().map(|(_, server)| server);
         for server in workers.chain(self.platform) {
             server.close().await;
@@ -103,6 +122,20 @@
     }
 }
 
+fn minion_entry(plan: &Plan, i: usize, address: SocketAddr) -> list::Instance {
+    let services = &plan.minions.services;
+    list::Instance {
+        name: format!("minion-{i:03}").into(),
+        role: Role::Minion,
+        zone: plan.zones[i % plan.zones.len()].clone(),
+        rack: Name::from(""),
+        service: services[i % services.len()].clone(),
+        address: address.to_string().into(),
+        state: Liveness::Live,
+        resources: Resources::ZERO,
+    }
+}
+
 fn entry(zone: &Name) -> list::Instance {
     list::Instance {
         name: format!("entry-{zone}").into(),
--- a/crates/primrosebay/src/dev/load.rs
+++ b/crates/primrosebay/src/dev/load.rs
@@ -19,7 +19,7 @@
 /// How often jobs are looked at while they run.
 const POLL: Duration = Duration::from_millis(200);
 /// Longest time that the jobs of a plan may take.
-const PATIENCE: Duration = Duration::from_secs(300);
+const PATIENCE: Duration = Duration::from_mins(5);
 /// Jobs submitted at the same time.
 const SUBMITTERS: usize = 8;
 
@@ -89,6 +89,7 @@
     for zone in &plan.zones {
         let spec = Resource::Zone {
             state: ZoneState::In,
+            region: plan.region.clone(),
         };
         operator.put(zone, &spec).await?;
     }
--- a/crates/primrosebay_coordination/src/zone/log.rs
+++ b/crates/primrosebay_coordination/src/zone/log.rs
@@ -42,7 +42,10 @@
                     self.recovery.read = true;
                 }
             }
-            Body::Config(_) | Body::Allowance { .. } => {}
+            Body::Config(_)
+            | Body::Allowance { .. }
+            | Body::ConfigSnapshot(_)
+            | Body::Snapshot(_) => {}
         }
     }
 
--- a/crates/primrosebay_coordination/tests/publisher.rs
+++ b/crates/primrosebay_coordination/tests/publisher.rs
@@ -307,6 +307,7 @@
             expected: if offset < 50 { 0 } else { offset - 49 },
             spec: Some(Resource::Zone {
                 state: ZoneState::Out,
+                region: "r".into(),
             }),
         };
         config.apply(offset, &change);
@@ -327,7 +328,7 @@
         Item::Resource(stored) => stored.clone(),
         _ => panic!("another item"),
     });
-    let copy = Config::restore(restored[0].through, stored.collect());
+    let copy = Config::restore(restored[0].through, &stored.collect::<Vec<_>>());
     assert_eq!((copy.next, copy.stored()), (config.next, config.stored()));
 }
 
--- a/crates/primrosebay_entry/src/api/mod.rs
+++ b/crates/primrosebay_entry/src/api/mod.rs
@@ -1,6 +1,7 @@
 //! The HTTP API.
 
 pub mod jobs;
+mod requests;
 
 use std::sync::Arc;
 
@@ -21,6 +22,7 @@
     let mut app = tide::with_state(shared);
     app.at("/v1/jobs").post(jobs::submit).get(jobs::list);
     app.at("/v1/jobs/:id").get(jobs::get).delete(jobs::cancel);
+    app.at("/v1/services/:name/requests").post(requests::run);
     app
 }
 
--- a/crates/primrosebay_entry/src/instance.rs
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -8,7 +8,6 @@
 use async_std::task;
 use primrosebay_protocol::log::{CONFIG_STREAM, Page};
 use primrosebay_state::id::Incarnation;
-use primrosebay_state::record::Body;
 use primrosebay_transport::http_server::{Limits, Server};
 use primrosebay_transport::list::{HttpList, LiveList};
 use primrosebay_transport::log::HttpLog;
@@ -20,6 +19,8 @@
 
 /// How often the platform's list is fetched.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// How often waiting requests are looked at.
+const REQUEST_TICK: Duration = Duration::from_millis(50);
 /// Longest wait for workers to take their leases back at a planned stop.
 const STOP_GRACE: Duration = Duration::from_secs(5);
 
@@ -43,6 +44,7 @@
         let server = Server::start(shared.setup.address, app, Limits::default()).await?;
         let zone = Zone::start(&shared, &shared.setup.zone);
         task::spawn(follow_config(Arc::clone(&shared)));
+        task::spawn(tick_requests(Arc::clone(&shared)));
         task::spawn(follow_list(Arc::clone(&shared), zone));
         log::info!("entry: serving on {}", server.address());
         Ok(Self { shared, server })
@@ -70,9 +72,7 @@
         if let Some(page) = page.filter(|p| !p.records.is_empty()) {
             let mut config = (*shared.config()).clone();
             for placed in page.records {
-                if let Body::Config(change) = &placed.record.body {
-                    config.apply(placed.offset, change);
-                }
+                config.apply_record(placed.offset, &placed.record);
             }
             shared.set_config(config);
             for zone in shared.zones() {
@@ -84,11 +84,19 @@
     log_reader::follow(&log, CONFIG_STREAM, apply).await;
 }
 
+async fn tick_requests(shared: Arc<Shared>) {
+    loop {
+        shared.requests.tick();
+        task::sleep(REQUEST_TICK).await;
+    }
+}
+
 async fn follow_list(shared: Arc<Shared>, zone: Arc<Zone>) {
     let list = HttpList::new(shared.setup.list, shared.setup.call_timeout);
     loop {
         match list.fetch().await {
             Ok(fetched) => {
+                shared.requests.update(&fetched.instances);
                 shared.set_directory(fetched.instances);
                 zone.update_directory(&shared);
             }
--- a/crates/primrosebay_protocol/tests/peer.rs
+++ b/crates/primrosebay_protocol/tests/peer.rs
@@ -90,6 +90,7 @@
         expected: 0,
         spec: Some(Resource::Zone {
             state: ZoneState::Out,
+            region: "r".into(),
         }),
     };
     let placed = Placed {
--- a/crates/primrosebay_state/src/record.rs
+++ b/crates/primrosebay_state/src/record.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
-use crate::config::{Change, Stored};
+use crate::config::{Change, Piece as ConfigPiece, Stored};
 use crate::id::{Incarnation, JobId, RecordId, TaskId};
 use crate::job::JobSpec;
 
@@ -93,7 +93,12 @@
         to: Name,
         /// The amount.
         amount: crate::resources::Resources,
+        /// The giver's term; records of an earlier term than the giver's latest have no effect.
+        #[serde(default)]
+        epoch: u64,
     },
+    /// A piece of a snapshot of the configuration.
+    ConfigSnapshot(ConfigPiece),
     /// A part of a snapshot, published before retention drops the records that it stands for.
     Snapshot(Piece),
 }
