--- /dev/null
+++ b/crates/primrosebay_bench/src/figures/mod.rs
@@ -0,0 +1,36 @@
+//! One function for each figure.
+
+mod deadlines;
+mod decisions;
+mod packing;
+mod share;
+mod urgent;
+
+pub use deadlines::deadlines;
+pub use decisions::{Churn, decision_rate, growth, latency};
+pub use packing::packing;
+pub use share::share;
+pub use urgent::urgent;
+
+use crate::cell::{thistlewood, tugtog};
+use crate::figure::Figure;
+
+/// Measures every figure.
+#[must_use]
+pub fn all() -> Vec<Figure> {
+    let mut figures = vec![decision_rate(), latency()];
+    figures.extend(growth());
+    for cell in [thistlewood(), tugtog()] {
+        figures.push(packing(&cell));
+    }
+    for cell in [thistlewood(), tugtog()] {
+        figures.push(share(&cell));
+    }
+    for cell in [thistlewood(), tugtog()] {
+        figures.push(urgent(&cell));
+    }
+    for cell in [thistlewood(), tugtog()] {
+        figures.push(deadlines(&cell));
+    }
+    figures
+}
--- /dev/null
+++ b/crates/primrosebay_bench/src/placer.rs
@@ -0,0 +1,51 @@
+//! What the measurements need of a scheduler.
+
+use primrosebay_coordination::schedule::{Decision, Scheduler};
+use primrosebay_state::Name;
+use primrosebay_state::id::{JobId, TaskId};
+use primrosebay_state::job::JobSpec;
+use primrosebay_state::resources::Resources;
+use primrosebay_state::time::Time;
+
+/// A scheduler under measurement.
+pub trait Placer {
+    /// Adds a worker.
+    fn set_worker(&mut self, worker: Name, rack: Name, total: Resources);
+    /// Adds a team.
+    fn set_team(&mut self, team: Name, share: u32, allowance: Resources);
+    /// Adds a job with tasks from 0.
+    fn submit(&mut self, now: Time, job: JobId, spec: &JobSpec);
+    /// Ends a task.
+    fn release(&mut self, now: Time, task: TaskId);
+    /// Makes a preempted task pending again.
+    fn requeue(&mut self, now: Time, task: TaskId);
+    /// Decides.
+    fn schedule(&mut self, now: Time, max: usize) -> Vec<Decision>;
+}
+
+impl Placer for Scheduler {
+    fn set_worker(&mut self, worker: Name, rack: Name, total: Resources) {
+        self.set_worker(worker, rack, total);
+    }
+
+    fn set_team(&mut self, team: Name, share: u32, allowance: Resources) {
+        self.set_team(team, share, allowance);
+    }
+
+    fn submit(&mut self, now: Time, job: JobId, spec: &JobSpec) {
+        let tasks: Vec<u32> = (0..spec.tasks).collect();
+        self.submit(now, job, spec, &tasks);
+    }
+
+    fn release(&mut self, now: Time, task: TaskId) {
+        self.release(now, task);
+    }
+
+    fn requeue(&mut self, now: Time, task: TaskId) {
+        self.requeue(now, task);
+    }
+
+    fn schedule(&mut self, now: Time, max: usize) -> Vec<Decision> {
+        self.schedule(now, max)
+    }
+}
