Serve the request route on entry instances

The route takes the team from the key, or from an open queue of the service, and the account's label from x-account. The instance passes the live list to the request path and looks at waiting requests every 20 ms.

--- a/crates/primrosebay_entry/src/api/mod.rs
+++ b/crates/primrosebay_entry/src/api/mod.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use tide::{Body, Request, Response};
 
+use crate::requests;
 use crate::shared::Shared;
 
 /// A request to the API.
@@ -21,6 +22,7 @@
     let mut app = tide::with_state(shared);
     app.at("/v1/jobs").post(jobs::submit).get(jobs::list);
     app.at("/v1/jobs/:id").get(jobs::get).delete(jobs::cancel);
+    app.at("/v1/services/:name/requests").post(requests::handle);
     app
 }
 
--- a/crates/primrosebay_entry/src/instance.rs
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -20,6 +20,8 @@
 
 /// How often the platform's list is fetched.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// How often waiting requests are looked at. Ejections and slow starts end within this time.
+const REQUEST_PERIOD: Duration = Duration::from_millis(20);
 /// Longest wait for workers to take their leases back at a planned stop.
 const STOP_GRACE: Duration = Duration::from_secs(5);
 
@@ -44,6 +46,7 @@
         let zone = Zone::start(&shared, &shared.setup.zone);
         task::spawn(follow_config(Arc::clone(&shared)));
         task::spawn(follow_list(Arc::clone(&shared), zone));
+        task::spawn(tick_requests(Arc::clone(&shared)));
         log::info!("entry: serving on {}", server.address());
         Ok(Self { shared, server })
     }
@@ -89,6 +92,7 @@
     loop {
         match list.fetch().await {
             Ok(fetched) => {
+                shared.requests.update(&fetched.instances);
                 shared.set_directory(fetched.instances);
                 zone.update_directory(&shared);
             }
@@ -97,3 +101,10 @@
         task::sleep(LIST_PERIOD).await;
     }
 }
+
+async fn tick_requests(shared: Arc<Shared>) {
+    loop {
+        shared.requests.tick();
+        task::sleep(REQUEST_PERIOD).await;
+    }
+}
--- a/crates/primrosebay_entry/src/requests.rs
+++ b/crates/primrosebay_entry/src/requests.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod attempt;
+mod handler;
 mod metrics;
 mod outcome;
 mod pipe;
@@ -33,6 +34,7 @@
 use tide::http::{Body, Request, Response, StatusCode};
 
 pub use access::account;
+pub(crate) use handler::handle;
 
 use metrics::Metrics;
 use service::{Held, Service};
--- /dev/null
+++ b/crates/primrosebay_entry/src/requests/handler.rs
@@ -0,0 +1,33 @@
+//! The route for requests.
+
+use std::sync::Arc;
+
+use primrosebay_protocol::code::Code;
+use tide::Response;
+
+use super::{account, failure};
+use crate::api::ApiRequest;
+use crate::auth;
+
+/// The account of a request within its team.
+const ACCOUNT_HEADER: &str = "x-account";
+
+/// Handles `POST /v1/services/{name}/requests`.
+pub(crate) async fn handle(mut request: ApiRequest) -> tide::Result {
+    let shared = Arc::clone(request.state());
+    let Ok(service) = request.param("name").map(str::to_owned) else {
+        return Ok(Response::from_res(failure(Code::NOT_FOUND)));
+    };
+    let label = request
+        .header(ACCOUNT_HEADER)
+        .map(|values| values.last().as_str());
+    let team = auth::team(&request);
+    let answer = match account(&shared.config(), &service, team, label) {
+        Ok(account) => {
+            let requests = &shared.requests;
+            requests.answer(account, &service, request.as_mut()).await
+        }
+        Err(code) => failure(code),
+    };
+    Ok(Response::from_res(answer))
+}
--- a/crates/primrosebay_entry/src/shared.rs
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -11,9 +11,11 @@
 use primrosebay_state::id::{Incarnation, JobId};
 use primrosebay_state::time::Time;
 use primrosebay_transport::log::HttpLog;
+use primrosebay_transport::minion::HttpMinions;
 use primrosebay_transport::worker::HttpWorkers;
 
 use crate::publisher::Publisher;
+use crate::requests::{RequestSettings, Requests};
 use crate::zones::Zone;
 
 /// What an entry instance is told at its start.
@@ -48,6 +50,8 @@
     pub log: Arc<HttpLog>,
     /// Exchanges messages with workers.
     pub workers: HttpWorkers,
+    /// Routes requests to minions.
+    pub requests: Requests<HttpMinions>,
     started: Instant,
     jobs: AtomicU64,
     config: RwLock<Arc<Config>>,
@@ -59,13 +63,25 @@
     /// Creates the shared state around the adapters.
     #[must_use]
     pub fn new(setup: Setup, incarnation: Incarnation, log: Arc<HttpLog>) -> Self {
+        let started = Instant::now();
+        let requests = Requests::new(
+            RequestSettings {
+                seed: incarnation.0,
+                ..RequestSettings::default()
+            },
+            setup.zone.clone(),
+            incarnation,
+            HttpMinions::default(),
+            Arc::new(move || elapsed(started)),
+        );
         Self {
             publisher: Publisher::start(Arc::clone(&log), incarnation),
             workers: HttpWorkers::new(setup.call_timeout),
             incarnation,
             log,
             setup,
-            started: Instant::now(),
+            requests,
+            started,
             jobs: AtomicU64::new(0),
             config: RwLock::default(),
             directory: RwLock::new(Arc::from([])),
@@ -76,7 +92,7 @@
     /// Returns the time on the local clock.
     #[must_use]
     pub fn now(&self) -> Time {
-        Time(u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX))
+        elapsed(self.started)
     }
 
     /// Returns a new identifier for a job.
@@ -155,3 +171,7 @@
         self.zones.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn elapsed(started: Instant) -> Time {
+    Time(u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX))
+}
