--- a/crates/primrosebay_entry/src/shared.rs
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -72,7 +72,7 @@
             setup.zone.clone(),
             incarnation,
             HttpMinions::default(),
-            Arc::new(move || since(started)),
+            Arc::new(move || elapsed(started)),
         );
         Self {
             requests,
@@ -81,6 +81,7 @@
             incarnation,
             log,
             setup,
+            requests,
             started,
             jobs: AtomicU64::new(0),
             config: RwLock::default(),
@@ -92,7 +93,7 @@
     /// Returns the time on the local clock.
     #[must_use]
     pub fn now(&self) -> Time {
-        since(self.started)
+        elapsed(self.started)
     }
 
     /// Returns a new identifier for a job.
@@ -172,6 +173,6 @@
     }
 }
 
-fn since(started: Instant) -> Time {
+fn elapsed(started: Instant) -> Time {
     Time(u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX))
 }
