--- a/crates/primrosebay_entry/src/api/mod.rs
+++ b/crates/primrosebay_entry/src/api/mod.rs
@@ -1,7 +1,6 @@
 //! The HTTP API.
 
 pub mod jobs;
-mod requests;
 
 use std::sync::Arc;
 
--- a/crates/primrosebay_entry/src/instance.rs
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -44,7 +44,6 @@
         let server = Server::start(shared.setup.address, app, Limits::default()).await?;
         let zone = Zone::start(&shared, &shared.setup.zone);
         task::spawn(follow_config(Arc::clone(&shared)));
-        task::spawn(tick_requests(Arc::clone(&shared)));
         task::spawn(follow_list(Arc::clone(&shared), zone));
         task::spawn(tick_requests(Arc::clone(&shared)));
         log::info!("entry: serving on {}", server.address());
@@ -85,13 +84,6 @@
     log_reader::follow(&log, CONFIG_STREAM, apply).await;
 }
 
-async fn tick_requests(shared: Arc<Shared>) {
-    loop {
-        shared.requests.tick();
-        task::sleep(REQUEST_TICK).await;
-    }
-}
-
 async fn follow_list(shared: Arc<Shared>, zone: Arc<Zone>) {
     let list = HttpList::new(shared.setup.list, shared.setup.call_timeout);
     loop {
--- a/crates/primrosebay_entry/src/shared.rs
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -81,7 +81,6 @@
             incarnation,
             log,
             setup,
-            requests,
             started,
             jobs: AtomicU64::new(0),
             config: RwLock::default(),
