Start minion stand-ins as processes

Cause: requests could only be tried in the development cell. Change: stand-in minion, and one listen argument for all stand-ins. Conclusion: starts and prints its address.

--- a/crates/primrosebay/src/cli.rs
+++ b/crates/primrosebay/src/cli.rs
@@ -82,45 +82,39 @@
         .help("Address to listen on; port 0 takes a free port, which is printed")
 }
 
+fn number_arg(name: &'static str, default: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_parser(value_parser!(u64))
+        .default_value(default)
+}
+
 fn stand_in() -> Command {
     Command::new("stand-in")
         .about("Runs a small stand-in for a part of the platform, for tests")
         .subcommand_required(true)
-        .subcommands([
-            Command::new("log")
-                .about("The log service")
-                .arg(listen_arg()),
-            Command::new("list")
-                .about("The list of instances")
-                .arg(listen_arg())
-                .arg(
+        .subcommands(
+            [
+                Command::new("log").about("The log service"),
+                Command::new("list").about("The list of instances").arg(
                     Arg::new("instances")
                         .long("instances")
                         .value_name("FILE")
                         .help("Instances in YAML"),
                 ),
-            Command::new("worker")
-                .about("A worker")
-                .arg(listen_arg())
-                .arg(
-                    Arg::new("cores")
-                        .long("cores")
-                        .value_parser(value_parser!(u64))
-                        .default_value("64"),
-                )
-                .arg(
-                    Arg::new("memory-mib")
-                        .long("memory-mib")
-                        .value_parser(value_parser!(u64))
-                        .default_value("131072"),
-                )
-                .arg(
-                    Arg::new("accelerators")
-                        .long("accelerators")
-                        .value_parser(value_parser!(u64))
-                        .default_value("0"),
-                ),
-        ])
+                Command::new("worker").about("A worker").args([
+                    number_arg("cores", "64"),
+                    number_arg("memory-mib", "131072"),
+                    number_arg("accelerators", "0"),
+                ]),
+                Command::new("minion").about("A minion").args([
+                    number_arg("slots", "8"),
+                    number_arg("connections", "64"),
+                    number_arg("service-ms", "5"),
+                ]),
+            ]
+            .map(|command| command.arg(listen_arg())),
+        )
 }
 
 fn file_arg() -> Arg {
--- a/crates/primrosebay/src/commands/stand_in.rs
+++ b/crates/primrosebay/src/commands/stand_in.rs
@@ -1,12 +1,15 @@
 //! `primrosebay stand-in`.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use clap::ArgMatches;
 use eyre::{WrapErr, eyre};
 use primrosebay_protocol::list::Instances;
 use primrosebay_standin::list::ListService;
 use primrosebay_standin::log::{LogService, Settings};
+use primrosebay_standin::minion::{self, Minion};
 use primrosebay_standin::worker::WorkerService;
 use primrosebay_state::resources::Resources;
 use primrosebay_transport::http_server::{Limits, Server};
@@ -21,27 +24,51 @@
         .subcommand()
         .ok_or_else(|| eyre!("no stand-in named"))?;
     let address = text(matches, "listen")?.parse()?;
-    let limits = Limits::default();
-    let server = match name {
-        "log" => {
-            let log = LogService::new(Settings::default());
-            Server::start(address, log.app(), limits).await
-        }
+    let bound = match name {
+        "log" => serve(address, LogService::new(Settings::default()).app()).await?,
         "list" => {
             let list = ListService::new(instances(matches)?.instances);
-            Server::start(address, list.app(), limits).await
+            serve(address, list.app()).await?
         }
+        "minion" => Minion::start(address, minion_settings(matches)?)
+            .await
+            .wrap_err_with(|| format!("cannot listen on {address}"))?
+            .address(),
         _ => {
             let run = rand::random::<u64>().max(1);
-            let worker = Arc::new(WorkerService::new(run, held(matches)));
-            Server::start(address, worker.app(), limits).await
+            serve(
+                address,
+                Arc::new(WorkerService::new(run, held(matches))).app(),
+            )
+            .await?
         }
-    }
-    .wrap_err_with(|| format!("cannot listen on {address}"))?;
-    println!("{name} listening on {}", server.address());
+    };
+    println!("{name} listening on {bound}");
     std::future::pending().await
 }
 
+async fn serve<S: Clone + Send + Sync + 'static>(
+    address: SocketAddr,
+    app: tide::Server<S>,
+) -> eyre::Result<SocketAddr> {
+    let server = Server::start(address, app, Limits::default())
+        .await
+        .wrap_err_with(|| format!("cannot listen on {address}"))?;
+    Ok(server.address())
+}
+
+fn number(matches: &ArgMatches, name: &str) -> u64 {
+    matches.get_one::<u64>(name).copied().unwrap_or(0)
+}
+
+fn minion_settings(matches: &ArgMatches) -> eyre::Result<minion::Settings> {
+    Ok(minion::Settings {
+        slots: u32::try_from(number(matches, "slots"))?,
+        connections: usize::try_from(number(matches, "connections"))?,
+        service: Duration::from_millis(number(matches, "service-ms")),
+    })
+}
+
 fn instances(matches: &ArgMatches) -> eyre::Result<Instances> {
     match matches.get_one::<String>("instances") {
         Some(path) => serde_norway::from_str(&read_input(path)?).wrap_err("not a list"),
@@ -50,10 +77,9 @@
 }
 
 fn held(matches: &ArgMatches) -> Resources {
-    let amount = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(0);
     Resources {
-        cores_milli: amount("cores") * 1000,
-        memory_mib: amount("memory-mib"),
-        accelerators: amount("accelerators"),
+        cores_milli: number(matches, "cores") * 1000,
+        memory_mib: number(matches, "memory-mib"),
+        accelerators: number(matches, "accelerators"),
     }
 }
