Add trace spans with W3C context

Cause: nothing showed where the time of a request or job goes. Conclusion: a hop that does not trace hands the context on unchanged; the parts do not open spans yet.

--- a/crates/primrosebay_coordination/src/zone/send.rs
+++ b/crates/primrosebay_coordination/src/zone/send.rs
@@ -195,6 +195,7 @@
                     repeat: job.spec.repeat,
                     run_ms: job.spec.run_ms,
                     team: job.spec.team.clone(),
+                    trace: job.spec.trace.clone(),
                 }));
             }
         }
--- a/crates/primrosebay_protocol/src/worker.rs
+++ b/crates/primrosebay_protocol/src/worker.rs
@@ -53,6 +53,9 @@
     pub run_ms: u64,
     /// The team that the task counts for.
     pub team: Name,
+    /// The W3C trace context of the submission; empty if there is none.
+    #[serde(default, skip_serializing_if = "str::is_empty")]
+    pub trace: Name,
 }
 
 /// A request of a coordinator, or of a candidate that claims the worker.
--- a/crates/primrosebay_state/src/job.rs
+++ b/crates/primrosebay_state/src/job.rs
@@ -72,6 +72,8 @@
     pub worker_limit: u32,
     /// Name of a job of the team that must have finished first; empty for none.
     pub after: Name,
+    /// The W3C trace context of the submission; set by the entry instance.
+    pub trace: Name,
 }
 
 impl Default for JobSpec {
@@ -93,6 +95,7 @@
             rack_limit: 0,
             worker_limit: 0,
             after: Name::from(""),
+            trace: Name::from(""),
         }
     }
 }
--- a/crates/primrosebay_transport/src/lib.rs
+++ b/crates/primrosebay_transport/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod log;
 pub mod minion;
 pub mod peer;
+pub mod trace;
 pub mod worker;
