Decide which allowance a zone asks for and gives away

Cause: a team with work in one zone could not use the part of its limit that other zones hold. Change: a zone asks for what its pending work and free workers can use, and gives half of its spare allowance at a time, never below its use or its floor. Not yet connected to peers.

--- a/crates/primrosebay_coordination/src/schedule/mod.rs
+++ b/crates/primrosebay_coordination/src/schedule/mod.rs
@@ -18,8 +18,10 @@
 mod scheduler;
 mod settings;
 mod share;
+mod usage;
 
 pub use decision::Decision;
 pub use reason::{Kind, Reason};
 pub use scheduler::Scheduler;
 pub use settings::Settings;
+pub use usage::TeamUsage;
--- a/crates/primrosebay_state/src/resources.rs
+++ b/crates/primrosebay_state/src/resources.rs
@@ -71,6 +71,26 @@
         }
     }
 
+    /// Returns the smaller amount in each dimension.
+    #[must_use]
+    pub fn minimum(&self, other: &Self) -> Self {
+        Self {
+            cores_milli: self.cores_milli.min(other.cores_milli),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// Returns the larger amount in each dimension.
+    #[must_use]
+    pub fn maximum(&self, other: &Self) -> Self {
+        Self {
+            cores_milli: self.cores_milli.max(other.cores_milli),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Returns whether every dimension is zero.
     #[must_use]
     pub fn is_zero(&self) -> bool {
