--- a/crates/primrosebay_coordination/src/lib.rs
+++ b/crates/primrosebay_coordination/src/lib.rs
@@ -2,3 +2,7 @@
 
 pub mod acceptance;
 pub mod freshness;
+pub mod schedule;
+pub mod table;
+pub mod worker;
+pub mod zone;
