--- a/crates/primrosebay/src/dev/cell.rs
+++ b/crates/primrosebay/src/dev/cell.rs
@@ -5,9 +5,11 @@
 
 use eyre::WrapErr;
 use primrosebay_entry::auth;
+use primrosebay_entry::clock::Clock;
 use primrosebay_entry::instance::Instance;
 use primrosebay_entry::shared::Setup;
 use primrosebay_protocol::list::{self, Liveness, Role};
+use primrosebay_settings as settings;
 use primrosebay_standin::list::ListService;
 use primrosebay_standin::log::{LogService, Settings};
 use primrosebay_standin::worker::WorkerService;
@@ -45,7 +47,7 @@
         let list = listen(ListService::new(instances).app()).await?;
         let mut entries = Vec::new();
         for zone in &plan.zones {
-            let setup = setup(zone, log.address(), list.address());
+            let setup = setup(zone, &plan.region, log.address(), list.address());
             entries.push(Instance::start(setup).await.wrap_err("cannot start")?);
         }
         Ok(Self {
@@ -114,14 +116,18 @@
     }
 }
 
-fn setup(zone: &Name, log: SocketAddr, list: SocketAddr) -> Setup {
+fn setup(zone: &Name, region: &Name, log: SocketAddr, list: SocketAddr) -> Setup {
     Setup {
         name: format!("entry-{zone}").into(),
         zone: zone.clone(),
         address: loopback(),
         log,
         list,
-        operator_hash: auth::hash(OPERATOR_KEY).into(),
+        operators: vec![auth::hash(OPERATOR_KEY).into()],
         call_timeout: Duration::from_secs(1),
+        region: region.clone(),
+        limits: settings::Limits::default(),
+        timeouts: settings::Timeouts::default(),
+        clock: Clock::default(),
     }
 }
--- a/crates/primrosebay_entry/src/api/jobs.rs
+++ b/crates/primrosebay_entry/src/api/jobs.rs
@@ -1,13 +1,14 @@
 //! Submission, reading and cancellation of jobs.
 
-use primrosebay_protocol::api::{JobView, Submitted};
+use primrosebay_protocol::api::{Failure, JobView, Submitted};
 use primrosebay_protocol::code::Code;
 use primrosebay_state::Name;
 use primrosebay_state::id::JobId;
 use primrosebay_state::job::{JobSpec, Problem};
 use primrosebay_state::record::Body;
 
-use super::{ApiRequest, fail, fail_with, json};
+use super::list::Listing;
+use super::{ApiRequest, answer, fail, fail_with, input, json, views};
 use crate::auth;
 use crate::publisher::PublishError;
 use crate::zones::stream_of;
@@ -18,7 +19,10 @@
         Ok(team) => team,
         Err(code) => return fail(code),
     };
-    let bytes = request.body_bytes().await?;
+    let bytes = match input::body(&mut request).await {
+        Ok(bytes) => bytes,
+        Err(failure) => return answer(Err(failure)),
+    };
     let mut spec: JobSpec = match serde_json::from_slice(&bytes) {
         Ok(spec) => spec,
         Err(e) => {
@@ -73,23 +77,27 @@
 
 /// Handles `GET /v1/jobs`.
 pub(crate) async fn list(request: ApiRequest) -> tide::Result {
-    let team = match auth::team(&request) {
-        Ok(team) => team,
-        Err(code) => return fail(code),
-    };
-    let jobs: Vec<JobView> = request
-        .state()
-        .zones()
-        .iter()
-        .flat_map(|zone| zone.read(|coordinator| coordinator.jobs().collect::<Vec<_>>()))
-        .filter(|job| job.spec.team == team)
-        .collect();
-    json(200, &jobs)
+    answer(list_jobs(&request))
+}
+
+fn list_jobs(request: &ApiRequest) -> Result<tide::Response, Failure> {
+    let team = auth::reader(request).map_err(Failure::new)?;
+    let filters = [
+        ("team", "/spec/team"),
+        ("zone", "/zone"),
+        ("queue", "/spec/queue"),
+        ("outcome", "/outcome"),
+        ("name", "/spec/name"),
+    ];
+    let listing = Listing::new(request, &filters)?;
+    let jobs = views::all_jobs(request.state()).into_iter();
+    let jobs = jobs.filter(|job| team.as_ref().is_none_or(|team| *team == job.spec.team));
+    json(200, &listing.page(jobs, |job| job.id.to_string())?)
 }
 
 /// Handles `GET /v1/jobs/{id}`.
 pub(crate) async fn get(request: ApiRequest) -> tide::Result {
-    match find(&request) {
+    match auth::reader(&request).and_then(|team| find(&request, team.as_ref())) {
         Ok(job) => json(200, &job),
         Err(code) => fail(code),
     }
@@ -97,7 +105,7 @@
 
 /// Handles `DELETE /v1/jobs/{id}`.
 pub(crate) async fn cancel(request: ApiRequest) -> tide::Result {
-    let job = match find(&request) {
+    let job = match auth::canceller(&request).and_then(|team| find(&request, team.as_ref())) {
         Ok(job) => job,
         Err(code) => return fail(code),
     };
@@ -110,9 +118,8 @@
     }
 }
 
-/// Finds the job of the request's path for the team of its key.
-fn find(request: &ApiRequest) -> Result<JobView, Code> {
-    let team = auth::team(request)?;
+/// Finds the job of the request's path, of any team for an operator.
+fn find(request: &ApiRequest, team: Option<&Name>) -> Result<JobView, Code> {
     let id: JobId = request
         .param("id")
         .ok()
@@ -123,6 +130,6 @@
         .zones()
         .iter()
         .find_map(|zone| zone.read(|coordinator| coordinator.job(id)))
-        .filter(|job| job.spec.team == team)
+        .filter(|job| team.is_none_or(|team| *team == job.spec.team))
         .ok_or(Code::NOT_FOUND)
 }
--- /dev/null
+++ b/crates/primrosebay_entry/src/api/metrics.rs
@@ -0,0 +1,124 @@
+//! Figures for the platform's monitoring.
+
+use std::sync::OnceLock;
+
+use opentelemetry::metrics::{Counter, Gauge};
+use opentelemetry::{KeyValue, global};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use primrosebay_coordination::freshness::Status;
+use prometheus::{Encoder, Registry, TextEncoder};
+use tide::Response;
+
+use super::ApiRequest;
+use crate::shared::Shared;
+
+static REGISTRY: OnceLock<Registry> = OnceLock::new();
+
+/// Installs the process's meter provider, once, and returns its registry. Instances of one process
+/// share it and are told apart by the label `instance`.
+pub(crate) fn install() -> &'static Registry {
+    REGISTRY.get_or_init(|| {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build();
+        match exporter {
+            Ok(exporter) => {
+                let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+                global::set_meter_provider(provider);
+            }
+            Err(e) => log::warn!("metrics: cannot be exported: {e}"),
+        }
+        registry
+    })
+}
+
+/// Instruments of the operators' interface.
+#[derive(Debug)]
+pub struct Metrics {
+    answers: Counter<u64>,
+    next: Gauge<u64>,
+    age: Gauge<u64>,
+    status: Gauge<u64>,
+    records: Gauge<u64>,
+    watchers: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    #[must_use]
+    pub fn new() -> Self {
+        install();
+        let meter = global::meter("primrosebay");
+        let counter = |name, about| meter.u64_counter(name).with_description(about).build();
+        let gauge = |name, about| meter.u64_gauge(name).with_description(about).build();
+        Self {
+            answers: counter("api_answers", "Answers by method and status."),
+            next: gauge(
+                "config_next",
+                "Offset after the last configuration record in force.",
+            ),
+            age: gauge(
+                "config_age_ms",
+                "Milliseconds since the end of the log was confirmed.",
+            ),
+            status: gauge("config_status", "1 for the present status."),
+            records: gauge("config_records", "Configuration records read, by result."),
+            watchers: gauge("config_watchers", "Open watches."),
+        }
+    }
+
+    pub(super) fn record_answer(&self, method: &str, status: u16) {
+        let labels = [
+            KeyValue::new("method", method.to_owned()),
+            KeyValue::new("status", i64::from(status)),
+        ];
+        self.answers.add(1, &labels);
+    }
+
+    fn record_state(&self, shared: &Shared) {
+        let instance = KeyValue::new("instance", shared.setup.name.to_string());
+        let with = |name: &'static str, value: &'static str| {
+            [instance.clone(), KeyValue::new(name, value)]
+        };
+        let now = shared.now();
+        let own = shared
+            .configuration
+            .with_freshness(|freshness| freshness.beat(now));
+        let labels = std::slice::from_ref(&instance);
+        self.next.record(own.next, labels);
+        self.age.record(own.age.unwrap_or(u64::MAX), labels);
+        self.watchers.record(shared.watchers.count() as u64, labels);
+        let status = shared.status();
+        for (value, name) in [
+            (Status::Fresh, "fresh"),
+            (Status::Outage, "outage"),
+            (Status::Stale, "stale"),
+        ] {
+            let present = u64::from(status == value);
+            self.status.record(present, &with("status", name));
+        }
+        let results = ["done", "conflict", "no_effect"];
+        for (count, result) in shared.configuration.outcomes().into_iter().zip(results) {
+            self.records.record(count, &with("result", result));
+        }
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Handles `GET /metrics`.
+pub(super) async fn metrics(request: ApiRequest) -> tide::Result {
+    request.state().metrics.record_state(request.state());
+    let encoder = TextEncoder::new();
+    let mut text = Vec::new();
+    encoder.encode(&install().gather(), &mut text)?;
+    Ok(Response::builder(200)
+        .content_type("text/plain; version=0.0.4")
+        .body(text)
+        .build())
+}
--- /dev/null
+++ b/crates/primrosebay_entry/src/api/views.rs
@@ -0,0 +1,113 @@
+//! Workers and tasks, which operators can only read.
+
+use primrosebay_protocol::api::{Failure, JobView, TaskItem, WorkerItem};
+use primrosebay_protocol::code::Code;
+
+use super::list::Listing;
+use super::{ApiRequest, answer, json};
+use crate::auth;
+use crate::shared::Shared;
+
+/// Handles `GET /v1/workers`.
+pub(super) async fn workers(request: ApiRequest) -> tide::Result {
+    answer(list_workers(&request))
+}
+
+fn list_workers(request: &ApiRequest) -> Result<tide::Response, Failure> {
+    auth::operator(request).map_err(Failure::new)?;
+    let filters = [
+        ("zone", "/zone"),
+        ("rack", "/rack"),
+        ("held", "/held"),
+        ("usable", "/usable"),
+        ("quarantined", "/quarantined"),
+    ];
+    let listing = Listing::new(request, &filters)?;
+    let workers = all_workers(request.state());
+    json(
+        200,
+        &listing.page(workers, |worker| worker.name.to_string())?,
+    )
+}
+
+/// Handles `GET /v1/workers/{name}`.
+pub(super) async fn worker(request: ApiRequest) -> tide::Result {
+    answer(find_worker(&request))
+}
+
+fn find_worker(request: &ApiRequest) -> Result<tide::Response, Failure> {
+    auth::operator(request).map_err(Failure::new)?;
+    let name = request.param("name").unwrap_or_default();
+    let mut workers = all_workers(request.state()).into_iter();
+    match workers.find(|worker| &*worker.name == name) {
+        Some(worker) => json(200, &worker),
+        None => Err(Failure::new(Code::NOT_FOUND)),
+    }
+}
+
+fn all_workers(shared: &Shared) -> Vec<WorkerItem> {
+    let now = shared.now();
+    let mut all = Vec::new();
+    for zone in shared.zones() {
+        zone.read(|coordinator| {
+            all.extend(coordinator.workers(now).map(|worker| WorkerItem {
+                name: worker.name,
+                zone: zone.name.clone(),
+                rack: worker.rack,
+                total: worker.total,
+                held: worker.held,
+                usable: worker.usable,
+                quarantined: worker.quarantined,
+                tasks: worker.tasks,
+            }));
+        });
+    }
+    all.sort_by(|a, b| a.name.cmp(&b.name));
+    all
+}
+
+/// Handles `GET /v1/tasks`.
+pub(super) async fn tasks(request: ApiRequest) -> tide::Result {
+    answer(list_tasks(&request))
+}
+
+fn list_tasks(request: &ApiRequest) -> Result<tide::Response, Failure> {
+    let team = auth::reader(request).map_err(Failure::new)?;
+    let filters = [
+        ("job", "/job"),
+        ("team", "/team"),
+        ("zone", "/zone"),
+        ("state", "/state"),
+        ("worker", "/worker"),
+    ];
+    let listing = Listing::new(request, &filters)?;
+    let jobs = all_jobs(request.state());
+    let jobs = jobs
+        .iter()
+        .filter(|job| team.as_ref().is_none_or(|team| *team == job.spec.team));
+    let mut tasks: Vec<TaskItem> = jobs.flat_map(tasks_of).collect();
+    tasks.sort_by(|a, b| a.name.cmp(&b.name));
+    json(200, &listing.page(tasks, |task| task.name.clone())?)
+}
+
+fn tasks_of(job: &JobView) -> impl Iterator<Item = TaskItem> {
+    job.tasks.iter().map(|task| TaskItem {
+        // The width keeps the order of the text that of the numbers.
+        name: format!("{}/{:05}", job.id, task.index),
+        job: job.id,
+        team: job.spec.team.clone(),
+        zone: job.zone.clone(),
+        task: task.clone(),
+    })
+}
+
+/// Returns the jobs of all zones that this instance coordinates or may come to coordinate.
+pub(super) fn all_jobs(shared: &Shared) -> Vec<JobView> {
+    let zones = shared.zones();
+    let jobs = |zone: &std::sync::Arc<crate::zones::Zone>| {
+        zone.read(|coordinator| coordinator.jobs().collect::<Vec<_>>())
+    };
+    let mut all: Vec<JobView> = zones.iter().flat_map(jobs).collect();
+    all.sort_by_key(|job| job.id);
+    all
+}
--- a/crates/primrosebay_entry/src/instance.rs
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -6,15 +6,13 @@
 use std::time::Duration;
 
 use async_std::task;
-use primrosebay_protocol::log::{CONFIG_STREAM, Page};
 use primrosebay_state::id::Incarnation;
-use primrosebay_state::record::Body;
 use primrosebay_transport::http_server::{Limits, Server};
 use primrosebay_transport::list::{HttpList, LiveList};
 use primrosebay_transport::log::HttpLog;
 
 use crate::api;
-use crate::log_reader;
+use crate::configuration;
 use crate::shared::{Setup, Shared};
 use crate::zones::Zone;
 
@@ -42,7 +40,8 @@
         let app = api::app(Arc::clone(&shared));
         let server = Server::start(shared.setup.address, app, Limits::default()).await?;
         let zone = Zone::start(&shared, &shared.setup.zone);
-        task::spawn(follow_config(Arc::clone(&shared)));
+        task::spawn(configuration::follow(Arc::downgrade(&shared)));
+        task::spawn(configuration::watch_status(Arc::downgrade(&shared)));
         task::spawn(follow_list(Arc::clone(&shared), zone));
         log::info!("entry: serving on {}", server.address());
         Ok(Self { shared, server })
@@ -54,9 +53,16 @@
         self.server.address()
     }
 
+    /// Returns what the parts of the instance share.
+    #[must_use]
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
     /// Stops the instance after the requests in flight.
     pub async fn close(self) {
         log::info!("entry: stopping");
+        self.shared.stop();
         self.server.close().await;
         for zone in self.shared.zones() {
             zone.stop(STOP_GRACE).await;
@@ -64,26 +70,6 @@
     }
 }
 
-async fn follow_config(shared: Arc<Shared>) {
-    let log = Arc::clone(&shared.log);
-    let apply = |page: Option<Page>| {
-        if let Some(page) = page.filter(|p| !p.records.is_empty()) {
-            let mut config = (*shared.config()).clone();
-            for placed in page.records {
-                if let Body::Config(change) = &placed.record.body {
-                    config.apply(placed.offset, change);
-                }
-            }
-            shared.set_config(config);
-            for zone in shared.zones() {
-                zone.update_config(&shared);
-            }
-        }
-        true
-    };
-    log_reader::follow(&log, CONFIG_STREAM, apply).await;
-}
-
 async fn follow_list(shared: Arc<Shared>, zone: Arc<Zone>) {
     let list = HttpList::new(shared.setup.list, shared.setup.call_timeout);
     loop {
--- a/crates/primrosebay_entry/src/lib.rs
+++ b/crates/primrosebay_entry/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod api;
 pub mod auth;
+pub mod clock;
+pub mod configuration;
 pub mod instance;
 pub mod log_reader;
 pub mod publisher;
--- a/crates/primrosebay_entry/src/shared.rs
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -1,11 +1,13 @@
 //! What the parts of an entry instance share.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use primrosebay_coordination::freshness::Freshness;
 use primrosebay_protocol::list::Instance;
+use primrosebay_settings::{Limits, Timeouts};
 use primrosebay_state::Name;
 use primrosebay_state::config::Config;
 use primrosebay_state::id::{Incarnation, JobId};
@@ -13,6 +15,10 @@
 use primrosebay_transport::log::HttpLog;
 use primrosebay_transport::worker::HttpWorkers;
 
+use crate::api::metrics::Metrics;
+use crate::api::watch::Watchers;
+use crate::clock::Clock;
+use crate::configuration::Configuration;
 use crate::publisher::Publisher;
 use crate::zones::Zone;
 
@@ -23,16 +29,24 @@
     pub name: Name,
     /// The availability zone of the instance.
     pub zone: Name,
+    /// The region of the instance.
+    pub region: Name,
     /// Address of the API.
     pub address: SocketAddr,
     /// Address of the platform's log.
     pub log: SocketAddr,
     /// Address of the platform's list of instances.
     pub list: SocketAddr,
-    /// SHA-256 of the operators' key, in hexadecimal digits.
-    pub operator_hash: Name,
+    /// SHA-256 of each operators' key, in hexadecimal digits.
+    pub operators: Vec<Name>,
     /// Time-out of a call to the platform.
     pub call_timeout: Duration,
+    /// Bounds.
+    pub limits: Limits,
+    /// Time-outs.
+    pub timeouts: Timeouts,
+    /// The local clock.
+    pub clock: Clock,
 }
 
 /// The state that the parts of an entry instance share.
@@ -48,9 +62,14 @@
     pub log: Arc<HttpLog>,
     /// Exchanges messages with workers.
     pub workers: HttpWorkers,
-    started: Instant,
+    /// The configuration and its freshness.
+    pub configuration: Configuration,
+    /// Open watches of the configuration.
+    pub watchers: Watchers,
+    /// Figures about the API.
+    pub metrics: Metrics,
+    stopping: AtomicBool,
     jobs: AtomicU64,
-    config: RwLock<Arc<Config>>,
     directory: RwLock<Arc<[Instance]>>,
     zones: Mutex<Vec<Arc<Zone>>>,
 }
@@ -59,15 +78,19 @@
     /// Creates the shared state around the adapters.
     #[must_use]
     pub fn new(setup: Setup, incarnation: Incarnation, log: Arc<HttpLog>) -> Self {
+        let freshness = Freshness::new(&setup.name, &setup.zone, &setup.region);
+        let history = usize::try_from(setup.limits.watch_events).unwrap_or(usize::MAX);
         Self {
+            configuration: Configuration::new(history, freshness),
             publisher: Publisher::start(Arc::clone(&log), incarnation),
             workers: HttpWorkers::new(setup.call_timeout),
             incarnation,
             log,
             setup,
-            started: Instant::now(),
+            watchers: Watchers::default(),
+            metrics: Metrics::new(),
+            stopping: AtomicBool::new(false),
             jobs: AtomicU64::new(0),
-            config: RwLock::default(),
             directory: RwLock::new(Arc::from([])),
             zones: Mutex::default(),
         }
@@ -76,7 +99,18 @@
     /// Returns the time on the local clock.
     #[must_use]
     pub fn now(&self) -> Time {
-        Time(u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX))
+        self.setup.clock.now()
+    }
+
+    /// Makes the instance report that it is not ready.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether the instance is stopping.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
     }
 
     /// Returns a new identifier for a job.
@@ -91,12 +125,7 @@
     /// Returns the configuration in force.
     #[must_use]
     pub fn config(&self) -> Arc<Config> {
-        Arc::clone(&self.config.read().unwrap_or_else(PoisonError::into_inner))
-    }
-
-    /// Puts a configuration in force.
-    pub fn set_config(&self, config: Config) {
-        *self.config.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(config);
+        self.configuration.get()
     }
 
     /// Returns the platform's list of instances as last fetched, by name.
--- a/crates/primrosebay_entry/src/zones.rs
+++ b/crates/primrosebay_entry/src/zones.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_std::task;
+use primrosebay_coordination::freshness::Work;
 use primrosebay_coordination::zone::{Command, Coordinator, Event, Settings};
 use primrosebay_protocol::list::Role;
 use primrosebay_protocol::log::{JOBS_STREAM, Page};
@@ -115,17 +116,17 @@
     /// Tells the coordinator about the teams and the state of its zone.
     pub fn update_config(self: &Arc<Self>, shared: &Shared) {
         let config = shared.config();
-        let parts = config.list("zone").count().max(1) as u64;
         let teams = config.list("team").filter_map(|item| match &item.spec {
-            Resource::Team { share, limit } => Some(Event::Team {
+            Resource::Team { share, .. } => Some(Event::Team {
                 team: item.name.clone(),
                 share: *share,
-                allowance: limit.divided(parts),
+                allowance: config.allowances().get(&item.name, &self.name),
             }),
             _ => None,
         });
         let state = Event::ZoneState(config.zone_state(&self.name));
-        self.handle_all(teams.chain([state, Event::MayStart(true)]));
+        let may = Event::MayStart(shared.may(Work::Start));
+        self.handle_all(teams.chain([state, may]));
     }
 
     /// Gives the leases of the zone back and waits until that is done or `grace` has passed.
--- /dev/null
+++ b/crates/primrosebay_entry/tests/cell/mod.rs
@@ -0,0 +1,278 @@
+//! Entry instances around a log whose faults the test chooses, with a clock that the test moves.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::time::Duration;
+
+use async_std::task;
+use primrosebay_entry::auth;
+use primrosebay_entry::clock::Clock;
+use primrosebay_entry::instance::Instance;
+use primrosebay_entry::shared::{Setup, Shared};
+use primrosebay_protocol::list::{self, Liveness, Role};
+use primrosebay_settings::{Limits, Timeouts};
+use primrosebay_standin::list::ListService;
+use primrosebay_standin::log::{LogService, Settings};
+use primrosebay_state::resources::Resources;
+use primrosebay_state::time::Time;
+use primrosebay_transport::http_client::Client;
+use primrosebay_transport::http_server::{self, Server};
+use tide::http::Method;
+
+pub const OPERATOR: &str = "operator-key";
+
+/// How an instance's path to the log behaves.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fault {
+    None,
+    /// Calls are refused.
+    Down,
+    /// Appends take effect and are answered with an error.
+    Lost,
+    /// Reads are refused.
+    Deaf,
+}
+
+pub struct Node {
+    pub instance: Instance,
+    fault: Arc<AtomicU8>,
+    pub linked: bool,
+}
+
+impl Node {
+    pub fn shared(&self) -> &Arc<Shared> {
+        self.instance.shared()
+    }
+
+    pub fn fault(&self, fault: Fault) {
+        self.fault.store(fault as u8, Ordering::SeqCst);
+    }
+}
+
+pub struct Cell {
+    pub nodes: Vec<Node>,
+    clock: Arc<AtomicU64>,
+    client: Client,
+    log: tide::Server<Arc<LogService>>,
+    list: SocketAddr,
+    options: (Limits, Timeouts),
+    servers: Vec<Server>,
+}
+
+fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("an address")
+}
+
+async fn listen<S: Clone + Send + Sync + 'static>(app: tide::Server<S>) -> Server {
+    let limits = http_server::Limits::default();
+    Server::start(loopback(), app, limits)
+        .await
+        .expect("port 0")
+}
+
+/// Stands between an instance and the log.
+fn path_to(log: tide::Server<Arc<LogService>>, fault: Arc<AtomicU8>) -> tide::Server<()> {
+    let answer = move |request: tide::Request<()>| {
+        let (log, fault) = (log.clone(), fault.load(Ordering::SeqCst));
+        async move {
+            let append = request.method() == Method::Post;
+            if fault == Fault::Down as u8 || fault == Fault::Deaf as u8 && !append {
+                return Ok(tide::Response::new(503));
+            }
+            let inner: tide::http::Request = request.into();
+            let response: tide::Response = log.respond(inner).await?;
+            if append && fault == Fault::Lost as u8 {
+                return Ok(tide::Response::new(502));
+            }
+            Ok(response)
+        }
+    };
+    let mut app = tide::new();
+    app.at("/*").all(answer);
+    app
+}
+
+fn entry(zone: &str) -> list::Instance {
+    list::Instance {
+        name: format!("entry-{zone}").into(),
+        role: Role::Entry,
+        zone: zone.into(),
+        rack: "".into(),
+        service: "".into(),
+        address: "".into(),
+        state: Liveness::Live,
+        resources: Resources::ZERO,
+    }
+}
+
+impl Cell {
+    pub async fn start(zones: &[&str]) -> Self {
+        let limits = Limits {
+            body_bytes: 4096,
+            watch_events: 16,
+            ..Limits::default()
+        };
+        let timeouts = Timeouts {
+            poll_ms: 50,
+            ..Timeouts::default()
+        };
+        Self::with(zones, limits, timeouts, Settings::default()).await
+    }
+
+    pub async fn with(zones: &[&str], limits: Limits, timeouts: Timeouts, log: Settings) -> Self {
+        let list = ListService::new(zones.iter().map(|zone| entry(zone)).collect());
+        let list = listen(list.app()).await;
+        let mut cell = Self {
+            nodes: Vec::new(),
+            clock: Arc::default(),
+            client: Client::new(),
+            log: LogService::new(log).app(),
+            list: list.address(),
+            options: (limits, timeouts),
+            servers: vec![list],
+        };
+        for zone in zones {
+            cell.add(zone).await;
+        }
+        cell
+    }
+
+    /// Starts an instance and waits until it has read the log and the list.
+    pub async fn add(&mut self, zone: &str) {
+        let fault = Arc::new(AtomicU8::new(0));
+        let log = listen(path_to(self.log.clone(), Arc::clone(&fault))).await;
+        let clock = Arc::clone(&self.clock);
+        let instance = Instance::start(Setup {
+            name: format!("entry-{zone}").into(),
+            zone: zone.into(),
+            region: "north".into(),
+            address: loopback(),
+            log: log.address(),
+            list: self.list,
+            operators: vec![auth::hash(OPERATOR).into()],
+            call_timeout: Duration::from_secs(5),
+            limits: self.options.0.clone(),
+            timeouts: self.options.1.clone(),
+            clock: Clock::new(move || Time(clock.load(Ordering::SeqCst))),
+        });
+        let instance = instance.await.expect("port 0");
+        self.servers.push(log);
+        let shared = Arc::clone(instance.shared());
+        self.nodes.push(Node {
+            instance,
+            fault,
+            linked: true,
+        });
+        let listed = || !shared.directory().is_empty();
+        let fresh = || {
+            shared
+                .configuration
+                .with_freshness(|f| f.current(shared.now()))
+        };
+        self.wait(|_| fresh() && listed()).await;
+    }
+
+    /// Exchanges heartbeats between linked instances.
+    pub fn exchange(&self) {
+        let now = Time(self.clock.load(Ordering::SeqCst));
+        let linked = || self.nodes.iter().filter(|node| node.linked);
+        for from in linked() {
+            let beat = from.shared().configuration.with_freshness(|f| f.beat(now));
+            for to in linked().filter(|to| !std::ptr::eq(*to, from)) {
+                let beat = beat.clone();
+                let hear = |f: &mut primrosebay_coordination::freshness::Freshness| {
+                    f.heard(now, now, beat);
+                };
+                to.shared().configuration.with_freshness(hear);
+            }
+        }
+    }
+
+    /// Moves the clock in steps of a heartbeat. Instances that reach the log confirm its end.
+    pub async fn pass(&self, ms: u64) {
+        for _ in 0..ms / 400 {
+            let now = self.clock.fetch_add(400, Ordering::SeqCst) + 400;
+            let confirmed = |node: &Node| {
+                let beat = node
+                    .shared()
+                    .configuration
+                    .with_freshness(|f| f.beat(Time(now)));
+                let up = node.fault.load(Ordering::SeqCst) == Fault::None as u8;
+                !up || beat.age.is_some_and(|age| age == 0)
+            };
+            self.wait(|cell| cell.nodes.iter().all(confirmed)).await;
+            self.exchange();
+        }
+    }
+
+    /// Waits until `done` holds, and fails after a number of looks that no healthy run needs.
+    pub async fn wait(&self, done: impl Fn(&Self) -> bool) {
+        for _ in 0..20_000 {
+            if done(self) {
+                return;
+            }
+            self.exchange();
+            task::sleep(Duration::from_millis(1)).await;
+        }
+        panic!("the condition does not hold");
+    }
+
+    /// Calls the API of the instance `at`, with heartbeats going on meanwhile.
+    pub async fn call(
+        &self,
+        at: usize,
+        key: &str,
+        method: Method,
+        path: &str,
+        body: impl Into<Vec<u8>>,
+    ) -> (u16, String) {
+        let bearer = format!("Bearer {key}");
+        let headers: &[(&str, &str)] = match key {
+            "" => &[],
+            _ => &[("authorization", &bearer)],
+        };
+        let body = Some(body.into()).filter(|body| !body.is_empty());
+        let address = self.nodes[at].instance.address();
+        let limit = Duration::from_secs(20);
+        let answer = self
+            .client
+            .bytes(address, method, path, headers, body, limit);
+        let beats = async {
+            loop {
+                self.exchange();
+                task::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        let (status, bytes) = futures_lite::future::or(answer, beats)
+            .await
+            .expect("an answer");
+        (status.into(), String::from_utf8_lossy(&bytes).into_owned())
+    }
+
+    /// Writes a resource with the operators' key.
+    pub async fn put(&self, at: usize, path: &str, version: u64, spec: &str) -> (u16, String) {
+        let body = format!(r#"{{"version":{version},"spec":{spec}}}"#);
+        self.call(at, OPERATOR, Method::Put, path, body).await
+    }
+
+    /// Declares the zones and two teams with a key each.
+    pub async fn seed(&self) {
+        for node in &self.nodes {
+            let path = format!("/v1/zones/{}", node.shared().setup.zone);
+            let (status, body) = self
+                .put(0, &path, 0, r#"{"state":"in","region":"north"}"#)
+                .await;
+            assert!(status < 300, "{body}");
+        }
+        for team in ["a", "b"] {
+            let spec = r#"{"share":1,"limit":{"cores_milli":9000}}"#;
+            self.put(0, &format!("/v1/teams/{team}"), 0, spec).await;
+            let hash = auth::hash(&format!("{team}-key"));
+            let spec = format!(r#"{{"team":"{team}","hash":"{hash}"}}"#);
+            let (status, body) = self.put(0, &format!("/v1/keys/{team}"), 0, &spec).await;
+            assert_eq!(status, 200, "{body}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/primrosebay_entry/tests/operators.rs
@@ -0,0 +1,483 @@
+//! Operators steer the system through entry instances.
+
+mod cell;
+
+use async_std::io::prelude::BufReadExt;
+use async_std::io::{BufReader, WriteExt};
+use async_std::net::TcpStream;
+use async_std::task::block_on;
+use cell::{Cell, Fault, OPERATOR};
+use primrosebay_coordination::freshness::Freshness;
+use primrosebay_entry::configuration::Configuration;
+use primrosebay_protocol::api::{Failure, WatchLine};
+use primrosebay_protocol::code::Code;
+use primrosebay_protocol::log::CONFIG_STREAM;
+use primrosebay_settings::{Limits, Timeouts};
+use primrosebay_standin::log::Settings;
+use primrosebay_state::config::Config;
+use primrosebay_state::record::Body;
+use primrosebay_state::time::Time;
+use rstest::rstest;
+use tide::http::Method::{Delete, Get, Post, Put};
+
+const TEAM: &str = r#"{"share":1,"limit":{"cores_milli":9000}}"#;
+
+fn code(answer: &(u16, String)) -> Code {
+    let failure: Failure = serde_json::from_str(&answer.1).expect(&answer.1);
+    assert_eq!(failure.code.status(), answer.0, "{}", answer.1);
+    failure.code
+}
+
+/// Guards against changes of the routes, codes and bodies that operators' tools rely on.
+#[test]
+fn session_of_an_operator() {
+    block_on(async {
+        let cell = Cell::start(&["a"]).await;
+        let hash = "5e".repeat(32);
+        let key = format!(r#"{{"version":0,"spec":{{"team":"shops","hash":"{hash}"}}}}"#);
+        let steps = [
+            (
+                Put,
+                "/v1/zones/a",
+                r#"{"version":0,"spec":{"state":"in","region":"north"}}"#,
+            ),
+            (
+                Put,
+                "/v1/teams/shops",
+                r#"{"version":0,"spec":{"share":2,"limit":{"cores_milli":8000}}}"#,
+            ),
+            (
+                Put,
+                "/v1/teams/shops?dry_run=true",
+                r#"{"version":2,"spec":{"share":3,"limit":{}}}"#,
+            ),
+            (
+                Put,
+                "/v1/teams/stock",
+                r#"{"version":0,"spec":{"share":1,"limit":{}}}"#,
+            ),
+            (Put, "/v1/keys/shops-1", &key),
+            (Put, "/v1/keys/shops-2", &key),
+            (
+                Put,
+                "/v1/queues/baskets",
+                r#"{"version":0,"spec":{"open":true,"team":"shops"}}"#,
+            ),
+            (
+                Put,
+                "/v1/teams/shops",
+                r#"{"version":1,"spec":{"share":3,"limit":{}}}"#,
+            ),
+            (
+                Put,
+                "/v1/teams/Shops",
+                r#"{"version":0,"spec":{"share":0,"limit":{}}}"#,
+            ),
+            (
+                Put,
+                "/v1/teams/shops",
+                r#"{"version":2,"spec":{"share":3,"limit":{},"quota":1}}"#,
+            ),
+            (
+                Put,
+                "/v1/teams/shops",
+                r#"{"version":2,"spec":{"kind":"zone","state":"in","region":"north"}}"#,
+            ),
+            (Put, "/v1/teams/shops", "{"),
+            (Get, "/v1/teams/shops", ""),
+            (Get, "/v1/teams?limit=1", ""),
+            (Get, "/v1/teams?limit=1&after=shops", ""),
+            (Get, "/v1/queues?open=true", ""),
+            (Get, "/v1/queues?open=false", ""),
+            (Get, "/v1/queues?opened=false&limit=0", ""),
+            (Get, "/v1/zones?state=in&region=north", ""),
+            (Delete, "/v1/zones/a?version=1", ""),
+            (
+                Put,
+                "/v1/zones/a",
+                r#"{"version":1,"spec":{"state":"out","region":"north"}}"#,
+            ),
+            (Delete, "/v1/teams/stock", ""),
+            (Delete, "/v1/teams/stock?version=3&dry_run=true", ""),
+            (Delete, "/v1/teams/stock?version=3", ""),
+            (Delete, "/v1/teams/stock?version=3", ""),
+            (Get, "/v1/teams/%FF", ""),
+            (Get, "/v1/trams", ""),
+            (Post, "/v1/teams/shops", ""),
+            (Get, "/v1/workers", ""),
+            (Get, "/v1/jobs", ""),
+            (Get, "/v1/tasks?state=running", ""),
+            (Get, "/healthz", ""),
+        ];
+        let mut session = String::new();
+        for (method, path, body) in steps {
+            let (status, answer) = cell.call(0, OPERATOR, method, path, body).await;
+            session += &[method.as_ref(), " ", path, " ", body, "\n"].concat();
+            session += &[&status.to_string(), " ", answer.trim_end(), "\n\n"].concat();
+        }
+        insta::assert_snapshot!("session", session);
+    });
+}
+
+/// Guards against routes that work without a key, or with the key of a team.
+#[rstest]
+#[case::no_key("", Code::NO_KEY)]
+#[case::team_key("a-key", Code::NOT_OPERATOR)]
+fn routes_of_operators_need_their_key(#[case] key: &str, #[case] expected: Code) {
+    block_on(async {
+        let cell = Cell::start(&["a"]).await;
+        cell.seed().await;
+        for (method, path) in [
+            (Get, "/v1/teams"),
+            (Get, "/v1/keys/a"),
+            (Put, "/v1/teams/c"),
+            (Delete, "/v1/keys/a?version=3"),
+            (Get, "/v1/workers"),
+            (Get, "/v1/watch"),
+        ] {
+            let answer = cell.call(0, key, method, path, "").await;
+            assert_eq!(code(&answer), expected, "{method} {path}");
+        }
+    });
+}
+
+/// Guards against bodies that fill the memory or stop the instance.
+#[rstest]
+#[case::too_large(" ".repeat(5000).into_bytes(), Code::BODY_TOO_LARGE)]
+#[case::not_utf8(b"{\"version\":0,\"spec\":{\"share\":1,\"limit\":{},\"\xff\":1}}".to_vec(), Code::MALFORMED)]
+#[case::deeply_nested(b"[".repeat(4000), Code::MALFORMED)]
+fn bad_bodies_are_refused(#[case] body: Vec<u8>, #[case] expected: Code) {
+    block_on(async {
+        let cell = Cell::start(&["a"]).await;
+        let answer = cell
+            .call(0, OPERATOR, Put, "/v1/teams/a", body.clone())
+            .await;
+        assert_eq!(code(&answer), expected);
+        cell.seed().await;
+        let answer = cell.call(0, "a-key", Post, "/v1/jobs", body).await;
+        assert_eq!(code(&answer), expected);
+    });
+}
+
+/// Guards against two operators at different instances who are both told that they won.
+#[test]
+fn one_of_two_racing_operators_wins() {
+    block_on(async {
+        let cell = Cell::start(&["a", "b", "c"]).await;
+        cell.seed().await;
+        for round in 0..10 {
+            let path = format!("/v1/teams/race-{round}");
+            let one = Box::pin(cell.put(0, &path, 0, TEAM));
+            let two = Box::pin(cell.put(1, &path, 0, r#"{"share":7,"limit":{}}"#));
+            let (one, two) = futures_lite::future::zip(one, two).await;
+            let mut statuses = [one.0, two.0];
+            statuses.sort_unstable();
+            assert_eq!(statuses, [200, 409], "{one:?} {two:?}");
+            // The third zone may be the one that an accepted change has not reached yet.
+            let name = format!("race-{round}");
+            let known = |cell: &Cell| cell.nodes[2].shared().config().get("team", &name).is_some();
+            cell.wait(known).await;
+            let (_, winner) = cell.call(2, OPERATOR, Get, &path, "").await;
+            let share = if one.0 == 200 {
+                "\"share\":1"
+            } else {
+                "\"share\":7"
+            };
+            assert!(winner.contains(share), "{winner}");
+        }
+    });
+}
+
+/// Guards against an instance that lags and takes the acceptance by others for its own victory.
+#[test]
+fn lagging_instance_learns_that_its_change_lost() {
+    block_on(async {
+        let cell = Cell::start(&["a", "b", "c"]).await;
+        cell.seed().await;
+        cell.wait(|cell| cell.nodes[0].shared().judge(6).missing.is_empty())
+            .await;
+        cell.nodes[0].fault(Fault::Deaf);
+        // A read that was under way may still be answered, so the changes after it count.
+        let next = |at: usize| cell.nodes[at].shared().config().next;
+        while cell
+            .put(1, &format!("/v1/teams/t{}", next(1)), 0, TEAM)
+            .await
+            .0
+            == 200
+            && next(0) == next(1)
+        {}
+        assert_eq!(cell.put(1, "/v1/teams/x", 0, TEAM).await.0, 200);
+        let end = next(1);
+        let write = Box::pin(cell.put(0, "/v1/teams/x", 0, r#"{"share":7,"limit":{}}"#));
+        let heal = Box::pin(async {
+            cell.wait(|_| next(1) > end && next(2) > end).await;
+            cell.nodes[0].fault(Fault::None);
+        });
+        let (answer, ()) = futures_lite::future::zip(write, heal).await;
+        assert_eq!(code(&answer), Code::CONFLICT);
+    });
+}
+
+/// Guards against a configuration that an older one replaces, such as a late answer of a peer.
+#[test]
+fn older_configuration_is_not_put_in_force() {
+    let freshness = Freshness::new(&"a".into(), &"a".into(), &"north".into());
+    let configuration = Configuration::new(16, freshness);
+    let (mut newer, older) = (Config::new(), Config::new());
+    newer.next = 3;
+    configuration.set(Time(0), newer);
+    configuration.set(Time(1), older);
+    assert_eq!(configuration.get().next, 3);
+}
+
+/// Guards against a withdrawn key that still works after its withdrawal was accepted, and against
+/// a key that reads or submits for another team.
+#[test]
+fn keys_stop_and_stay_within_their_team() {
+    block_on(async {
+        let cell = Cell::start(&["a", "b", "c"]).await;
+        cell.seed().await;
+        for at in 0..3 {
+            cell.wait(|cell| cell.nodes[at].shared().config().get("key", "b").is_some())
+                .await;
+            assert_eq!(cell.call(at, "a-key", Get, "/v1/jobs", "").await.0, 200);
+        }
+        let job = r#"{"name":"j","team":"b","resources":{"cores_milli":1}}"#;
+        let answer = cell.call(0, "a-key", Post, "/v1/jobs", job).await;
+        assert_eq!(code(&answer), Code::OTHER_TEAM);
+        let job = r#"{"name":"j","resources":{"cores_milli":1}}"#;
+        let (status, body) = cell.call(0, "a-key", Post, "/v1/jobs", job).await;
+        assert_eq!(status, 201, "{body}");
+        let id: primrosebay_protocol::api::Submitted = serde_json::from_str(&body).expect("an id");
+        let path = format!("/v1/jobs/{}", id.id);
+        let known = |cell: &Cell| {
+            let zone = cell.nodes[0].shared().zone("a").expect("its own zone");
+            zone.read(|coordinator| coordinator.job(id.id).is_some())
+        };
+        cell.wait(known).await;
+        let foreign = cell.call(0, "b-key", Get, &path, "").await;
+        assert_eq!(code(&foreign), Code::NOT_FOUND);
+        let version = cell.nodes[0].shared().config().version("key", "a");
+        let path = format!("/v1/keys/a?version={version}");
+        let (status, body) = cell.call(0, OPERATOR, Delete, &path, "").await;
+        assert_eq!(status, 200, "{body}");
+        let mut refused = 0;
+        for at in 0..3 {
+            let answer = cell.call(at, "a-key", Get, "/v1/jobs", "").await;
+            refused += usize::from(answer.0 == 401);
+        }
+        assert!(
+            refused >= 2,
+            "an accepted change is in force in more than half of the zones"
+        );
+        cell.pass(4400).await;
+        for at in 0..3 {
+            let answer = cell.call(at, "a-key", Get, "/v1/jobs", "").await;
+            assert_eq!(code(&answer), Code::WRONG_KEY, "instance {at}");
+        }
+    });
+}
+
+/// Guards against an isolated instance that takes keyed work, and against one that stops although
+/// the log is down for all.
+#[test]
+fn isolated_instance_stops_and_an_outage_for_all_does_not() {
+    block_on(async {
+        let mut cell = Cell::start(&["a", "b", "c"]).await;
+        cell.seed().await;
+        cell.nodes[2].fault(Fault::Down);
+        cell.nodes[2].linked = false;
+        cell.pass(4400).await;
+        let answer = cell.call(2, "a-key", Get, "/v1/jobs", "").await;
+        assert_eq!(code(&answer), Code::NOT_FRESH);
+        assert_eq!(cell.call(0, "a-key", Get, "/v1/jobs", "").await.0, 200);
+        let (_, ready) = cell.call(2, "", Get, "/readyz", "").await;
+        assert!(ready.contains(r#""status":"stale""#), "{ready}");
+        // The change is accepted without the isolated zone, whose old configuration does no harm.
+        let (status, body) = cell.put(0, "/v1/teams/c", 0, TEAM).await;
+        assert_eq!(status, 200, "{body}");
+        assert!(body.contains(r#""missing":["c"]"#), "{body}");
+        // The log is down for all; the isolated instance is behind and stays stopped.
+        cell.nodes[0].fault(Fault::Down);
+        cell.nodes[1].fault(Fault::Down);
+        cell.nodes[2].linked = true;
+        cell.pass(8000).await;
+        assert_eq!(cell.call(0, "a-key", Get, "/v1/jobs", "").await.0, 200);
+        assert_eq!(cell.call(1, "a-key", Get, "/v1/jobs", "").await.0, 200);
+        let answer = cell.call(2, "a-key", Get, "/v1/jobs", "").await;
+        assert_eq!(code(&answer), Code::NOT_FRESH);
+        // The status of an append that failed may be unknown, but the change is not in force.
+        let (status, _) = cell.put(0, "/v1/teams/d", 0, TEAM).await;
+        assert_eq!(status, 504);
+        cell.nodes[2].fault(Fault::None);
+        cell.wait(|cell| cell.nodes[2].shared().config().get("team", "c").is_some())
+            .await;
+        cell.pass(400).await;
+        assert_eq!(cell.call(2, "a-key", Get, "/v1/jobs", "").await.0, 200);
+    });
+}
+
+/// Guards against a change that is called accepted while no quorum of zones has it.
+#[test]
+fn change_without_a_quorum_is_pending() {
+    block_on(async {
+        let timeouts = Timeouts {
+            accept_ms: 200,
+            poll_ms: 50,
+            ..Timeouts::default()
+        };
+        let zones = ["a", "b", "c"];
+        let mut cell = Cell::with(&zones, Limits::default(), timeouts, Settings::default()).await;
+        cell.seed().await;
+        for node in &mut cell.nodes[1..] {
+            node.linked = false;
+        }
+        cell.pass(4400).await;
+        let (status, body) = cell.put(0, "/v1/teams/c", 0, TEAM).await;
+        assert_eq!(status, 202, "{body}");
+        assert!(body.contains(r#""missing":["b","c"]"#), "{body}");
+        for node in &mut cell.nodes {
+            node.linked = true;
+        }
+        cell.wait(|cell| cell.nodes[0].shared().judge(7).missing.is_empty())
+            .await;
+        let (_, body) = cell.call(0, OPERATOR, Get, "/v1/teams/c", "").await;
+        assert!(body.contains(r#""missing":[]"#), "{body}");
+    });
+}
+
+/// Guards against an answer that calls a change failed although it is in the log.
+#[test]
+fn lost_acknowledgement_is_not_reported_as_a_failure() {
+    block_on(async {
+        let cell = Cell::start(&["a"]).await;
+        cell.seed().await;
+        cell.nodes[0].fault(Fault::Lost);
+        let answer = cell.put(0, "/v1/teams/c", 0, TEAM).await;
+        assert_eq!(code(&answer), Code::RECORD_UNKNOWN);
+        cell.wait(|cell| cell.nodes[0].shared().config().get("team", "c").is_some())
+            .await;
+        cell.nodes[0].fault(Fault::None);
+        let answer = cell.put(0, "/v1/teams/c", 0, TEAM).await;
+        assert_eq!(code(&answer), Code::CONFLICT);
+    });
+}
+
+/// Guards against an instance that starts without the configuration whose first records the log
+/// has dropped.
+#[test]
+fn instance_starts_from_a_snapshot() {
+    block_on(async {
+        let log = Settings { retention: 4 };
+        let timeouts = Timeouts {
+            poll_ms: 50,
+            ..Timeouts::default()
+        };
+        let mut cell = Cell::with(&["a"], Limits::default(), timeouts, log).await;
+        cell.seed().await;
+        let shared = cell.nodes[0].shared();
+        for piece in shared.config().pieces() {
+            let body = Body::ConfigSnapshot(piece);
+            shared
+                .publisher
+                .append(CONFIG_STREAM, body)
+                .await
+                .expect("appended");
+        }
+        cell.put(0, "/v1/teams/c", 0, TEAM).await;
+        cell.add("b").await;
+        let (first, second) = (cell.nodes[0].shared(), cell.nodes[1].shared());
+        let (first, second) = (first.config(), second.config());
+        assert_eq!(first.list("team").count(), 3);
+        assert!(first.list("team").eq(second.list("team")));
+        assert_eq!(first.allowances(), second.allowances());
+        assert_eq!(cell.call(1, "a-key", Get, "/v1/jobs", "").await.0, 200);
+    });
+}
+
+/// Guards against a watch that loses changes silently, ends without a word, or is never flushed.
+#[test]
+fn watch_follows_changes_and_says_when_it_is_too_old() {
+    block_on(async {
+        let cell = Cell::start(&["a"]).await;
+        cell.seed().await;
+        let address = cell.nodes[0].instance.address();
+        let mut stream = TcpStream::connect(address).await.expect("loopback");
+        let head = format!(
+            "GET /v1/watch?from=4 HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {OPERATOR}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.expect("sent");
+        let mut lines = BufReader::new(stream);
+        let mut seen = Vec::new();
+        let mut read = async |until: &WatchLine| {
+            while seen.last() != Some(until) {
+                let mut line = String::new();
+                assert!(
+                    lines.read_line(&mut line).await.expect("open") > 0,
+                    "{seen:?}"
+                );
+                seen.extend(serde_json::from_str::<WatchLine>(&line));
+            }
+            seen.clone()
+        };
+        let before = read(&WatchLine::Bookmark { next: 5 }).await;
+        assert!(matches!(&before[0], WatchLine::Change(event) if &*event.name == "b"));
+        cell.put(0, "/v1/teams/c", 0, TEAM).await;
+        let after = read(&WatchLine::Bookmark { next: 6 }).await;
+        let change = &after[after.len() - 2];
+        assert!(matches!(change, WatchLine::Change(event) if &*event.name == "c"));
+        for version in 6..22 {
+            let answer = cell.put(0, "/v1/teams/c", version, TEAM).await;
+            assert_eq!(answer.0, 200, "{}", answer.1);
+        }
+        let answer = cell.call(0, OPERATOR, Get, "/v1/watch?from=5", "").await;
+        assert_eq!(code(&answer), Code::TOO_OLD);
+    });
+}
+
+/// Guards against watches without a bound.
+#[test]
+fn watches_are_bounded() {
+    block_on(async {
+        let limits = Limits {
+            watchers: 1,
+            ..Limits::default()
+        };
+        let cell = Cell::with(&["a"], limits, Timeouts::default(), Settings::default()).await;
+        let address = cell.nodes[0].instance.address();
+        let mut stream = TcpStream::connect(address).await.expect("loopback");
+        let head = format!(
+            "GET /v1/watch HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {OPERATOR}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.expect("sent");
+        cell.wait(|cell| cell.nodes[0].shared().watchers.count() == 1)
+            .await;
+        let answer = cell.call(0, OPERATOR, Get, "/v1/watch", "").await;
+        assert_eq!(code(&answer), Code::OVERLOADED);
+        assert_eq!(cell.nodes[0].shared().watchers.count(), 1);
+    });
+}
+
+/// Guards against figures that are missing when operators need them.
+#[test]
+fn metrics_tell_the_state_of_the_configuration() {
+    block_on(async {
+        let cell = Cell::start(&["m"]).await;
+        cell.seed().await;
+        let (status, text) = cell.call(0, "", Get, "/metrics", "").await;
+        assert_eq!(status, 200);
+        for parts in [
+            ["config_next{", "} 5"],
+            [r#"status="fresh""#, "} 1"],
+            [r#"status="stale""#, "} 0"],
+            [r#"result="done""#, "} 5"],
+            ["api_answers_total{", r#"method="PUT""#],
+        ] {
+            let has = |line: &&str| parts.iter().all(|part| line.contains(part));
+            assert!(
+                text.lines().any(|line| has(&line)),
+                "{parts:?} is not in\n{text}"
+            );
+        }
+    });
+}
--- a/crates/primrosebay_protocol/src/api.rs
+++ b/crates/primrosebay_protocol/src/api.rs
@@ -3,9 +3,11 @@
 use serde::{Deserialize, Serialize};
 
 use primrosebay_state::Name;
+use primrosebay_state::config::{Event, Resource, Stored};
 use primrosebay_state::id::JobId;
 use primrosebay_state::job::{JobSpec, Problem};
 use primrosebay_state::record::Outcome;
+use primrosebay_state::resources::Resources;
 
 use crate::code::Code;
 
@@ -96,3 +98,136 @@
     /// The tasks, by index.
     pub tasks: Vec<TaskView>,
 }
+
+/// The body of a write of a resource.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Write {
+    /// The version that is replaced; 0 if the resource must not exist yet.
+    pub version: u64,
+    /// The new contents. The field `kind` may be left out, because the path gives it.
+    pub spec: Resource,
+}
+
+/// The answer to a write or deletion of a resource.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Written {
+    /// Tells whether the change is accepted.
+    pub code: Code,
+    /// What that means.
+    pub message: String,
+    /// The new version; the present one after a dry run.
+    pub version: u64,
+    /// The zones that have not applied the change.
+    pub missing: Vec<Name>,
+}
+
+/// A resource as the API shows it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Found {
+    /// The resource.
+    #[serde(flatten)]
+    pub item: Stored,
+    /// The zones that have not applied its latest change.
+    pub missing: Vec<Name>,
+}
+
+/// One page of a list, by name.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Items<T> {
+    /// The items.
+    pub items: Vec<T>,
+    /// What to give as `after` for the next page; nothing on the last one.
+    pub next: Option<String>,
+    /// What to give as `from` in order to watch the changes after this list.
+    pub from: u64,
+}
+
+/// One line of a watch.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum WatchLine {
+    /// A resource was written or deleted.
+    Change(Event),
+    /// Nothing else happened before the offset `next`, from which a watch can go on.
+    Bookmark {
+        /// The offset.
+        next: u64,
+    },
+    /// The watch fell so far behind that changes were lost; it ends here.
+    TooOld {
+        /// The result code.
+        code: Code,
+        /// The lowest offset that can be watched from.
+        oldest: u64,
+    },
+}
+
+/// One worker as the API shows it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WorkerItem {
+    /// The name.
+    pub name: Name,
+    /// The availability zone.
+    pub zone: Name,
+    /// The rack.
+    pub rack: Name,
+    /// What it holds in total.
+    pub total: Resources,
+    /// Whether this instance holds its control lease.
+    pub held: bool,
+    /// Whether it gets tasks.
+    pub usable: bool,
+    /// Whether it is quarantined because it fails what it starts.
+    pub quarantined: bool,
+    /// Tasks that were sent to it.
+    pub tasks: usize,
+}
+
+/// One task as the API lists it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TaskItem {
+    /// The task, as the job's identifier and the position.
+    pub name: String,
+    /// The job.
+    pub job: JobId,
+    /// The team.
+    pub team: Name,
+    /// The home zone.
+    pub zone: Name,
+    /// The state.
+    #[serde(flatten)]
+    pub task: TaskView,
+}
+
+/// The answer of `/readyz`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Ready {
+    /// Whether the instance takes work.
+    pub ready: bool,
+    /// `fresh`, `outage` or `stale`.
+    pub status: Name,
+    /// Milliseconds since the end of the log was confirmed; nothing if it never was.
+    pub age_ms: Option<u64>,
+    /// The offset after the last configuration record in force.
+    pub next: u64,
+    /// The zones that the instance coordinates or may come to coordinate.
+    pub zones: Vec<ZoneReady>,
+}
+
+/// How far the recovery of a zone has come.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ZoneReady {
+    /// The zone.
+    pub zone: Name,
+    /// `OK` if inherited tasks may start.
+    pub code: Code,
+    /// Workers of the latest term whose lease is held.
+    pub claimed: usize,
+    /// Workers of the latest term.
+    pub voters: usize,
+    /// Workers on which unknown tasks may run.
+    pub unlocated: Vec<Name>,
+    /// Jobs with inherited tasks that wait.
+    pub inherited: usize,
+}
--- a/crates/primrosebay_protocol/src/code.rs
+++ b/crates/primrosebay_protocol/src/code.rs
@@ -81,6 +81,7 @@
     NOT_FOUND = 4001, 404, No, Never, "There is no such resource.";
     CONFLICT = 4002, 409, No, Never, "The resource has another version than the one given.";
     TOO_OLD = 4003, 410, No, Never, "The version to watch from is no longer kept; list the resources and watch from there.";
+    NO_METHOD = 4004, 405, No, Never, "The route does not take this method.";
     OVERLOADED = 5001, 503, No, Later, "A queue is full.";
     NO_MINION = 5002, 503, No, Later, "No minion of the service can take the request.";
     NOT_FRESH = 5003, 503, No, Later, "The entry instance is cut off and cannot check keys.";
@@ -89,7 +90,7 @@
     STOPPING = 5006, 503, No, Later, "The entry instance is stopping.";
     DEADLINE = 5007, 504, No, Later, "The deadline passed before the request was sent to a minion.";
     UNKNOWN = 6001, 504, Unknown, IfIdempotent, "The request was sent to a minion and its answer was lost.";
-    RECORD_UNKNOWN = 6002, 504, Unknown, IfIdempotent, "The change was sent to the log and the answer was lost; read the resource to see whether it took effect.";
+    RECORD_UNKNOWN = 6002, 504, Unknown, IfIdempotent, "The change was sent to the log and its outcome is not known; read the resource to see whether it took effect.";
     MINION_FAILED = 6003, 502, Yes, IfIdempotent, "The minion ran the request and reported a failure.";
     INTERNAL = 9001, 500, Unknown, IfIdempotent, "The entry instance failed.";
 }
--- a/crates/primrosebay_state/src/config/snapshot.rs
+++ b/crates/primrosebay_state/src/config/snapshot.rs
@@ -57,11 +57,11 @@
             .collect()
     }
 
-    fn from_pieces(pieces: &[&Piece]) -> Option<Self> {
+    fn from_pieces(pieces: &[&Piece], history: usize) -> Option<Self> {
         let first = pieces.first()?;
         let mut config = Self {
             next: first.at,
-            history: History::starting(first.at, super::HISTORY),
+            history: History::starting(first.at, history),
             allowances: first.allowances.clone(),
             ..Self::default()
         };
@@ -93,15 +93,18 @@
 #[derive(Debug)]
 pub struct Loader {
     oldest: u64,
+    history: usize,
     records: Vec<(u64, Record)>,
 }
 
 impl Loader {
-    /// Creates a loader for a log whose oldest kept offset is `oldest`.
+    /// Creates a loader for a log whose oldest kept offset is `oldest`. The configuration keeps
+    /// `history` changes for watches.
     #[must_use]
-    pub fn new(oldest: u64) -> Self {
+    pub fn new(oldest: u64, history: usize) -> Self {
         Self {
             oldest,
+            history,
             records: Vec::new(),
         }
     }
@@ -116,7 +119,7 @@
     #[must_use]
     pub fn build(&self) -> Option<Config> {
         let mut config = if self.oldest == 0 {
-            Config::new()
+            Config::with_history(self.history)
         } else {
             self.latest()?
         };
@@ -140,6 +143,6 @@
         pieces
             .chunk_by(|a, b| (a.at, a.parts) == (b.at, b.parts))
             .rfind(|group| group.len() == group[0].parts as usize)
-            .and_then(Config::from_pieces)
+            .and_then(|group| Config::from_pieces(group, self.history))
     }
 }
--- a/crates/primrosebay_state/tests/config.rs
+++ b/crates/primrosebay_state/tests/config.rs
@@ -4,7 +4,7 @@
 
 use common::{apply, change, cores, key, record, runner, team, zone};
 use primrosebay_state::config::{
-    Applied, Change, Config, KeyHash, Loader, Piece, Resource, TooOld, ZoneState,
+    Applied, Change, Config, HISTORY, KeyHash, Loader, Piece, Resource, TooOld, ZoneState,
 };
 use primrosebay_state::record::{Body, Record};
 use proptest::prelude::*;
@@ -179,7 +179,7 @@
 }
 
 fn restore(pieces: &[Piece], oldest: u64, tail: &[(u64, Record)]) -> Option<Config> {
-    let mut loader = Loader::new(oldest);
+    let mut loader = Loader::new(oldest, HISTORY);
     for (offset, record) in tail {
         loader.push(*offset, record.clone());
     }
