--- a/crates/primrosebay_entry/tests/request_access.rs
+++ b/crates/primrosebay_entry/tests/request_access.rs
@@ -6,6 +6,7 @@
 use async_std::task;
 use http_types::Method;
 use primrosebay_entry::auth::hash;
+use primrosebay_entry::clock::Clock;
 use primrosebay_entry::instance::Instance;
 use primrosebay_entry::requests::account;
 use primrosebay_entry::shared::Setup;
@@ -110,8 +111,12 @@
         address,
         log: log.address(),
         list: list.address(),
-        operator_hash: "".into(),
+        region: "r".into(),
+        operators: Vec::new(),
         call_timeout: timeout,
+        limits: primrosebay_settings::Limits::default(),
+        timeouts: primrosebay_settings::Timeouts::default(),
+        clock: Clock::default(),
     };
     let entry = Instance::start(setup).await.unwrap();
     let client = Arc::new(Client::new());
