--- a/crates/primrosebay/src/client.rs
+++ b/crates/primrosebay/src/client.rs
@@ -6,7 +6,7 @@
 use clap::ArgMatches;
 use eyre::{WrapErr, eyre};
 use http_types::Method;
-use primrosebay_protocol::api::Failure;
+use primrosebay_protocol::api::{Failure, Items};
 use primrosebay_state::config::{Resource, Stored};
 use primrosebay_transport::http_client;
 use serde::de::DeserializeOwned;
@@ -83,6 +83,23 @@
         serde_json::from_slice(&bytes).wrap_err("malformed answer")
     }
 
+    /// Reads all pages of a list.
+    pub async fn list<T: DeserializeOwned>(&self, path: &str) -> eyre::Result<Vec<T>> {
+        let mut items = Vec::new();
+        let mut after = String::new();
+        loop {
+            let page: Items<T> = self
+                .json(Method::Get, &format!("{path}{after}"), None)
+                .await?;
+            items.extend(page.items);
+            let Some(next) = page.next else {
+                return Ok(items);
+            };
+            let separator = if path.contains('?') { '&' } else { '?' };
+            after = format!("{separator}after={next}");
+        }
+    }
+
     /// Writes a resource, whatever version it has.
     pub async fn put(&self, name: &str, spec: &Resource) -> eyre::Result<()> {
         let path = format!("/v1/{}s/{name}", spec.kind());
--- /dev/null
+++ b/crates/primrosebay/tests/support/mod.rs
@@ -0,0 +1,347 @@
+//! Starts the parts of a cell as processes of their own, so that tests can kill and freeze them.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use async_std::task;
+use http_types::Method;
+use primrosebay_protocol::api::{JobView, Submitted};
+use primrosebay_protocol::list::{Instance, Liveness, Role};
+use primrosebay_standin::worker::Status;
+use primrosebay_state::config::{Resource, Stored, ZoneState};
+use primrosebay_state::id::JobId;
+use primrosebay_state::job::JobSpec;
+use primrosebay_state::resources::Resources;
+use primrosebay_transport::http_client::{CallError, Client};
+use rustix::process::{Pid, Signal, kill_process};
+
+/// The key of the operators.
+pub const OPERATOR: &str = "operator-key";
+/// The key of the team `shops`.
+pub const TEAM: &str = "shops-key";
+/// Time-out of a call. It only has to be longer than a healthy answer takes.
+const TIMEOUT: Duration = Duration::from_secs(10);
+/// Tries of a condition, 50 ms apart, before a test gives up.
+const TRIES: u32 = 1200;
+
+/// A child process that is killed when the test ends.
+pub struct Process {
+    child: Child,
+    pub address: SocketAddr,
+}
+
+impl Process {
+    /// Starts the binary and waits until it prints its address.
+    pub fn start(args: &[&str]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_primrosebay"))
+            .args(args)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap())
+            .read_line(&mut line)
+            .unwrap();
+        let address = line.rsplit(' ').next().unwrap().trim().parse();
+        Self {
+            child,
+            address: address.unwrap_or_else(|_| panic!("{args:?} printed {line:?}")),
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Kills the process without a chance to clean up.
+    pub fn kill(mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Asks the process to stop and returns whether it exited without an error.
+    pub fn terminate(mut self) -> bool {
+        self.signal(Signal::TERM);
+        self.child.wait().unwrap().success()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A cell with one zone.
+pub struct Cell {
+    pub log: Process,
+    pub list: Process,
+    pub workers: Vec<Process>,
+    pub minions: Vec<Process>,
+    pub entries: Vec<Process>,
+    http: Client,
+}
+
+impl Cell {
+    /// Starts a cell and sets up its team.
+    pub async fn start(workers: usize, entries: usize) -> Self {
+        let mut cell = Self {
+            log: Process::start(&["stand-in", "log"]),
+            list: Process::start(&["stand-in", "list"]),
+            workers: Vec::new(),
+            minions: Vec::new(),
+            entries: Vec::new(),
+            http: Client::new(),
+        };
+        for _ in 0..workers {
+            cell.add_worker().await;
+        }
+        for _ in 0..entries {
+            cell.add_entry().await;
+        }
+        cell.set_up().await;
+        cell
+    }
+
+    async fn add_worker(&mut self) {
+        let process = Process::start(&["stand-in", "worker", "--cores", "8"]);
+        let name = format!("worker-{}", self.workers.len());
+        self.enlist(&name, Role::Worker, process.address, Liveness::Live)
+            .await;
+        self.workers.push(process);
+    }
+
+    pub async fn add_minion(&mut self) {
+        let process = Process::start(&["stand-in", "minion"]);
+        let name = format!("minion-{}", self.minions.len());
+        self.enlist(&name, Role::Minion, process.address, Liveness::Live)
+            .await;
+        self.minions.push(process);
+    }
+
+    /// Starts an entry instance.
+    pub async fn add_entry(&mut self) {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let name = format!("entry-{}", NEXT.fetch_add(1, Ordering::Relaxed));
+        let path = std::env::temp_dir().join(format!("{name}-{}.yaml", std::process::id()));
+        let settings = format!(
+            "instance: {{name: {name}, zone: a, region: r}}\n\
+             addresses: {{http: '127.0.0.1:0', peers: '127.0.0.1:0', log: '{}', list: '{}'}}\n\
+             operators: {{keys: [{}]}}\n\
+             timeouts: {{task_ms: 3000}}\n",
+            self.log.address,
+            self.list.address,
+            primrosebay_entry::auth::hash(OPERATOR),
+        );
+        std::fs::File::create(&path)
+            .unwrap()
+            .write_all(settings.as_bytes())
+            .unwrap();
+        let process = Process::start(&["serve", "--settings", path.to_str().unwrap()]);
+        std::fs::remove_file(&path).unwrap();
+        self.enlist(&name, Role::Entry, process.address, Liveness::Live)
+            .await;
+        self.entries.push(process);
+    }
+
+    /// Writes an instance to the live list.
+    pub async fn enlist(&self, name: &str, role: Role, address: SocketAddr, state: Liveness) {
+        let instance = Instance {
+            name: name.into(),
+            role,
+            zone: "a".into(),
+            rack: "rack".into(),
+            service: if role == Role::Minion { "prices" } else { "" }.into(),
+            address: address.to_string().into(),
+            state,
+            resources: Resources {
+                cores_milli: 8000,
+                memory_mib: 131_072,
+                accelerators: 0,
+            },
+        };
+        let body = serde_json::to_vec(&instance).unwrap();
+        let path = format!("/instances/{name}");
+        self.http
+            .bytes(
+                self.list.address,
+                Method::Put,
+                &path,
+                &[],
+                Some(body),
+                TIMEOUT,
+            )
+            .await
+            .unwrap();
+    }
+
+    async fn set_up(&self) {
+        let limit = Resources {
+            cores_milli: 1_000_000,
+            memory_mib: 1_000_000,
+            accelerators: 0,
+        };
+        self.put(
+            "a",
+            &Resource::Zone {
+                state: ZoneState::In,
+                region: "r".into(),
+            },
+        )
+        .await;
+        self.put("shops", &Resource::Team { share: 1, limit }).await;
+        let hash = primrosebay_entry::auth::hash(TEAM).into();
+        let team = "shops".into();
+        self.put("till", &Resource::Key { team, hash }).await;
+    }
+
+    /// Writes a resource, with as many tries as it takes.
+    pub async fn put(&self, name: &str, spec: &Resource) {
+        let path = format!("/v1/{}s/{name}", spec.kind());
+        for _ in 0..TRIES {
+            let current: Option<Stored> = self.get(0, OPERATOR, &path).await.ok();
+            let version = current.map_or(0, |c| c.version);
+            let body = serde_json::json!({ "version": version, "spec": spec });
+            if self
+                .send(0, OPERATOR, Method::Put, &path, &body)
+                .await
+                .is_ok()
+            {
+                return;
+            }
+            task::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("cannot write {path}");
+    }
+
+    /// Sends a JSON body to an entry instance and returns the body of the answer.
+    pub async fn send(
+        &self,
+        entry: usize,
+        key: &str,
+        method: Method,
+        path: &str,
+        body: &impl serde::Serialize,
+    ) -> Result<Vec<u8>, CallError> {
+        let address = self.entries[entry].address;
+        let headers = [("authorization", &*format!("Bearer {key}"))];
+        let body = Some(serde_json::to_vec(body).unwrap());
+        let (status, bytes) = self
+            .http
+            .bytes(address, method, path, &headers, body, TIMEOUT)
+            .await?;
+        if status.is_success() {
+            return Ok(bytes);
+        }
+        Err(CallError::Status {
+            address,
+            status: status.into(),
+            body: bytes,
+        })
+    }
+
+    pub async fn get<T: serde::de::DeserializeOwned>(
+        &self,
+        entry: usize,
+        key: &str,
+        path: &str,
+    ) -> Result<T, CallError> {
+        let bytes = self.send(entry, key, Method::Get, path, &()).await?;
+        Ok(serde_json::from_slice(&bytes).unwrap())
+    }
+
+    /// Submits a job once.
+    pub async fn submit(&self, entry: usize, spec: &JobSpec) -> Result<Submitted, CallError> {
+        let bytes = self
+            .send(entry, TEAM, Method::Post, "/v1/jobs", spec)
+            .await?;
+        Ok(serde_json::from_slice(&bytes).unwrap())
+    }
+
+    pub async fn job(&self, entry: usize, id: JobId) -> Option<JobView> {
+        self.get(entry, TEAM, &format!("/v1/jobs/{id}")).await.ok()
+    }
+
+    /// Waits until the job looks as expected from an entry instance.
+    pub async fn wait(&self, entry: usize, id: JobId, expected: impl Fn(&JobView) -> bool) {
+        let mut last = None;
+        for _ in 0..TRIES {
+            last = self.job(entry, id).await;
+            if last.as_ref().is_some_and(&expected) {
+                return;
+            }
+            task::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("the job did not get there: {last:?}");
+    }
+
+    /// Sends an idempotent request to the service of the minions.
+    pub async fn call(&self, entry: usize, body: &str) -> Result<Vec<u8>, CallError> {
+        let path = "/v1/services/prices/requests";
+        self.send(entry, TEAM, Method::Post, path, &body).await
+    }
+
+    /// Waits until the service answers.
+    pub async fn wait_for_service(&self, entry: usize) {
+        for _ in 0..TRIES {
+            if self.call(entry, "first").await.is_ok() {
+                return;
+            }
+            task::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("the service does not answer");
+    }
+
+    /// Returns what a worker has run.
+    pub async fn status(&self, worker: usize) -> Status {
+        let address = self.workers[worker].address;
+        self.http
+            .json(address, Method::Get, "/status", None::<&()>, TIMEOUT)
+            .await
+            .unwrap()
+    }
+
+    /// Checks that no task of the reachable workers ran in two places at once.
+    pub async fn check_single(&self) {
+        let mut starts = Vec::new();
+        for worker in 0..self.workers.len() {
+            let status = self.status(worker).await;
+            assert!(status.used.fits(&status.total), "over capacity");
+            starts.extend(status.history);
+        }
+        starts.sort_by_key(|s| (s.attempt.task, s.at));
+        for pair in starts.windows(2) {
+            let same = pair[0].attempt.task == pair[1].attempt.task;
+            let over = pair[0].ended.is_some_and(|end| end <= pair[1].at);
+            assert!(!same || over, "in two places at once: {pair:?}");
+        }
+    }
+}
+
+/// A batch job of short tasks.
+pub fn batch(name: &str, tasks: u32, run_ms: u64) -> JobSpec {
+    JobSpec {
+        name: name.into(),
+        tasks,
+        run_ms,
+        resources: Resources {
+            cores_milli: 1000,
+            memory_mib: 64,
+            accelerators: 0,
+        },
+        ..JobSpec::default()
+    }
+}
--- a/crates/primrosebay_entry/src/zones.rs
+++ b/crates/primrosebay_entry/src/zones.rs
@@ -46,7 +46,7 @@
     pub fn start(shared: &Arc<Shared>, name: &Name) -> Arc<Self> {
         let seed = shared.incarnation.0;
         let coordinator =
-            Coordinator::new(Settings::default(), shared.incarnation, name.clone(), seed);
+            Coordinator::new(settings(shared), shared.incarnation, name.clone(), seed);
         let zone = Arc::new(Self {
             name: name.clone(),
             coordinator: Mutex::new(coordinator),
@@ -146,6 +146,17 @@
     }
 }
 
+fn settings(shared: &Shared) -> Settings {
+    let timeouts = &shared.setup.timeouts;
+    Settings {
+        control_ttl: timeouts.control_ms,
+        task_ttl: timeouts.task_ms,
+        heartbeat: timeouts.heartbeat_ms,
+        rank_delay: timeouts.rank_ms,
+        ..Settings::default()
+    }
+}
+
 /// Returns this instance's rank among the candidates for `zone`.
 fn rank(shared: &Shared, zone: &str) -> Option<u32> {
     let directory = shared.directory();
