Record request latency above the histogram's first range

Cause: the development cell printed 2 µs for every request: a histogram with automatic resizing refuses saturating records beyond its range. Change: values are recorded with resizing.

--- a/crates/primrosebay/src/dev/load.rs
+++ b/crates/primrosebay/src/dev/load.rs
@@ -269,7 +269,7 @@
             Ok(()) => {
                 self.done += 1;
                 let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
-                self.latency.saturating_record(micros);
+                self.latency.record(micros).ok();
             }
             Err(e) => {
                 let message = e.to_string();
