Compute reservations from the first expected ends only

Cause: a reservation copied and sorted all expected ends and all free amounts; it took most of the time of a decision. Shapes that fit only on held workers were tried again by every class of every team. Change: the search for a reservation walks the sorted ends until the job fits and looks only at workers that change; overdue ends are moved in place. Blocked shapes carry the span of run time, so that they are tried once for all teams.

--- a/crates/primrosebay_coordination/src/schedule/fleet.rs
+++ b/crates/primrosebay_coordination/src/schedule/fleet.rs
@@ -131,6 +131,25 @@
     }
 }
 
+/// An amount that fits nowhere for tasks of a span of run time, which matters on held workers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Blocked {
+    pub(super) cores_milli: u64,
+    pub(super) memory_mib: u64,
+    pub(super) accelerators: u64,
+    pub(super) span: u32,
+}
+
+impl Blocked {
+    fn amount(&self) -> Resources {
+        Resources {
+            cores_milli: self.cores_milli,
+            memory_mib: self.memory_mib,
+            accelerators: self.accelerators,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 pub(super) struct Fleet {
     names: Vec<(Name, usize)>,
@@ -140,8 +159,8 @@
     index: Index,
     /// Workers that are held for a waiting job; they are not in the index.
     held: Vec<usize>,
-    /// Amounts that fit nowhere, sorted.
-    blocked: Vec<(u64, u64, u64)>,
+    /// Amounts and spans of run time that fit nowhere, sorted.
+    blocked: Vec<Blocked>,
     pub(super) total: Resources,
     pub(super) free: Resources,
     /// Counts the changes that made room on some worker.
@@ -271,14 +290,7 @@
         if !after.fits(&before) || (held.is_some() && !holds) {
             self.freed += 1;
             self.blocked
-                .retain(|&(cores_milli, memory_mib, accelerators)| {
-                    !Resources {
-                        cores_milli,
-                        memory_mib,
-                        accelerators,
-                    }
-                    .fits(&after)
-                });
+                .retain(|blocked| !blocked.amount().fits(&after));
         }
         self.measure(self.workers[id].rack);
     }
@@ -302,17 +314,9 @@
         self.workers.iter().enumerate().filter(|(_, w)| w.live)
     }
 
-    /// Returns whether it is known that `amount` fits on no worker.
-    pub(super) fn is_blocked(&self, amount: &Resources) -> bool {
-        self.blocked.binary_search(&key(amount)).is_ok()
-    }
-
-    /// Returns whether `need` would fit on a worker if nothing were held for other jobs.
-    pub(super) fn fits_held(&self, need: &Need) -> bool {
-        self.held
-            .iter()
-            .map(|&id| &self.workers[id])
-            .any(|w| need.amount.fits(&w.free) && need.leaves(w))
+    /// Returns whether it is known that `blocked` fits on no worker.
+    pub(super) fn is_blocked(&self, blocked: &Blocked) -> bool {
+        self.blocked.binary_search(blocked).is_ok()
     }
 
     /// Counts a task that was placed on a held worker and runs longer than the hold against what
@@ -326,10 +330,10 @@
         }
     }
 
-    /// Remembers that `amount` fits on no worker until room is made.
-    pub(super) fn block(&mut self, amount: &Resources) {
-        if let Err(at) = self.blocked.binary_search(&key(amount)) {
-            self.blocked.insert(at, key(amount));
+    /// Remembers that `blocked` fits on no worker until room is made.
+    pub(super) fn block(&mut self, blocked: Blocked) {
+        if let Err(at) = self.blocked.binary_search(&blocked) {
+            self.blocked.insert(at, blocked);
         }
     }
 
@@ -339,6 +343,21 @@
         self.blocked.clear();
     }
 
+    /// Returns the workers on which `amount` fits now and which are held for no job, with what is
+    /// free there.
+    pub(super) fn fitting(&self, amount: &Resources) -> Vec<(usize, Resources)> {
+        let mut found = Vec::new();
+        for level in Index::levels(amount) {
+            self.index.visit(level, amount, usize::MAX, |id| {
+                let free = self.workers[id].free;
+                if amount.fits(&free) {
+                    found.push((id, free));
+                }
+            });
+        }
+        found
+    }
+
     /// Returns the worker that `need` fits best, among those that `allowed` accepts.
     pub(super) fn best(
         &self,
@@ -418,10 +437,6 @@
     }
 }
 
-fn key(amount: &Resources) -> (u64, u64, u64) {
-    (amount.cores_milli, amount.memory_mib, amount.accelerators)
-}
-
 /// Returns the smaller amount of each resource.
 pub(super) fn smaller(a: &Resources, b: &Resources) -> Resources {
     Resources {
--- a/crates/primrosebay_coordination/src/schedule/gang.rs
+++ b/crates/primrosebay_coordination/src/schedule/gang.rs
@@ -94,44 +94,19 @@
 /// other job, and holds these workers.
 pub(super) fn reserve(
     fleet: &mut Fleet,
-    ledger: &Ledger,
+    ledger: &mut Ledger,
     job: &Job,
     need: &Need,
     tasks: u64,
     now: Time,
 ) -> Option<Reservation> {
-    let mut free: Vec<Resources> = fleet
-        .workers
-        .iter()
-        .map(|w| {
-            if w.hold.is_none() {
-                w.free
-            } else {
-                Resources::ZERO
-            }
-        })
-        .collect();
-    let rooms = |free: &[Resources]| -> Vec<(usize, u64, f64)> {
-        fleet
-            .live()
-            .filter(|(id, w)| w.usable && w.hold.is_none() && need.amount.fits(&free[*id]))
-            .map(|(id, w)| {
-                // The fewest workers are held if those with the most room come first.
-                let room = room(&free[id], &need.amount);
-                (
-                    id,
-                    room,
-                    -ratio(room, 1) + score(&w.total, &free[id], &need.amount),
-                )
-            })
-            .collect()
-    };
-    let mut fit: u64 = rooms(&free).iter().map(|r| r.1.min(tasks)).sum();
+    ledger.postpone(now);
+    let mut outlook = Outlook::new(fleet, need.amount, tasks);
     let mut until = now;
     let mut parts = None;
-    for (end, at) in ends(ledger, now) {
-        if fit >= tasks && end > until {
-            parts = choose(fleet, &job.spec, &job.counts, rooms(&free), tasks).ok();
+    for &(end, at) in ledger.ends.iter() {
+        if outlook.room >= tasks && end > until {
+            parts = outlook.choose(fleet, job, tasks);
             if parts.is_some() {
                 break;
             }
@@ -140,22 +115,15 @@
             continue;
         };
         let worker = &fleet.workers[running.worker];
-        if !worker.live || !worker.usable || worker.hold.is_some() {
-            continue;
+        if worker.live && worker.usable && worker.hold.is_none() {
+            outlook.free(running.worker, worker.free, &running.amount);
+            until = end;
         }
-        let slot = &mut free[running.worker];
-        let before = room(slot, &need.amount);
-        *slot = slot.plus(&running.amount);
-        fit += room(slot, &need.amount).min(tasks) - before.min(tasks);
-        until = end;
     }
-    let parts = match parts {
-        Some(parts) => parts,
-        None => choose(fleet, &job.spec, &job.counts, rooms(&free), tasks).ok()?,
-    };
+    let parts = parts.or_else(|| outlook.choose(fleet, job, tasks))?;
     let mut workers = Vec::new();
     for (id, count) in parts {
-        let spare = free[id].minus(&need.amount.times(count));
+        let spare = outlook.at(id).minus(&need.amount.times(count));
         let hold = Hold {
             job: need.job,
             until,
@@ -173,18 +141,64 @@
     })
 }
 
-/// Returns the expected ends of running tasks in order. A task that runs longer than expected is
-/// expected to take a quarter of its time so far in addition.
-fn ends(ledger: &Ledger, now: Time) -> Vec<(Time, usize)> {
-    let mut ends: Vec<_> = ledger
-        .ends
-        .iter()
-        .map(|&(end, at)| {
-            let start = ledger.get(at).map_or(now, |r| r.start);
-            let late = now + (now.since(start) / 4 + 1);
-            (if end <= now { late } else { end }, at)
-        })
-        .collect();
-    ends.sort();
-    ends
+/// What is expected to be free later, for the workers on which that differs from now or on which a
+/// task fits now, sorted by worker.
+#[derive(Debug)]
+struct Outlook {
+    amount: Resources,
+    tasks: u64,
+    workers: Vec<(usize, Resources)>,
+    /// Tasks that fit, without regard to the limits of the job.
+    room: u64,
+}
+
+impl Outlook {
+    fn new(fleet: &Fleet, amount: Resources, tasks: u64) -> Self {
+        let mut workers = fleet.fitting(&amount);
+        workers.sort_unstable_by_key(|w| w.0);
+        let rooms = workers.iter().map(|w| room(&w.1, &amount).min(tasks));
+        Self {
+            amount,
+            tasks,
+            room: rooms.sum(),
+            workers,
+        }
+    }
+
+    /// Adds what a task frees on a worker where `before` is free now.
+    fn free(&mut self, id: usize, before: Resources, freed: &Resources) {
+        let at = match self.workers.binary_search_by_key(&id, |w| w.0) {
+            Ok(at) => at,
+            Err(at) => {
+                self.workers.insert(at, (id, before));
+                at
+            }
+        };
+        let free = &mut self.workers[at].1;
+        let old = room(free, &self.amount).min(self.tasks);
+        *free = free.plus(freed);
+        self.room += room(free, &self.amount).min(self.tasks) - old;
+    }
+
+    fn at(&self, id: usize) -> Resources {
+        self.workers
+            .binary_search_by_key(&id, |w| w.0)
+            .map_or(Resources::ZERO, |at| self.workers[at].1)
+    }
+
+    fn choose(&self, fleet: &Fleet, job: &Job, tasks: u64) -> Option<Vec<Part>> {
+        let candidates = self
+            .workers
+            .iter()
+            .map(|(id, free)| (*id, room(free, &self.amount), free))
+            .filter(|&(_, room, _)| room > 0)
+            .map(|(id, room, free)| {
+                // The fewest workers are held if those with the most room come first.
+                let total = &fleet.workers[id].total;
+                let cost = score(total, free, &self.amount) - 4.0 * ratio(room, 1);
+                (id, room, cost)
+            })
+            .collect();
+        choose(fleet, &job.spec, &job.counts, candidates, tasks).ok()
+    }
 }
--- a/crates/primrosebay_coordination/src/schedule/job.rs
+++ b/crates/primrosebay_coordination/src/schedule/job.rs
@@ -29,6 +29,8 @@
     pub(super) preempted: Vec<u32>,
     /// Pending tasks that wait for their victims to stop.
     pub(super) claims: usize,
+    /// When resources may next be held for the job.
+    pub(super) hold_after: Time,
     /// The rack from which the next worker is looked for.
     pub(super) rack: usize,
     /// Where the job is in the queue of its team.
@@ -45,6 +47,11 @@
         self.spec.policy == Policy::Gang
     }
 
+    /// Returns the expected run time of a task in milliseconds, if it is known to end.
+    pub(super) fn ends(&self) -> Option<u64> {
+        (self.run_ms > 0 && self.spec.policy != Policy::Service).then_some(self.run_ms)
+    }
+
     /// Returns whether places depend on where other tasks of the job are.
     pub(super) fn is_counted(&self) -> bool {
         self.spec.policy == Policy::Service || self.is_limited()
@@ -84,7 +91,7 @@
             cores_milli: self.spec.resources.cores_milli,
             memory_mib: self.spec.resources.memory_mib,
             accelerators: self.spec.resources.accelerators,
-            span: self.run_ms.checked_ilog2().unwrap_or(u32::MAX),
+            span: self.ends().map_or(u32::MAX, u64::ilog2),
             own: self.is_limited().then_some(self.id),
         }
     }
--- a/crates/primrosebay_coordination/src/schedule/ledger.rs
+++ b/crates/primrosebay_coordination/src/schedule/ledger.rs
@@ -80,6 +80,19 @@
         Some(running)
     }
 
+    /// Moves the expected ends of tasks that run longer than expected: each is expected to take a
+    /// quarter of its time so far in addition.
+    pub(super) fn postpone(&mut self, now: Time) {
+        while let Some(&(end, at)) = self.ends.first().filter(|first| first.0 <= now) {
+            self.ends.remove(&(end, at));
+            if let Some(Some(running)) = self.items.get_mut(at) {
+                let later = now + (now.since(running.start) / 4 + 1);
+                running.end = Some(later);
+                self.ends.insert((later, at));
+            }
+        }
+    }
+
     /// Marks a task as being preempted.
     pub(super) fn stop(&mut self, at: usize) {
         if let Some(Some(running)) = self.items.get_mut(at)
--- a/crates/primrosebay_coordination/src/schedule/queue.rs
+++ b/crates/primrosebay_coordination/src/schedule/queue.rs
@@ -6,6 +6,7 @@
 use primrosebay_state::time::Time;
 
 use super::blocks::Blocks;
+use super::fleet::Blocked;
 
 /// The position of a job in its class: when it should have started, its sequence number, and
 /// where it is among the jobs.
@@ -41,6 +42,16 @@
         placed > 0 && placed + self.tasks > max
     }
 
+    /// Returns what the class has in common with classes of other teams that fit on the same workers.
+    pub(super) fn shape(&self) -> Blocked {
+        Blocked {
+            cores_milli: self.cores_milli,
+            memory_mib: self.memory_mib,
+            accelerators: self.accelerators,
+            span: self.span,
+        }
+    }
+
     /// Returns what is needed to start anything of the class.
     pub(super) fn least(&self) -> Resources {
         self.amount().times(self.tasks.max(1) as u64)
--- a/crates/primrosebay_coordination/src/schedule/round.rs
+++ b/crates/primrosebay_coordination/src/schedule/round.rs
@@ -258,11 +258,25 @@
         {
             return;
         }
-        let Some(job) = self.jobs.get(at) else { return };
+        let Some(job) = self.jobs.get(at).filter(|job| job.hold_after <= now) else {
+            return;
+        };
         let need = self.need(at, job, now);
         let tasks = if job.is_gang() { job.pending.len() } else { 1 };
-        let made: Option<Reservation> =
-            reserve(&mut self.fleet, &self.ledger, job, &need, tasks as u64, now);
+        let made: Option<Reservation> = reserve(
+            &mut self.fleet,
+            &mut self.ledger,
+            job,
+            &need,
+            tasks as u64,
+            now,
+        );
+        if made.is_none() {
+            let later = now + self.settings.refresh_ms;
+            if let Some(job) = self.jobs.get_mut(at) {
+                job.hold_after = later;
+            }
+        }
         self.reservations.extend(made);
     }
 
@@ -327,7 +341,7 @@
             .filter(|class| class.round < self.round && class.retry <= now)
             .filter(|class| class.key.urgent || class.freed != self.fleet.freed)
             .filter(|class| team.allows(&class.key.least()) && accept(&class.key, team))
-            .filter(|class| class.key.urgent || !self.fleet.is_blocked(&class.key.amount()))
+            .filter(|class| class.key.urgent || !self.fleet.is_blocked(&class.key.shape()))
             .filter_map(|class| Some((class.key, *class.jobs.first()?)))
             .min_by_key(|&(_, entry)| entry)
     }
@@ -360,12 +374,8 @@
             self.place(now, at, worker, decisions);
             return true;
         }
-        let held = self.jobs.get(at).is_some_and(|job| {
-            let need = self.need(at, job, now);
-            self.fleet.fits_held(&need)
-        });
-        if key.own.is_none() && !held {
-            self.fleet.block(&key.amount());
+        if key.own.is_none() {
+            self.fleet.block(key.shape());
         }
         false
     }
--- a/crates/primrosebay_coordination/src/schedule/scheduler.rs
+++ b/crates/primrosebay_coordination/src/schedule/scheduler.rs
@@ -258,6 +258,7 @@
             counts: Counts::default(),
             preempted: Vec::new(),
             claims: 0,
+            hold_after: now,
             rack: self.rng.random_range(0..racks),
             entry: None,
             cancelled: false,
@@ -306,7 +307,7 @@
         Need {
             amount: job.amount(),
             keep: self.keep,
-            end: (job.run_ms > 0 && job.spec.policy != Policy::Service).then(|| now + job.run_ms),
+            end: job.ends().map(|ms| now + ms),
             job: at,
             urgent: job.spec.urgent,
         }
