Keep blocked shapes for all teams and end rounds early

Cause: each round walked every class of every team, although most of them are known to fit nowhere; and each blocked class of any team could get a reservation. Change: shapes of pending work are registered once with a blocked flag, a round ends when no shape is open, the first job of a team is cached. Only the first job of the team that is furthest below its share gets a reservation, because what is held is given out without regard to rank.

--- a/crates/primrosebay_coordination/src/schedule/fleet.rs
+++ b/crates/primrosebay_coordination/src/schedule/fleet.rs
@@ -7,6 +7,7 @@
 use super::counts::Counts;
 use super::fit::{room, score};
 use super::index::Index;
+use super::shapes::Shapes;
 
 /// Workers looked at in each bucket of the index before the search settles for the best so far.
 const FEW: usize = 4;
@@ -131,25 +132,6 @@
     }
 }
 
-/// An amount that fits nowhere for tasks of a span of run time, which matters on held workers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Blocked {
-    pub(super) cores_milli: u64,
-    pub(super) memory_mib: u64,
-    pub(super) accelerators: u64,
-    pub(super) span: u32,
-}
-
-impl Blocked {
-    fn amount(&self) -> Resources {
-        Resources {
-            cores_milli: self.cores_milli,
-            memory_mib: self.memory_mib,
-            accelerators: self.accelerators,
-        }
-    }
-}
-
 #[derive(Debug, Default)]
 pub(super) struct Fleet {
     names: Vec<(Name, usize)>,
@@ -159,8 +141,7 @@
     index: Index,
     /// Workers that are held for a waiting job; they are not in the index.
     held: Vec<usize>,
-    /// Amounts and spans of run time that fit nowhere, sorted.
-    blocked: Vec<Blocked>,
+    pub(super) shapes: Shapes,
     pub(super) total: Resources,
     pub(super) free: Resources,
     /// Counts the changes that made room on some worker.
@@ -267,7 +248,7 @@
         self.racks.len() - 1
     }
 
-    /// Changes a worker and brings the index, the sums and the blocked amounts up to date.
+    /// Changes a worker and brings the index, the sums and the shapes up to date.
     pub(super) fn update(&mut self, id: usize, change: impl FnOnce(&mut Worker)) {
         let worker = &mut self.workers[id];
         let (total, before, held) = (worker.total, worker.free, worker.hold);
@@ -289,8 +270,7 @@
         self.free = self.free.minus(&before).plus(&after);
         if !after.fits(&before) || (held.is_some() && !holds) {
             self.freed += 1;
-            self.blocked
-                .retain(|blocked| !blocked.amount().fits(&after));
+            self.shapes.unblock(&after);
         }
         self.measure(self.workers[id].rack);
     }
@@ -314,11 +294,6 @@
         self.workers.iter().enumerate().filter(|(_, w)| w.live)
     }
 
-    /// Returns whether it is known that `blocked` fits on no worker.
-    pub(super) fn is_blocked(&self, blocked: &Blocked) -> bool {
-        self.blocked.binary_search(blocked).is_ok()
-    }
-
     /// Counts a task that was placed on a held worker and runs longer than the hold against what
     /// others may use there.
     pub(super) fn outlast(&mut self, id: usize, need: &Need) {
@@ -330,17 +305,10 @@
         }
     }
 
-    /// Remembers that `blocked` fits on no worker until room is made.
-    pub(super) fn block(&mut self, blocked: Blocked) {
-        if let Err(at) = self.blocked.binary_search(&blocked) {
-            self.blocked.insert(at, blocked);
-        }
-    }
-
-    /// Forgets which amounts fit nowhere, after the rules of what may be used have changed.
+    /// Forgets which shapes fit nowhere, after the rules of what may be used have changed.
     pub(super) fn unblock(&mut self) {
         self.freed += 1;
-        self.blocked.clear();
+        self.shapes.unblock(&self.largest());
     }
 
     /// Returns the workers on which `amount` fits now and which are held for no job, with what is
--- a/crates/primrosebay_coordination/src/schedule/job.rs
+++ b/crates/primrosebay_coordination/src/schedule/job.rs
@@ -7,6 +7,7 @@
 
 use super::counts::Counts;
 use super::queue::{ClassKey, Entry};
+use super::shapes::Shape;
 
 #[derive(Debug)]
 pub(super) struct Job {
@@ -88,10 +89,12 @@
             } else {
                 0
             },
-            cores_milli: self.spec.resources.cores_milli,
-            memory_mib: self.spec.resources.memory_mib,
-            accelerators: self.spec.resources.accelerators,
-            span: self.ends().map_or(u32::MAX, u64::ilog2),
+            shape: Shape {
+                cores_milli: self.spec.resources.cores_milli,
+                memory_mib: self.spec.resources.memory_mib,
+                accelerators: self.spec.resources.accelerators,
+                span: self.ends().map_or(u32::MAX, u64::ilog2),
+            },
             own: self.is_limited().then_some(self.id),
         }
     }
--- a/crates/primrosebay_coordination/src/schedule/mod.rs
+++ b/crates/primrosebay_coordination/src/schedule/mod.rs
@@ -17,6 +17,7 @@
 mod round;
 mod scheduler;
 mod settings;
+mod shapes;
 mod share;
 
 pub use decision::Decision;
--- a/crates/primrosebay_coordination/src/schedule/queue.rs
+++ b/crates/primrosebay_coordination/src/schedule/queue.rs
@@ -6,7 +6,7 @@
 use primrosebay_state::time::Time;
 
 use super::blocks::Blocks;
-use super::fleet::Blocked;
+use super::shapes::{Shape, Shapes};
 
 /// The position of a job in its class: when it should have started, its sequence number, and
 /// where it is among the jobs.
@@ -15,26 +15,19 @@
 /// What jobs have in common that are placed alike: if one does not fit, none does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct ClassKey {
+    /// First, so that urgent classes are the last ones of a queue.
     pub(super) urgent: bool,
     pub(super) policy: Policy,
     /// Pending tasks of a gang; 0 for other jobs.
     pub(super) tasks: usize,
-    pub(super) cores_milli: u64,
-    pub(super) memory_mib: u64,
-    pub(super) accelerators: u64,
-    /// Logarithm of the run time, on which backfilling depends.
-    pub(super) span: u32,
+    pub(super) shape: Shape,
     /// The job, if its places depend on its own other tasks.
     pub(super) own: Option<JobId>,
 }
 
 impl ClassKey {
     pub(super) fn amount(&self) -> Resources {
-        Resources {
-            cores_milli: self.cores_milli,
-            memory_mib: self.memory_mib,
-            accelerators: self.accelerators,
-        }
+        self.shape.amount()
     }
 
     /// Returns whether a gang would exceed the placements of a call after `placed` others.
@@ -42,14 +35,9 @@
         placed > 0 && placed + self.tasks > max
     }
 
-    /// Returns what the class has in common with classes of other teams that fit on the same workers.
-    pub(super) fn shape(&self) -> Blocked {
-        Blocked {
-            cores_milli: self.cores_milli,
-            memory_mib: self.memory_mib,
-            accelerators: self.accelerators,
-            span: self.span,
-        }
+    /// Returns whether the shape alone tells whether the class fits somewhere.
+    fn is_plain(&self) -> bool {
+        !self.urgent && self.tasks == 0 && self.own.is_none()
     }
 
     /// Returns what is needed to start anything of the class.
@@ -62,6 +50,8 @@
 pub(super) struct Class {
     pub(super) key: ClassKey,
     pub(super) jobs: Blocks<Entry>,
+    /// The position of the shape, if it alone tells whether the class fits somewhere.
+    pub(super) shape: Option<usize>,
     /// The round in which the class last failed to fit.
     pub(super) round: u64,
     /// The state of the fleet in which the class last failed to fit.
@@ -74,16 +64,26 @@
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     pub(super) classes: Vec<Class>,
+    /// The job that should have started first.
+    pub(super) head: Option<Entry>,
+    /// Classes that need accelerators.
+    pub(super) accelerated: usize,
+    /// Classes whose shape alone does not tell whether they fit somewhere.
+    pub(super) special: usize,
 }
 
 impl Queue {
-    pub(super) fn insert(&mut self, key: ClassKey, entry: Entry) {
+    pub(super) fn insert(&mut self, key: ClassKey, entry: Entry, shapes: &mut Shapes) {
         let at = match self.find(&key) {
             Ok(at) => at,
             Err(at) => {
+                let shape = key.is_plain().then(|| shapes.add(key.shape));
+                self.special += usize::from(shape.is_none());
+                self.accelerated += usize::from(key.shape.accelerators > 0);
                 let class = Class {
                     key,
                     jobs: Blocks::default(),
+                    shape,
                     round: 0,
                     freed: u64::MAX,
                     retry: Time(0),
@@ -93,14 +93,24 @@
             }
         };
         self.classes[at].jobs.insert(entry);
+        self.head = Some(self.head.map_or(entry, |head| head.min(entry)));
     }
 
-    pub(super) fn remove(&mut self, key: &ClassKey, entry: &Entry) {
-        if let Ok(at) = self.find(key) {
-            self.classes[at].jobs.remove(entry);
-            if self.classes[at].jobs.is_empty() {
-                self.classes.remove(at);
+    pub(super) fn remove(&mut self, key: &ClassKey, entry: &Entry, shapes: &mut Shapes) {
+        let Ok(at) = self.find(key) else { return };
+        let class = &mut self.classes[at];
+        class.jobs.remove(entry);
+        if class.jobs.is_empty() {
+            match class.shape {
+                Some(shape) => shapes.remove(shape),
+                None => self.special -= 1,
             }
+            self.accelerated -= usize::from(key.shape.accelerators > 0);
+            self.classes.remove(at);
+        }
+        if self.head == Some(*entry) {
+            let heads = self.classes.iter().filter_map(|c| c.jobs.first());
+            self.head = heads.min().copied();
         }
     }
 
@@ -108,8 +118,7 @@
         self.classes.binary_search_by(|class| class.key.cmp(key))
     }
 
-    /// Returns the job that should have started first.
-    pub(super) fn head(&self) -> Option<&Entry> {
-        self.classes.iter().filter_map(|c| c.jobs.first()).min()
+    pub(super) fn has_urgent(&self) -> bool {
+        self.classes.last().is_some_and(|class| class.key.urgent)
     }
 }
--- a/crates/primrosebay_coordination/src/schedule/round.rs
+++ b/crates/primrosebay_coordination/src/schedule/round.rs
@@ -36,7 +36,7 @@
     /// Brings up to date what tasks without accelerators leave free for accelerator jobs.
     fn keep_accelerators(&mut self, now: Time) {
         let mut wanted = Resources::ZERO;
-        for team in &self.teams.items {
+        for team in self.teams.items.iter().filter(|t| t.queue.accelerated > 0) {
             for class in &team.queue.classes {
                 let amount = class.key.amount();
                 if amount.accelerators > 0 && team.allows(&class.key.least()) {
@@ -146,13 +146,7 @@
     /// Places urgent work of all teams, and preempts for it where nothing is free.
     fn place_urgent(&mut self, now: Time, max: usize, decisions: &mut Vec<Decision>) {
         let mut turns: Vec<Turn> = (0..self.teams.items.len())
-            .filter(|&team| {
-                self.teams.items[team]
-                    .queue
-                    .classes
-                    .iter()
-                    .any(|c| c.key.urgent)
-            })
+            .filter(|&team| self.teams.items[team].queue.has_urgent())
             .map(|team| (self.teams.items[team].urgent_rank(&self.fleet.total), team))
             .collect();
         sort(&mut turns);
@@ -282,38 +276,62 @@
 
     /// Places the work of all teams, the lowest weighted share first.
     fn place_shares(&mut self, now: Time, max: usize, decisions: &mut Vec<Decision>) {
+        let waiting = |team: &usize| self.teams.items[*team].queue.head.is_some();
         let mut turns: Vec<Turn> = (0..self.teams.items.len())
-            .filter(|&team| !self.teams.items[team].queue.classes.is_empty())
+            .filter(waiting)
             .map(|team| (self.rank(team, now), team))
             .collect();
         sort(&mut turns);
+        let special = turns
+            .iter()
+            .any(|&(_, team)| self.teams.items[team].queue.special > 0);
+        let order: Vec<usize> = turns.iter().rev().map(|turn| turn.1).collect();
         while decisions.len() < max
+            && (special || self.fleet.shapes.is_open())
             && let Some((_, team)) = turns.pop()
         {
             let Some((key, entry)) = self.next(team, now, |_, _| true) else {
                 continue;
             };
             if key.is_split(decisions.len(), max) {
-                break;
+                return;
             }
             if !self.try_place(now, &key, entry, decisions) {
                 self.fail(now, team, &key);
-                let waited = self.jobs.get(entry.2).map_or(0, |j| now.since(j.submitted));
-                if key.tasks > 0 || waited >= self.settings.patience_ms {
+                if key.tasks > 0 {
                     self.hold(now, entry.2);
                 }
             }
-            if !self.teams.items[team].queue.classes.is_empty() {
+            if self.teams.items[team].queue.head.is_some() {
                 insert(&mut turns, (self.rank(team, now), team));
             }
         }
+        if decisions.len() < max {
+            self.hold_first(now, &order);
+        }
+    }
+
+    /// Holds resources for the first job of the team that is furthest below its share, if that job
+    /// has waited for long and other jobs keep taking what is freed. No other team gets this, as
+    /// what is held is given out without regard to rank.
+    fn hold_first(&mut self, now: Time, order: &[usize]) {
+        let first = order.iter().find_map(|&team| {
+            let team = &self.teams.items[team];
+            let (_, _, at) = team.queue.head?;
+            let job = self.jobs.get(at)?;
+            let late = now.since(job.submitted) >= self.settings.patience_ms;
+            team.allows(&job.amount()).then_some((at, late))
+        });
+        if let Some((at, true)) = first {
+            self.hold(now, at);
+        }
     }
 
     /// Returns the rank of a team: its weighted dominant share, less what its first job gains by a
     /// near deadline or by its age.
     fn rank(&self, team: usize, now: Time) -> f64 {
         let team = &self.teams.items[team];
-        let bonus = team.queue.head().map_or(0.0, |&(start_by, _, job)| {
+        let bonus = team.queue.head.map_or(0.0, |(start_by, _, job)| {
             let deadline = self.jobs.get(job).is_some_and(|j| j.spec.deadline_ms > 0);
             let permille = if deadline {
                 self.settings.deadline_permille
@@ -338,10 +356,15 @@
         team.queue
             .classes
             .iter()
-            .filter(|class| class.round < self.round && class.retry <= now)
-            .filter(|class| class.key.urgent || class.freed != self.fleet.freed)
+            .filter(|class| match class.shape {
+                Some(shape) => !self.fleet.shapes.is_blocked(shape),
+                None => {
+                    class.round < self.round
+                        && class.retry <= now
+                        && (class.key.urgent || class.freed != self.fleet.freed)
+                }
+            })
             .filter(|class| team.allows(&class.key.least()) && accept(&class.key, team))
-            .filter(|class| class.key.urgent || !self.fleet.is_blocked(&class.key.shape()))
             .filter_map(|class| Some((class.key, *class.jobs.first()?)))
             .min_by_key(|&(_, entry)| entry)
     }
@@ -352,6 +375,9 @@
         if let Ok(at) = queue.find(key) {
             queue.classes[at].round = self.round;
             queue.classes[at].freed = self.fleet.freed;
+            if let Some(shape) = queue.classes[at].shape {
+                self.fleet.shapes.block(shape);
+            }
             if key.tasks > 0 {
                 queue.classes[at].retry = now + self.settings.gang_ms;
             }
@@ -374,9 +400,6 @@
             self.place(now, at, worker, decisions);
             return true;
         }
-        if key.own.is_none() {
-            self.fleet.block(key.shape());
-        }
         false
     }
 
--- a/crates/primrosebay_coordination/src/schedule/scheduler.rs
+++ b/crates/primrosebay_coordination/src/schedule/scheduler.rs
@@ -285,7 +285,9 @@
         if let Some(job) = self.jobs.get_mut(at)
             && let Some((key, entry)) = job.entry.take()
         {
-            self.teams.items[job.team].queue.remove(&key, &entry);
+            self.teams.items[job.team]
+                .queue
+                .remove(&key, &entry, &mut self.fleet.shapes);
         }
     }
 
@@ -298,7 +300,9 @@
             let entry = (job.start_by, job.sequence, at);
             let key = job.class();
             job.entry = Some((key, entry));
-            self.teams.items[job.team].queue.insert(key, entry);
+            self.teams.items[job.team]
+                .queue
+                .insert(key, entry, &mut self.fleet.shapes);
         }
     }
 
