Index accelerator workers by what plain tasks may use there

Change: accelerator workers are on a second level of the index by what is left beside the kept part, and on the levels of free accelerators only for accelerator jobs.

--- a/crates/primrosebay_coordination/src/schedule/explain.rs
+++ b/crates/primrosebay_coordination/src/schedule/explain.rs
@@ -31,7 +31,7 @@
             reasons.push(Reason::Stopping { tasks: job.claims });
         }
         // A task that starts as soon as it is decided on does not end before any hold.
-        let need = self.need(at, job, Time(u64::MAX));
+        let need = job.need(at, Time(u64::MAX));
         reasons.extend(self.explain_room(job, &need));
         if job.is_gang() && reasons.is_empty() {
             let tasks = job.pending.len() as u64;
--- a/crates/primrosebay_coordination/src/schedule/fleet.rs
+++ b/crates/primrosebay_coordination/src/schedule/fleet.rs
@@ -6,7 +6,7 @@
 
 use super::counts::Counts;
 use super::fit::{room, score};
-use super::index::Index;
+use super::index::{Index, Offer};
 use super::shapes::Shapes;
 
 /// Workers looked at in each bucket of the index before the search settles for the best so far.
@@ -45,6 +45,8 @@
     pub(super) hold: Option<Hold>,
     /// What new work may use now; zero while the worker is not usable.
     pub(super) free: Resources,
+    /// What new work without accelerators may use of it.
+    pub(super) plain: Resources,
 }
 
 impl Worker {
@@ -52,6 +54,23 @@
         self.live && self.usable
     }
 
+    /// Returns what work that asks for `amount` may use.
+    pub(super) fn offered(&self, amount: &Resources) -> &Resources {
+        if amount.accelerators == 0 {
+            &self.plain
+        } else {
+            &self.free
+        }
+    }
+
+    fn offer(&self) -> Offer {
+        Offer {
+            accelerated: self.total.accelerators > 0,
+            free: self.free,
+            plain: self.plain,
+        }
+    }
+
     /// Returns what is left for new work after urgent tasks have got what they wait for.
     fn available(&self) -> Resources {
         if !self.open() {
@@ -75,8 +94,6 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Need {
     pub(super) amount: Resources,
-    /// What a task without accelerators leaves free for each free accelerator.
-    pub(super) keep: Resources,
     /// When the task is expected to end; nothing if it runs until it is stopped.
     pub(super) end: Option<Time>,
     /// The job, which may use what is held for it.
@@ -88,7 +105,7 @@
 impl Need {
     /// Returns whether the task may start on `worker`.
     pub(super) fn fits(&self, worker: &Worker) -> bool {
-        self.amount.fits(&worker.free) && self.leaves(worker) && self.respects(worker)
+        self.leaves(worker) && self.respects(worker)
     }
 
     /// Returns how many such tasks may start on `worker`.
@@ -96,11 +113,7 @@
         if !self.respects(worker) {
             return 0;
         }
-        let mut free = worker.free;
-        if self.amount.accelerators == 0 && free.accelerators > 0 {
-            free = free.minus(&self.keep.times(free.accelerators));
-        }
-        room(&free, &self.amount)
+        room(worker.offered(&self.amount), &self.amount)
     }
 
     /// Returns the cost of a place for a task that is spread. Workers with accelerators come last
@@ -110,15 +123,9 @@
         score(&worker.total, &worker.free, &self.amount) + if wasted { WASTED } else { 0.0 }
     }
 
-    /// Returns whether the task leaves what is kept for free accelerators.
+    /// Returns whether the task fits and leaves what is kept for free accelerators.
     pub(super) fn leaves(&self, worker: &Worker) -> bool {
-        self.amount.accelerators > 0
-            || worker.free.accelerators == 0
-            || self
-                .keep
-                .times(worker.free.accelerators)
-                .plus(&self.amount)
-                .fits(&worker.free)
+        self.amount.fits(worker.offered(&self.amount))
     }
 
     /// Returns whether the task leaves what is held for other jobs.
@@ -142,6 +149,8 @@
     /// Workers that are held for a waiting job; they are not in the index.
     held: Vec<usize>,
     pub(super) shapes: Shapes,
+    /// What work without accelerators leaves for each free accelerator.
+    pub(super) keep: Resources,
     pub(super) total: Resources,
     pub(super) free: Resources,
     /// Counts the changes that made room on some worker.
@@ -174,6 +183,7 @@
                     tasks: Vec::new(),
                     hold: None,
                     free: Resources::ZERO,
+                    plain: Resources::ZERO,
                 };
                 if id == self.workers.len() {
                     self.workers.push(worker);
@@ -251,24 +261,28 @@
     /// Changes a worker and brings the index, the sums and the shapes up to date.
     pub(super) fn update(&mut self, id: usize, change: impl FnOnce(&mut Worker)) {
         let worker = &mut self.workers[id];
-        let (total, before, held) = (worker.total, worker.free, worker.hold);
-        let open = worker.open();
+        let (offer, before, held) = (worker.offer(), worker.free, worker.hold);
+        let (open, plain) = (worker.open(), worker.plain);
         change(worker);
         worker.free = worker.available();
+        worker.plain = worker
+            .free
+            .minus(&self.keep.times(worker.free.accelerators));
         let (after, opens) = (worker.free, worker.open());
+        let more = !worker.plain.fits(&plain);
         let holds = worker.hold.is_some();
         if open && held.is_none() {
-            self.index.remove(&total, &before, id);
+            self.index.remove(&offer, id);
         } else if let Ok(at) = self.held.binary_search(&id) {
             self.held.remove(at);
         }
         if opens && !holds {
-            self.index.insert(&self.workers[id].total, &after, id);
+            self.index.insert(&self.workers[id].offer(), id);
         } else if opens && let Err(at) = self.held.binary_search(&id) {
             self.held.insert(at, id);
         }
         self.free = self.free.minus(&before).plus(&after);
-        if !after.fits(&before) || (held.is_some() && !holds) {
+        if more || !after.fits(&before) || (held.is_some() && !holds) {
             self.freed += 1;
             self.shapes.unblock(&after);
         }
@@ -305,10 +319,17 @@
         }
     }
 
-    /// Forgets which shapes fit nowhere, after the rules of what may be used have changed.
-    pub(super) fn unblock(&mut self) {
-        self.freed += 1;
-        self.shapes.unblock(&self.largest());
+    /// Sets what work without accelerators leaves for each free accelerator.
+    pub(super) fn set_keep(&mut self, keep: Resources) {
+        if keep == self.keep {
+            return;
+        }
+        self.keep = keep;
+        for id in 0..self.workers.len() {
+            if self.workers[id].total.accelerators > 0 {
+                self.update(id, |_| ());
+            }
+        }
     }
 
     /// Returns the workers on which `amount` fits now and which are held for no job, with what is
@@ -317,9 +338,9 @@
         let mut found = Vec::new();
         for level in Index::levels(amount) {
             self.index.visit(level, amount, usize::MAX, |id| {
-                let free = self.workers[id].free;
-                if amount.fits(&free) {
-                    found.push((id, free));
+                let free = self.workers[id].offered(amount);
+                if amount.fits(free) {
+                    found.push((id, *free));
                 }
             });
         }
--- a/crates/primrosebay_coordination/src/schedule/gang.rs
+++ b/crates/primrosebay_coordination/src/schedule/gang.rs
@@ -116,7 +116,8 @@
         };
         let worker = &fleet.workers[running.worker];
         if worker.live && worker.usable && worker.hold.is_none() {
-            outlook.free(running.worker, worker.free, &running.amount);
+            let free = *worker.offered(&need.amount);
+            outlook.free(running.worker, free, &running.amount);
             until = end;
         }
     }
--- a/crates/primrosebay_coordination/src/schedule/index.rs
+++ b/crates/primrosebay_coordination/src/schedule/index.rs
@@ -6,7 +6,11 @@
 
 use super::blocks::Blocks;
 
-/// Levels of free accelerators: one for workers that have none, then one for each free count.
+/// Level of workers that have no accelerators.
+const PLAIN: usize = 0;
+/// Level of workers with accelerators, by what tasks without accelerators may use there.
+const BESIDE: usize = 1;
+/// Number of levels; those from 2 on are for each count of free accelerators from 1.
 const LEVELS: usize = 18;
 /// Buckets of free memory, two for each doubling from 256 MiB.
 const BUCKETS: usize = 32;
@@ -18,7 +22,28 @@
     buckets: [Blocks<(u64, usize)>; BUCKETS],
 }
 
-/// Workers by free accelerators, then by a bucket of free memory, then sorted by free cores.
+/// What a worker offers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Offer {
+    /// Whether the worker has accelerators, free or not.
+    pub(super) accelerated: bool,
+    /// What is free.
+    pub(super) free: Resources,
+    /// What tasks without accelerators may use of it.
+    pub(super) plain: Resources,
+}
+
+impl Offer {
+    /// Returns the levels at which the worker is found, with the amount for each.
+    fn entries(&self) -> impl Iterator<Item = (usize, Resources)> {
+        let free = (self.accelerated && self.free.accelerators > 0)
+            .then(|| (level(self.free.accelerators), self.free));
+        let plain = if self.accelerated { BESIDE } else { PLAIN };
+        std::iter::once((plain, self.plain)).chain(free)
+    }
+}
+
+/// Workers by level, then by a bucket of free memory, then sorted by free cores.
 #[derive(Debug)]
 pub(super) struct Index {
     levels: Vec<Level>,
@@ -33,28 +58,32 @@
 }
 
 impl Index {
-    pub(super) fn insert(&mut self, total: &Resources, free: &Resources, worker: usize) {
-        let level = &mut self.levels[level(total, free)];
-        let bucket = bucket(free.memory_mib);
-        level.buckets[bucket].insert((free.cores_milli, worker));
-        level.filled |= 1 << bucket;
+    pub(super) fn insert(&mut self, offer: &Offer, worker: usize) {
+        for (level, amount) in offer.entries() {
+            let level = &mut self.levels[level];
+            let bucket = bucket(amount.memory_mib);
+            level.buckets[bucket].insert((amount.cores_milli, worker));
+            level.filled |= 1 << bucket;
+        }
     }
 
-    pub(super) fn remove(&mut self, total: &Resources, free: &Resources, worker: usize) {
-        let level = &mut self.levels[level(total, free)];
-        let bucket = bucket(free.memory_mib);
-        level.buckets[bucket].remove(&(free.cores_milli, worker));
-        if level.buckets[bucket].is_empty() {
-            level.filled &= !(1 << bucket);
+    pub(super) fn remove(&mut self, offer: &Offer, worker: usize) {
+        for (level, amount) in offer.entries() {
+            let level = &mut self.levels[level];
+            let bucket = bucket(amount.memory_mib);
+            level.buckets[bucket].remove(&(amount.cores_milli, worker));
+            if level.buckets[bucket].is_empty() {
+                level.filled &= !(1 << bucket);
+            }
         }
     }
 
     /// Returns the levels on which `need` can fit, best first.
     pub(super) fn levels(need: &Resources) -> Range<usize> {
         if need.accelerators == 0 {
-            0..LEVELS
+            PLAIN..BESIDE + 1
         } else {
-            free_level(need.accelerators)..LEVELS
+            level(need.accelerators)..LEVELS
         }
     }
 
@@ -84,15 +113,8 @@
     }
 }
 
-fn level(total: &Resources, free: &Resources) -> usize {
-    if total.accelerators == 0 {
-        0
-    } else {
-        free_level(free.accelerators)
-    }
-}
-
-fn free_level(accelerators: u64) -> usize {
+/// Returns the level of a count of free accelerators.
+fn level(accelerators: u64) -> usize {
     usize::try_from(accelerators).map_or(LEVELS - 1, |n| n.saturating_add(1).min(LEVELS - 1))
 }
 
--- a/crates/primrosebay_coordination/src/schedule/job.rs
+++ b/crates/primrosebay_coordination/src/schedule/job.rs
@@ -6,6 +6,7 @@
 use primrosebay_state::time::Time;
 
 use super::counts::Counts;
+use super::fleet::Need;
 use super::queue::{ClassKey, Entry};
 use super::shapes::Shape;
 
@@ -53,6 +54,16 @@
         (self.run_ms > 0 && self.spec.policy != Policy::Service).then_some(self.run_ms)
     }
 
+    /// Returns what the next task of the job needs; `at` is where the job is among the jobs.
+    pub(super) fn need(&self, at: usize, now: Time) -> Need {
+        Need {
+            amount: self.amount(),
+            end: self.ends().map(|ms| now + ms),
+            job: at,
+            urgent: self.spec.urgent,
+        }
+    }
+
     /// Returns whether places depend on where other tasks of the job are.
     pub(super) fn is_counted(&self) -> bool {
         self.spec.policy == Policy::Service || self.is_limited()
--- a/crates/primrosebay_coordination/src/schedule/round.rs
+++ b/crates/primrosebay_coordination/src/schedule/round.rs
@@ -49,16 +49,13 @@
                 }
             }
         }
-        let raised = larger(&wanted, &self.keep);
-        if !wanted.is_zero() && raised == wanted {
-            self.keep = wanted;
+        let raised = larger(&wanted, &self.fleet.keep);
+        let old = now.since(self.kept) >= self.settings.keep_ms;
+        if (!wanted.is_zero() && raised == wanted) || (old && wanted != self.fleet.keep) {
             self.kept = now;
-        } else if now.since(self.kept) >= self.settings.keep_ms && wanted != self.keep {
-            self.keep = wanted;
-            self.kept = now;
-            self.fleet.unblock();
+            self.fleet.set_keep(wanted);
         } else {
-            self.keep = raised;
+            self.fleet.set_keep(raised);
         }
     }
 
@@ -255,7 +252,7 @@
         let Some(job) = self.jobs.get(at).filter(|job| job.hold_after <= now) else {
             return;
         };
-        let need = self.need(at, job, now);
+        let need = job.need(at, now);
         let tasks = if job.is_gang() { job.pending.len() } else { 1 };
         let made: Option<Reservation> = reserve(
             &mut self.fleet,
@@ -416,7 +413,7 @@
         let Some(job) = self.jobs.get(at) else {
             return false;
         };
-        let need = self.need(at, job, now);
+        let need = job.need(at, now);
         let Ok(parts) = plan(&self.fleet, job, &need, key.tasks as u64) else {
             return false;
         };
@@ -431,7 +428,7 @@
     /// Returns the best worker for the next task of a job.
     fn find(&self, at: usize, now: Time) -> Option<usize> {
         let job = self.jobs.get(at)?;
-        let need = self.need(at, job, now);
+        let need = job.need(at, now);
         let allowed = |id: usize, worker: &Worker| job.allows(worker.rack, id);
         if job.spec.policy == Policy::Service {
             self.fleet.spread(&need, job.rack, &job.counts, allowed)
@@ -455,7 +452,7 @@
         }
         self.start(now, at, index, worker, false);
         if let Some(job) = self.jobs.get(at) {
-            let need = self.need(at, job, now);
+            let need = job.need(at, now);
             self.fleet.outlast(worker, &need);
         }
         if whole {
--- a/crates/primrosebay_coordination/src/schedule/scheduler.rs
+++ b/crates/primrosebay_coordination/src/schedule/scheduler.rs
@@ -12,7 +12,7 @@
 use super::Settings;
 use super::counts::Counts;
 use super::estimate::Estimates;
-use super::fleet::{Fleet, Need};
+use super::fleet::Fleet;
 use super::gang::Reservation;
 use super::job::{Job, Jobs};
 use super::ledger::{Ledger, Running};
@@ -46,8 +46,6 @@
     pub(super) reservations: Vec<Reservation>,
     /// Teams that may use more than their allowance.
     pub(super) over: Vec<usize>,
-    /// What is kept for each free accelerator.
-    pub(super) keep: Resources,
     /// When an accelerator job last waited.
     pub(super) kept: Time,
     pub(super) sequence: u64,
@@ -69,7 +67,6 @@
             claims: Vec::new(),
             reservations: Vec::new(),
             over: Vec::new(),
-            keep: Resources::ZERO,
             kept: Time(0),
             sequence: 0,
             round: 0,
@@ -306,17 +303,6 @@
         }
     }
 
-    /// Returns what the next task of the job needs.
-    pub(super) fn need(&self, at: usize, job: &Job, now: Time) -> Need {
-        Need {
-            amount: job.amount(),
-            keep: self.keep,
-            end: job.ends().map(|ms| now + ms),
-            job: at,
-            urgent: job.spec.urgent,
-        }
-    }
-
     /// Counts a task as running on a worker.
     pub(super) fn start(
         &mut self,
