--- a/crates/primrosebay_coordination/src/schedule/round.rs
+++ b/crates/primrosebay_coordination/src/schedule/round.rs
@@ -36,7 +36,7 @@
     /// Brings up to date what tasks without accelerators leave free for accelerator jobs.
     fn keep_accelerators(&mut self, now: Time) {
         let mut wanted = Resources::ZERO;
-        for team in &self.teams.items {
+        for team in self.teams.items.iter().filter(|t| t.queue.accelerated > 0) {
             for class in &team.queue.classes {
                 let amount = class.key.amount();
                 if amount.accelerators > 0 && team.allows(&class.key.least()) {
@@ -49,16 +49,13 @@
                 }
             }
         }
-        let raised = larger(&wanted, &self.keep);
-        if !wanted.is_zero() && raised == wanted {
-            self.keep = wanted;
+        let raised = larger(&wanted, &self.fleet.keep);
+        let old = now.since(self.kept) >= self.settings.keep_ms;
+        if (!wanted.is_zero() && raised == wanted) || (old && wanted != self.fleet.keep) {
             self.kept = now;
-        } else if now.since(self.kept) >= self.settings.keep_ms && wanted != self.keep {
-            self.keep = wanted;
-            self.kept = now;
-            self.fleet.unblock();
+            self.fleet.set_keep(wanted);
         } else {
-            self.keep = raised;
+            self.fleet.set_keep(raised);
         }
     }
 
@@ -146,13 +143,7 @@
     /// Places urgent work of all teams, and preempts for it where nothing is free.
     fn place_urgent(&mut self, now: Time, max: usize, decisions: &mut Vec<Decision>) {
         let mut turns: Vec<Turn> = (0..self.teams.items.len())
-            .filter(|&team| {
-                self.teams.items[team]
-                    .queue
-                    .classes
-                    .iter()
-                    .any(|c| c.key.urgent)
-            })
+            .filter(|&team| self.teams.items[team].queue.has_urgent())
             .map(|team| (self.teams.items[team].urgent_rank(&self.fleet.total), team))
             .collect();
         sort(&mut turns);
@@ -258,48 +249,86 @@
         {
             return;
         }
-        let Some(job) = self.jobs.get(at) else { return };
-        let need = self.need(at, job, now);
+        let Some(job) = self.jobs.get(at).filter(|job| job.hold_after <= now) else {
+            return;
+        };
+        let need = job.need(at, now);
         let tasks = if job.is_gang() { job.pending.len() } else { 1 };
-        let made: Option<Reservation> =
-            reserve(&mut self.fleet, &self.ledger, job, &need, tasks as u64, now);
+        let made: Option<Reservation> = reserve(
+            &mut self.fleet,
+            &mut self.ledger,
+            job,
+            &need,
+            tasks as u64,
+            now,
+        );
+        if made.is_none() {
+            let later = now + self.settings.refresh_ms;
+            if let Some(job) = self.jobs.get_mut(at) {
+                job.hold_after = later;
+            }
+        }
         self.reservations.extend(made);
     }
 
     /// Places the work of all teams, the lowest weighted share first.
     fn place_shares(&mut self, now: Time, max: usize, decisions: &mut Vec<Decision>) {
+        let waiting = |team: &usize| self.teams.items[*team].queue.head.is_some();
         let mut turns: Vec<Turn> = (0..self.teams.items.len())
-            .filter(|&team| !self.teams.items[team].queue.classes.is_empty())
+            .filter(waiting)
             .map(|team| (self.rank(team, now), team))
             .collect();
         sort(&mut turns);
+        let special = turns
+            .iter()
+            .any(|&(_, team)| self.teams.items[team].queue.special > 0);
+        let order: Vec<usize> = turns.iter().rev().map(|turn| turn.1).collect();
         while decisions.len() < max
+            && (special || self.fleet.shapes.is_open())
             && let Some((_, team)) = turns.pop()
         {
             let Some((key, entry)) = self.next(team, now, |_, _| true) else {
                 continue;
             };
             if key.is_split(decisions.len(), max) {
-                break;
+                return;
             }
             if !self.try_place(now, &key, entry, decisions) {
                 self.fail(now, team, &key);
-                let waited = self.jobs.get(entry.2).map_or(0, |j| now.since(j.submitted));
-                if key.tasks > 0 || waited >= self.settings.patience_ms {
+                if key.tasks > 0 {
                     self.hold(now, entry.2);
                 }
             }
-            if !self.teams.items[team].queue.classes.is_empty() {
+            if self.teams.items[team].queue.head.is_some() {
                 insert(&mut turns, (self.rank(team, now), team));
             }
         }
+        if decisions.len() < max {
+            self.hold_first(now, &order);
+        }
+    }
+
+    /// Holds resources for the first job of the team that is furthest below its share, if that job
+    /// has waited for long and other jobs keep taking what is freed. No other team gets this, as
+    /// what is held is given out without regard to rank.
+    fn hold_first(&mut self, now: Time, order: &[usize]) {
+        let first = order.iter().find_map(|&team| {
+            let team = &self.teams.items[team];
+            let (_, _, at) = team.queue.head?;
+            let job = self.jobs.get(at)?;
+            let late = now.since(job.submitted) >= self.settings.patience_ms;
+            team.allows(&job.amount()).then_some((at, late))
+        });
+        if let Some((at, true)) = first {
+            self.hold(now, at);
+        }
     }
 
     /// Returns the rank of a team: its weighted dominant share, less what its first job gains by a
     /// near deadline or by its age.
     fn rank(&self, team: usize, now: Time) -> f64 {
         let team = &self.teams.items[team];
-        let bonus = team.queue.head().map_or(0.0, |&(start_by, _, job)| {
+        let bonus = team.queue.head.map_or(0.0, |(start_by, _, job)| {
             let deadline = self.jobs.get(job).is_some_and(|j| j.spec.deadline_ms > 0);
             let permille = if deadline {
                 self.settings.deadline_permille
@@ -324,10 +353,15 @@
         team.queue
             .classes
             .iter()
-            .filter(|class| class.round < self.round && class.retry <= now)
-            .filter(|class| class.key.urgent || class.freed != self.fleet.freed)
+            .filter(|class| match class.shape {
+                Some(shape) => !self.fleet.shapes.is_blocked(shape),
+                None => {
+                    class.round < self.round
+                        && class.retry <= now
+                        && (class.key.urgent || class.freed != self.fleet.freed)
+                }
+            })
             .filter(|class| team.allows(&class.key.least()) && accept(&class.key, team))
-            .filter(|class| class.key.urgent || !self.fleet.is_blocked(&class.key.amount()))
             .filter_map(|class| Some((class.key, *class.jobs.first()?)))
             .min_by_key(|&(_, entry)| entry)
     }
@@ -338,6 +372,9 @@
         if let Ok(at) = queue.find(key) {
             queue.classes[at].round = self.round;
             queue.classes[at].freed = self.fleet.freed;
+            if let Some(shape) = queue.classes[at].shape {
+                self.fleet.shapes.block(shape);
+            }
             if key.tasks > 0 {
                 queue.classes[at].retry = now + self.settings.gang_ms;
             }
@@ -360,13 +397,6 @@
             self.place(now, at, worker, decisions);
             return true;
         }
-        let held = self.jobs.get(at).is_some_and(|job| {
-            let need = self.need(at, job, now);
-            self.fleet.fits_held(&need)
-        });
-        if key.own.is_none() && !held {
-            self.fleet.block(&key.amount());
-        }
         false
     }
 
@@ -383,7 +413,7 @@
         let Some(job) = self.jobs.get(at) else {
             return false;
         };
-        let need = self.need(at, job, now);
+        let need = job.need(at, now);
         let Ok(parts) = plan(&self.fleet, job, &need, key.tasks as u64) else {
             return false;
         };
@@ -398,7 +428,7 @@
     /// Returns the best worker for the next task of a job.
     fn find(&self, at: usize, now: Time) -> Option<usize> {
         let job = self.jobs.get(at)?;
-        let need = self.need(at, job, now);
+        let need = job.need(at, now);
         let allowed = |id: usize, worker: &Worker| job.allows(worker.rack, id);
         if job.spec.policy == Policy::Service {
             self.fleet.spread(&need, job.rack, &job.counts, allowed)
@@ -422,7 +452,7 @@
         }
         self.start(now, at, index, worker, false);
         if let Some(job) = self.jobs.get(at) {
-            let need = self.need(at, job, now);
+            let need = job.need(at, now);
             self.fleet.outlast(worker, &need);
         }
         if whole {
