--- a/crates/primrosebay_coordination/src/zone/jobs.rs
+++ b/crates/primrosebay_coordination/src/zone/jobs.rs
@@ -51,15 +51,23 @@
     /// The highest number of an attempt.
     pub attempts: u32,
     pub failures: u32,
+    /// Failures that count towards the limit of the job, in quarters.
+    pub blame: u32,
     /// Whether a `Starting` record is in the log.
     pub started: bool,
 }
 
 /// One job.
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 pub(super) struct Job {
     pub home: Name,
     pub spec: JobSpec,
+    /// Whether only this coordinator, in its present tenure, can have started the job.
+    pub own: bool,
     /// Whether the `Accepted` record is in the log.
     pub logged: bool,
     /// Whether the job is cancelled, and whether a record in the log says so.
@@ -94,12 +102,14 @@
             state: state.clone(),
             attempts: 0,
             failures: 0,
+            blame: 0,
             started: false,
         };
         let tasks = vec![task; spec.tasks as usize];
         Self {
             home,
             spec,
+            own: false,
             logged: false,
             cancelled: None,
             failed: false,
--- a/crates/primrosebay_coordination/src/zone/member.rs
+++ b/crates/primrosebay_coordination/src/zone/member.rs
@@ -30,6 +30,8 @@
     pub hurried: bool,
     /// When the last request that was granted was sent.
     pub granted: Option<Time>,
+    /// When the first such request since the claim was answered.
+    pub claimed: Option<Time>,
     /// Whether the worker knew an opened term when it granted its lease. One that has restarted
     /// has forgotten which terms it granted, so it proves nothing about them.
     pub remembers: bool,
@@ -54,6 +56,8 @@
     pub seen: Option<(Time, Option<u64>)>,
     /// Jobs that failed here, since the last success.
     pub failed: Vec<JobId>,
+    /// No task before this time, so that a retry goes to another worker.
+    pub rest: Time,
     pub quarantine: Quarantine,
     pub usable: bool,
     /// Rack and size as the scheduler knows them.
@@ -86,6 +90,7 @@
             waiting: false,
             hurried: false,
             granted: None,
+            claimed: None,
             remembers: false,
             told: 0,
             renewed: None,
@@ -97,6 +102,7 @@
             stops: false,
             seen: None,
             failed: Vec::new(),
+            rest: Time(0),
             quarantine: Quarantine::None,
             usable: false,
             known: None,
@@ -152,6 +158,7 @@
     /// Notes that the worker has started anew: it runs nothing and has granted nothing.
     pub fn restarted(&mut self) {
         self.granted = None;
+        self.claimed = None;
         self.remembers = false;
         self.told = 0;
         self.handled = 0;
--- a/crates/primrosebay_coordination/src/zone/mod.rs
+++ b/crates/primrosebay_coordination/src/zone/mod.rs
@@ -72,7 +72,8 @@
         spec: JobSpec,
         /// Whether the record is in the log; it is held by peers otherwise.
         durable: bool,
-        /// Whether this coordinator accepted it, so that no other one can have started it.
+        /// Whether this coordinator accepted it in one tenure (see [`Authority::tenure`]), so that
+        /// no other one can have started it.
         own: bool,
     },
     /// A caller or operator cancels a job.
--- a/crates/primrosebay_coordination/src/zone/quarantine.rs
+++ b/crates/primrosebay_coordination/src/zone/quarantine.rs
@@ -25,6 +25,9 @@
                 if !member.failed.contains(&job) {
                     member.failed.push(job);
                 }
+                if member.failed.len() > 1 {
+                    member.rest = now + settings.rest;
+                }
                 match member.quarantine {
                     Quarantine::Probing(wait) => {
                         let wait = (2 * wait).min(settings.quarantine_max);
@@ -51,7 +54,7 @@
             self.quarantine = Quarantine::Probing(wait);
         }
         match self.quarantine {
-            Quarantine::None => true,
+            Quarantine::None => now >= self.rest,
             Quarantine::Until(..) => false,
             Quarantine::Probing(_) => self.tasks.is_empty() && self.placed.is_empty(),
         }
--- a/crates/primrosebay_coordination/src/zone/recovery.rs
+++ b/crates/primrosebay_coordination/src/zone/recovery.rs
@@ -221,6 +221,7 @@
     /// Forgets where the tasks that are not over may run.
     pub(super) fn make_inherited(&mut self) {
         let closing = self.is_closing();
+        self.own = false;
         for task in &mut self.tasks {
             if closing && !task.is_ended() {
                 task.state = State::Ended {
--- a/crates/primrosebay_coordination/src/zone/reports.rs
+++ b/crates/primrosebay_coordination/src/zone/reports.rs
@@ -50,6 +50,7 @@
                 // The tasks that run there may have been renewed up to now.
                 member.renewed = Some(now);
                 member.hurried = true;
+                member.claimed = Some(now);
             }
             member.granted = member.granted.max(Some(sent));
         }
--- a/crates/primrosebay_coordination/src/zone/retry.rs
+++ b/crates/primrosebay_coordination/src/zone/retry.rs
@@ -2,6 +2,7 @@
 
 use rand::Rng;
 
+use primrosebay_state::Name;
 use primrosebay_state::id::{JobId, TaskId};
 use primrosebay_state::job::Policy;
 use primrosebay_state::record::Outcome;
@@ -11,24 +12,33 @@
 use super::jobs::State;
 use super::tasks::Over;
 
+/// Weight of a failure on a worker that is not suspected itself.
+const FULL_BLAME: u32 = 4;
+
 impl Coordinator {
     /// Tries a task again after a failure, or fails its job after too many. The tasks of a service
     /// are always started again.
-    pub(super) fn retry_failed(&mut self, now: Time, id: TaskId, over: Over) {
+    pub(super) fn retry_failed(&mut self, now: Time, id: TaskId, worker: &Name, over: Over) {
+        // A worker that fails several jobs in a row is more likely at fault than each of them, but
+        // jobs that can never run must still come to an end when they meet on one worker.
+        let member = self.members.get::<Name>(worker);
+        let suspect = member.is_some_and(|member| member.failed.len() > 1);
+        let blame = if suspect { 1 } else { FULL_BLAME };
         let Some(task) = self.jobs.task_mut(id) else {
             return;
         };
-        task.failures = if over == Over::Failed {
-            task.failures + 1
+        if over == Over::Failed {
+            task.failures += 1;
+            task.blame += blame;
         } else {
-            0
-        };
-        let failures = task.failures;
+            (task.failures, task.blame) = (0, 0);
+        }
+        let (failures, blame) = (task.failures, task.blame);
         let Some(job) = self.jobs.all.get(&id.job) else {
             return;
         };
         let service = job.spec.policy == Policy::Service;
-        if !service && failures >= job.spec.retries.max(1) {
+        if !service && blame >= FULL_BLAME * job.spec.retries.max(1) {
             self.end_task(now, id, Outcome::Failed);
         } else if job.moving.is_some() || job.is_gang() {
             self.hold_back(now, id);
--- a/crates/primrosebay_coordination/src/zone/send.rs
+++ b/crates/primrosebay_coordination/src/zone/send.rs
@@ -170,9 +170,6 @@
         let Some(member) = self.members.get_mut(worker) else {
             return;
         };
-        if !member.usable && member.quarantine == super::member::Quarantine::None {
-            return;
-        }
         let many = member.placed.len().min(MAX_STARTS);
         let placed: Vec<_> = member.placed.drain(..many).collect();
         member.tasks.extend(&placed);
--- a/crates/primrosebay_coordination/src/zone/settings.rs
+++ b/crates/primrosebay_coordination/src/zone/settings.rs
@@ -19,6 +19,9 @@
     pub retry_base: u64,
     /// Longest wait before another attempt.
     pub retry_max: u64,
+    /// Time without new tasks after a worker failed different jobs in a row. Their retries, which
+    /// come within this time at first, go to other workers.
+    pub rest: u64,
     /// Consecutive failures of different jobs after which a worker is quarantined.
     pub quarantine_after: usize,
     /// First time in quarantine; doubles with each failed probe.
@@ -38,6 +41,7 @@
             decisions: 1_000,
             retry_base: 500,
             retry_max: 30_000,
+            rest: 2_000,
             quarantine_after: 5,
             quarantine_base: 10_000,
             quarantine_max: 600_000,
--- a/crates/primrosebay_coordination/src/zone/tasks.rs
+++ b/crates/primrosebay_coordination/src/zone/tasks.rs
@@ -58,6 +58,7 @@
         };
         let mut job = Job::new(self.zone.clone(), spec, &state);
         job.logged = durable;
+        job.own = own;
         self.jobs.all.insert(id, job);
         if !own {
             self.recovery.inherited.push(id);
@@ -79,6 +80,10 @@
         if waits {
             return;
         }
+        if !job.own && !self.recovery.done {
+            self.wait_for_recovery(id);
+            return;
+        }
         if !job.spec.after.is_empty() {
             let before = self.jobs.named(&job.spec.team, &job.spec.after);
             if before.and_then(Job::outcome) != Some(Outcome::Done) {
@@ -104,6 +109,24 @@
         }
     }
 
+    /// Keeps the waiting tasks of a job until the log has been read: the job may have been moved or
+    /// its tasks may have finished.
+    fn wait_for_recovery(&mut self, id: JobId) {
+        let Some(job) = self.jobs.all.get_mut(&id) else {
+            return;
+        };
+        let mut waiting = false;
+        for task in &mut job.tasks {
+            if task.state == State::Waiting {
+                task.state = State::Inherited;
+                waiting = true;
+            }
+        }
+        if waiting && !self.recovery.inherited.contains(&id) {
+            self.recovery.inherited.push(id);
+        }
+    }
+
     /// Handles the end of the attempt that the task at `id` was given last.
     pub(super) fn attempt_over(&mut self, now: Time, id: TaskId, over: Over) {
         let Some((job, task)) = self.jobs.task(id) else {
@@ -137,7 +160,7 @@
             Over::Done if !service => self.end_task(now, id, Outcome::Done),
             Over::Stopped | Over::Lost if once => self.end_task(now, id, Outcome::Unknown),
             Over::Failed if once => self.end_task(now, id, Outcome::Failed),
-            Over::Done | Over::Failed => self.retry_failed(now, id, over),
+            Over::Done | Over::Failed => self.retry_failed(now, id, &worker, over),
             _ if keep => self.hold_back(now, id),
             Over::NotRun => self.retry_later(now, id, self.settings.heartbeat),
             Over::Stopped | Over::Lost => {
--- a/crates/primrosebay_coordination/src/zone/term.rs
+++ b/crates/primrosebay_coordination/src/zone/term.rs
@@ -69,18 +69,49 @@
 }
 
 impl Coordinator {
-    /// Returns whether the member counts as a voter of the latest term that has granted its lease.
-    fn is_vote(&self, member: &Member) -> bool {
-        self.terms.voters.own || self.terms.voters.epoch == 0 || member.remembers
+    /// Returns whether the lease of `member` is held and no earlier holder relies on it any more.
+    ///
+    /// A worker that has restarted has forgotten its earlier lease, so that lease is waited for.
+    fn is_vote(&self, now: Time, member: &Member) -> bool {
+        let ttl = self.settings.control_ttl;
+        let forgot = !self.terms.voters.own && !member.remembers;
+        let waited = |at: Time| now >= at + upper_bound(ttl);
+        member.is_held(now, ttl) && (!forgot || member.claimed.is_some_and(waited))
     }
 
     pub(super) fn votes(&self, now: Time) -> usize {
-        let ttl = self.settings.control_ttl;
         count(&self.members, &self.terms.voters.names, |member| {
-            member.is_held(now, ttl) && self.is_vote(member)
+            self.is_vote(now, member)
         })
     }
 
+    /// Returns whether no term can have opened after the latest one that was learned of.
+    ///
+    /// More than half of the voters would know of it, so it is enough that half of them remember
+    /// their terms. If more of them have restarted, all workers must have been held for so long
+    /// that the tasks on any other one have stopped.
+    fn knows_latest(&self, now: Time) -> bool {
+        let voters = &self.terms.voters;
+        if voters.own || voters.epoch == 0 {
+            return true;
+        }
+        let remembering = count(&self.members, &voters.names, |member| member.remembers);
+        2 * remembering >= voters.names.len() || self.holds_all(now)
+    }
+
+    fn holds_all(&self, now: Time) -> bool {
+        let ttl = upper_bound(self.settings.task_ttl);
+        let long = |member: &Member| {
+            member.is_held(now, self.settings.control_ttl)
+                && member.claimed.is_some_and(|at| now >= at + ttl)
+        };
+        let voters = &self.terms.voters.names;
+        self.members
+            .iter()
+            .filter(|(name, member)| member.listed || voters.contains(name))
+            .all(|(name, member)| self.lost.contains(name) || long(member))
+    }
+
     /// Returns whether enough workers of a proposed term are held.
     fn holds_proposal(&self, now: Time) -> bool {
         let ttl = self.settings.control_ttl;
@@ -95,6 +126,7 @@
         self.terms.phase == Phase::Claiming
             && voters > 0
             && 2 * self.votes(now) >= voters
+            && self.knows_latest(now)
             && self.holds_proposal(now)
     }
 
@@ -145,7 +177,10 @@
         let wait = u64::from(rank) * self.settings.rank_delay;
         let recent = Time(now.0.saturating_sub(2 * self.settings.heartbeat));
         let listed = self.members.iter().filter(|(_, m)| m.listed).count();
-        let free = |m: &Member| m.free_for(recent).is_some_and(|ms| ms >= wait);
+        // Leases may have been free for long when all candidates start at once, so a candidate
+        // also waits from when it saw one free itself.
+        let waited = self.terms.alarmed.map_or(0, |at| now.since(at)) >= wait;
+        let free = |m: &Member| waited && m.free_for(recent).is_some_and(|ms| ms >= wait);
         let frees = self.members.iter().filter(|(_, m)| free(m)).count();
         let any = self
             .members
@@ -190,10 +225,12 @@
             if self.terms.voters.own {
                 return false;
             }
-            // The claim goes on under a higher epoch, unless the other instance gets the workers.
-            self.terms.epoch = latest + 1;
-            self.terms.first = latest + 1;
-            self.terms.proposal = None;
+            // The claim goes on under a higher epoch once the other instance has let go.
+            if reply.held_ms == 0 {
+                self.terms.epoch = latest + 1;
+                self.terms.first = latest + 1;
+                self.terms.proposal = None;
+            }
         }
         self.terms.contended |= !reply.granted && other && reply.held_ms > 0;
         if let Some(opened) = &reply.opened {
@@ -244,9 +281,7 @@
         };
         let epoch = self.terms.epoch;
         let told = |member: &Member| member.told >= epoch;
-        let before = count(&self.members, &self.terms.voters.names, |member| {
-            told(member) && self.is_vote(member)
-        });
+        let before = count(&self.members, &self.terms.voters.names, told);
         let after = count(&self.members, names, told);
         let enough = 2 * before > self.terms.voters.names.len() && 2 * after > names.len();
         if !enough || !self.has_authority(now) {
--- a/crates/primrosebay_coordination/src/zone/view.rs
+++ b/crates/primrosebay_coordination/src/zone/view.rs
@@ -20,6 +20,10 @@
     pub phase: Phase,
     /// The epoch of its requests.
     pub epoch: u64,
+    /// The epoch of its first claim since it last had no authority. A job counts as accepted by
+    /// this coordinator only if authority was held in the same tenure before its record was first
+    /// sent and when the record was durable; another one may have started it in between otherwise.
+    pub tenure: u64,
     /// Whether it may start tasks by its leases.
     pub held: bool,
 }
@@ -130,6 +134,7 @@
         Authority {
             phase: self.terms.phase,
             epoch: self.terms.epoch,
+            tenure: self.terms.first,
             held: self.has_authority(now),
         }
     }
