--- a/crates/primrosebay_coordination/tests/zone/random.rs
+++ b/crates/primrosebay_coordination/tests/zone/random.rs
@@ -1,6 +1,7 @@
 //! Random sequences of faults and submissions, with the invariants checked after each message.
 //!
-//! `PRIMROSEBAY_CASES` sets the number of sequences and `PRIMROSEBAY_SEED` the first seed.
+//! `PRIMROSEBAY_CASES` sets the number of sequences and `PRIMROSEBAY_SEED` the first seed; `PRIMROSEBAY_SHRINK` sets the
+//! number of tries to find a shorter sequence that fails.
 
 use primrosebay_coordination::zone::Event;
 use primrosebay_state::config::ZoneState;
@@ -216,11 +217,12 @@
 #[test]
 fn random_sequences_keep_the_invariants() {
     let first = variable("PRIMROSEBAY_SEED", 0);
+    let shrinks = u32::try_from(variable("PRIMROSEBAY_SHRINK", 500)).expect("a small number");
     for seed in first..first + variable("PRIMROSEBAY_CASES", CASES) {
         let config = Config {
             cases: 1,
             failure_persistence: None,
-            max_shrink_iters: 500,
+            max_shrink_iters: shrinks,
             ..Config::default()
         };
         let mut bytes = [0; 32];
