Recognize stray answers and count only the load of others

An answer to nobody that arrived after the connection was found quiet was taken for the next request's answer, since it carries no attempt id. And responses overtake each other, so the occupied slots that a minion reports include requests that have ended here since: after eight requests at one minion, up to six of its eight slots counted as occupied by others.

Change: a minion that has returned an attempt id must always return it. The recent peak of own requests is taken off the reported load; a refusal as full is exact.

--- a/crates/primrosebay_coordination/src/routing/minion.rs
+++ b/crates/primrosebay_coordination/src/routing/minion.rs
@@ -44,6 +44,8 @@
     pub failed: Option<bool>,
     /// Occupied slots that the minion reported.
     pub busy: Option<u32>,
+    /// Whether the minion refused the request because it was full.
+    pub refused: bool,
     /// Whether the minion said that it is leaving.
     pub leaving: bool,
 }
@@ -63,6 +65,9 @@
     pub(super) own_leaving: Option<Time>,
     others: u32,
     reported: Option<Time>,
+    /// Most own requests at the same time in this and in the last period.
+    peaks: [u32; 2],
+    period: u64,
 }
 
 impl Minion {
@@ -80,16 +85,50 @@
             own_leaving: None,
             others: 0,
             reported: None,
+            peaks: [0; 2],
+            period: 0,
         }
     }
 
-    /// Records the occupied slots that the minion reported. The part beyond this instance's own
-    /// requests is the load of other entry instances.
+    /// Counts one more request as running.
+    pub fn start(&mut self, now: Time) {
+        self.running += 1;
+        self.turn_peaks(now);
+        self.peaks[0] = self.peaks[0].max(self.running);
+    }
+
+    /// Records the slots that were occupied when the minion sent a response. The part beyond this
+    /// instance's own requests is the load of other entry instances.
+    ///
+    /// Responses overtake each other, so requests that have ended here since may still be in the
+    /// number. Therefore the recent peak of own requests is taken off. Without that, an instance
+    /// alone with a minion counted up to six of its eight slots as occupied by others.
     pub fn report(&mut self, busy: u32, now: Time) {
-        self.others = busy.saturating_sub(self.running);
+        self.turn_peaks(now);
+        let own = self.peaks[0].max(self.peaks[1]).max(self.running);
+        self.others = busy.saturating_sub(own);
+        self.reported = Some(now);
+    }
+
+    /// Records that the minion refused a request because all its slots were occupied.
+    pub fn report_full(&mut self, now: Time) {
+        self.others = SLOTS.saturating_sub(self.running);
         self.reported = Some(now);
     }
 
+    fn turn_peaks(&mut self, now: Time) {
+        let period = now.0 / REPORT_TTL;
+        if period != self.period {
+            let last = if period == self.period + 1 {
+                self.peaks[0]
+            } else {
+                self.running
+            };
+            self.peaks = [self.running, last];
+            self.period = period;
+        }
+    }
+
     /// Returns the slots that are taken as far as this instance knows.
     #[must_use]
     pub fn load(&self, now: Time) -> u32 {
--- a/crates/primrosebay_coordination/src/routing/table.rs
+++ b/crates/primrosebay_coordination/src/routing/table.rs
@@ -134,7 +134,7 @@
         }
         let index = index?;
         let minion = &mut self.minions[index];
-        minion.running += 1;
+        minion.start(now);
         Some(minion.site.clone())
     }
 
@@ -181,7 +181,9 @@
         let Ok(i) = self.position(name) else { return };
         let minion = &mut self.minions[i];
         minion.running = minion.running.saturating_sub(1);
-        if let Some(busy) = feedback.busy {
+        if feedback.refused {
+            minion.report_full(now);
+        } else if let Some(busy) = feedback.busy {
             minion.report(busy, now);
         }
         if feedback.leaving {
--- a/crates/primrosebay_entry/src/requests/outcome.rs
+++ b/crates/primrosebay_entry/src/requests/outcome.rs
@@ -11,6 +11,7 @@
     Feedback {
         failed: Some(failed),
         busy: report.busy,
+        refused: false,
         leaving: report.leaving,
     }
 }
@@ -44,7 +45,8 @@
 fn full(leaving: bool) -> Feedback {
     Feedback {
         failed: None,
-        busy: Some(SLOTS),
+        busy: None,
+        refused: true,
         leaving,
     }
 }
--- a/crates/primrosebay_protocol/src/minion.rs
+++ b/crates/primrosebay_protocol/src/minion.rs
@@ -1,6 +1,7 @@
 //! Headers of calls to minions. The body is passed on unchanged.
 
-/// Identifies the attempt, so that a minion refuses a second run of it.
+/// Identifies the attempt, so that a minion refuses a second run of it. The minion returns it in
+/// every response, so that an answer to another attempt is recognized.
 pub const ATTEMPT_HEADER: &str = "x-attempt-id";
 /// Milliseconds that remain until the caller's deadline.
 pub const DEADLINE_HEADER: &str = "x-deadline-ms";
--- a/crates/primrosebay_transport/src/minion.rs
+++ b/crates/primrosebay_transport/src/minion.rs
@@ -200,7 +200,7 @@
         busy: header(&response, BUSY_HEADER).and_then(|v| v.parse().ok()),
         leaving: says(&response, LEAVING_HEADER, "yes"),
     };
-    if header(&response, ATTEMPT_HEADER).is_some_and(|id| *id != attempt) {
+    if !connection.accepts(header(&response, ATTEMPT_HEADER), &attempt) {
         return Err(MinionError::Lost("answer to another attempt".into()));
     }
     if says(&response, RAN_HEADER, "no") {
--- a/crates/primrosebay_transport/src/minion/pool.rs
+++ b/crates/primrosebay_transport/src/minion/pool.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{Shutdown, SocketAddr};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -15,6 +15,8 @@
 /// The connections of one minion.
 #[derive(Debug, Default)]
 struct Peer {
+    /// Whether the minion returns the ids of attempts.
+    named: AtomicBool,
     open: Arc<AtomicUsize>,
     idle: Mutex<Vec<Idle>>,
 }
@@ -134,6 +136,17 @@
         self.stream.clone()
     }
 
+    /// Returns whether an answer with this attempt id, if any, is the answer to `attempt`.
+    ///
+    /// Bytes that belong to no request can arrive after the connection was found quiet, so a
+    /// minion that has returned an id must always return it.
+    pub(super) fn accepts(&self, id: Option<&str>, attempt: &str) -> bool {
+        if id.is_some() {
+            self.peer.named.store(true, Ordering::Relaxed);
+        }
+        id.map_or(!self.peer.named.load(Ordering::Relaxed), |id| id == attempt)
+    }
+
     /// Keeps the connection for the next request, if it can be used again.
     pub(super) fn release(mut self) {
         if !self.keep {
