--- a/crates/primrosebay/src/dev/cell.rs
+++ b/crates/primrosebay/src/dev/cell.rs
@@ -1,6 +1,7 @@
 //! Starts a cell of stand-ins and entry instances in one process.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -12,7 +13,8 @@
 use primrosebay_settings as settings;
 use primrosebay_standin::list::ListService;
 use primrosebay_standin::log::{LogService, Settings};
-use primrosebay_standin::worker::WorkerService;
+use primrosebay_standin::minion::{self, Minion};
+use primrosebay_standin::worker::{Status, WorkerService};
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
 use primrosebay_transport::http_server::{Limits, Server};
@@ -26,7 +28,8 @@
 #[derive(Debug)]
 pub struct Cell {
     platform: Vec<Server>,
-    workers: Vec<Server>,
+    workers: Vec<(Arc<WorkerService>, Server)>,
+    minions: Vec<Minion>,
     entries: Vec<Instance>,
 }
 
@@ -37,10 +40,23 @@
         let mut workers = Vec::new();
         for i in 0..plan.workers.count {
             let run = rand::random::<u64>().max(1);
-            let app = WorkerService::new(run, plan.workers.resources).app();
-            let server = listen(app).await?;
+            let service = Arc::new(WorkerService::new(run, plan.workers.resources));
+            let server = listen(service.app()).await?;
             instances.push(worker(plan, i, server.address()));
-            workers.push(server);
+            workers.push((service, server));
+        }
+        let mut minions = Vec::new();
+        for i in 0..plan.minions.count {
+            let settings = minion::Settings {
+                slots: plan.minions.slots,
+                connections: plan.minions.connections,
+                service: Duration::from_millis(plan.minions.service_ms),
+            };
+            let minion = Minion::start(loopback(), settings)
+                .await
+                .wrap_err("cannot listen on loopback")?;
+            instances.push(minion_entry(plan, i, minion.address()));
+            minions.push(minion);
         }
         instances.extend(plan.zones.iter().map(entry));
         let log = listen(LogService::new(Settings::default()).app()).await?;
@@ -53,6 +69,7 @@
         Ok(Self {
             platform: vec![log, list],
             workers,
+            minions,
             entries,
         })
     }
@@ -62,9 +79,9 @@
         self.entries.iter().map(Instance::address).collect()
     }
 
-    /// Returns the addresses of the workers.
-    pub fn workers(&self) -> Vec<SocketAddr> {
-        self.workers.iter().map(Server::address).collect()
+    /// Returns what each worker holds and has run.
+    pub fn statuses(&self) -> Vec<Status> {
+        self.workers.iter().map(|(w, _)| w.status()).collect()
     }
 
     /// Stops the entry instances first, then the stand-ins.
@@ -72,7 +89,11 @@
         for entry in self.entries {
             entry.close().await;
         }
-        for server in self.workers.into_iter().chain(self.platform) {
+        for minion in self.minions {
+            minion.close().await;
+        }
+        let workers = self.workers.into_iter().map(|(_, server)| server);
+        for server in workers.chain(self.platform) {
             server.close().await;
         }
     }
@@ -103,6 +124,20 @@
     }
 }
 
+fn minion_entry(plan: &Plan, i: usize, address: SocketAddr) -> list::Instance {
+    let services = &plan.minions.services;
+    list::Instance {
+        name: format!("minion-{i:03}").into(),
+        role: Role::Minion,
+        zone: plan.zones[i % plan.zones.len()].clone(),
+        rack: Name::from(""),
+        service: services[i % services.len()].clone(),
+        address: address.to_string().into(),
+        state: Liveness::Live,
+        resources: Resources::ZERO,
+    }
+}
+
 fn entry(zone: &Name) -> list::Instance {
     list::Instance {
         name: format!("entry-{zone}").into(),
--- a/crates/primrosebay/src/dev/plan.rs
+++ b/crates/primrosebay/src/dev/plan.rs
@@ -48,7 +48,7 @@
     /// How many there are.
     pub count: usize,
     /// Requests that a minion serves at a time.
-    pub slots: usize,
+    pub slots: u32,
     /// Most open connections of a minion.
     pub connections: usize,
     /// The services, spread evenly over the minions.
@@ -115,6 +115,10 @@
                 "{path}: 1 to {MAX_INSTANCES} is expected"
             );
         }
+        ensure!(
+            !plan.minions.services.is_empty(),
+            "minions.services: at least one is expected"
+        );
         ensure!(
             plan.workers.per_rack > 0,
             "workers.per_rack: at least 1 is expected"
--- a/crates/primrosebay_coordination/src/lib.rs
+++ b/crates/primrosebay_coordination/src/lib.rs
@@ -2,6 +2,9 @@
 
 pub mod acceptance;
 pub mod freshness;
+pub mod membership;
+pub mod publisher;
+pub mod routing;
 pub mod schedule;
 pub mod table;
 pub mod worker;
--- a/crates/primrosebay_entry/src/api/mod.rs
+++ b/crates/primrosebay_entry/src/api/mod.rs
@@ -17,6 +17,7 @@
 use serde::Serialize;
 use tide::{Body, Request, Response, StatusCode};
 
+use crate::requests;
 use crate::shared::Shared;
 
 /// A request to the API.
@@ -44,6 +45,7 @@
             .put(move |request| resources::put(request, kind))
             .delete(move |request| resources::delete(request, kind));
     }
+    app.at("/v1/services/:name/requests").post(requests::handle);
     app
 }
 
--- a/crates/primrosebay_entry/src/lib.rs
+++ b/crates/primrosebay_entry/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod instance;
 pub mod log_reader;
 pub mod publisher;
+pub mod requests;
 pub mod shared;
 pub mod zones;
--- a/crates/primrosebay_entry/src/shared.rs
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -13,6 +13,7 @@
 use primrosebay_state::id::{Incarnation, JobId};
 use primrosebay_state::time::Time;
 use primrosebay_transport::log::HttpLog;
+use primrosebay_transport::minion::HttpMinions;
 use primrosebay_transport::worker::HttpWorkers;
 
 use crate::api::metrics::Metrics;
@@ -20,6 +21,7 @@
 use crate::clock::Clock;
 use crate::configuration::Configuration;
 use crate::publisher::Publisher;
+use crate::requests::{RequestSettings, Requests};
 use crate::zones::Zone;
 
 /// What an entry instance is told at its start.
@@ -68,6 +70,8 @@
     pub watchers: Watchers,
     /// Figures about the API.
     pub metrics: Metrics,
+    /// Routes requests to minions.
+    pub requests: Requests<HttpMinions>,
     stopping: AtomicBool,
     jobs: AtomicU64,
     directory: RwLock<Arc<[Instance]>>,
@@ -80,15 +84,29 @@
     pub fn new(setup: Setup, incarnation: Incarnation, log: Arc<HttpLog>) -> Self {
         let freshness = Freshness::new(&setup.name, &setup.zone, &setup.region);
         let history = usize::try_from(setup.limits.watch_events).unwrap_or(usize::MAX);
+        let clock = setup.clock.clone();
+        // The meter provider must be there before the instruments are made.
+        let metrics = Metrics::new();
+        let requests = Requests::new(
+            RequestSettings {
+                seed: incarnation.0,
+                ..RequestSettings::default()
+            },
+            setup.zone.clone(),
+            incarnation,
+            HttpMinions::default(),
+            Arc::new(move || clock.now()),
+        );
         Self {
             configuration: Configuration::new(history, freshness),
+            requests,
             publisher: Publisher::start(Arc::clone(&log), incarnation),
             workers: HttpWorkers::new(setup.call_timeout),
             incarnation,
             log,
             setup,
             watchers: Watchers::default(),
-            metrics: Metrics::new(),
+            metrics,
             stopping: AtomicBool::new(false),
             jobs: AtomicU64::new(0),
             directory: RwLock::new(Arc::from([])),
--- a/crates/primrosebay_standin/src/lib.rs
+++ b/crates/primrosebay_standin/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod list;
 pub mod log;
+pub mod minion;
 pub mod worker;
--- a/crates/primrosebay_state/src/config/snapshot.rs
+++ b/crates/primrosebay_state/src/config/snapshot.rs
@@ -67,7 +67,7 @@
         };
         for piece in pieces {
             for item in &piece.items {
-                config.restore(item);
+                config.put_back(item);
             }
             for id in &piece.seen {
                 config.seen.insert(*id);
@@ -76,7 +76,7 @@
         Some(config)
     }
 
-    fn restore(&mut self, item: &Stored) {
+    pub(super) fn put_back(&mut self, item: &Stored) {
         if let Resource::Key { hash, .. } = &item.spec
             && let Some(hash) = KeyHash::parse(hash)
         {
--- a/crates/primrosebay_transport/src/lib.rs
+++ b/crates/primrosebay_transport/src/lib.rs
@@ -4,4 +4,7 @@
 pub mod http_server;
 pub mod list;
 pub mod log;
+pub mod minion;
+pub mod peer;
+pub mod trace;
 pub mod worker;
