Read lists of jobs page by page in the command line

Cause: GET /v1/jobs answers with pages, and the client wrote resources under singular paths. A client's PRIMROSEBAY_SERVER stopped `serve` as an unknown option.

Change: the client follows `next`, writes to /v1/teams and the like, and its two variables are no options. The development cell waits 100 ms for acceptance, because its entry instances have no links yet.

--- a/crates/primrosebay/src/client.rs
+++ b/crates/primrosebay/src/client.rs
@@ -6,7 +6,7 @@
 use clap::ArgMatches;
 use eyre::{WrapErr, eyre};
 use http_types::Method;
-use primrosebay_protocol::api::Failure;
+use primrosebay_protocol::api::{Failure, Items, JobView};
 use primrosebay_state::config::{Resource, Stored};
 use primrosebay_transport::http_client;
 use serde::de::DeserializeOwned;
@@ -85,7 +85,7 @@
 
     /// Writes a resource, whatever version it has.
     pub async fn put(&self, name: &str, spec: &Resource) -> eyre::Result<()> {
-        let path = format!("/v1/{}/{name}", spec.kind());
+        let path = format!("/v1/{}s/{name}", spec.kind());
         let current: Option<Stored> = self.json(Method::Get, &path, None).await.ok();
         let version = current.map_or(0, |c| c.version);
         let body = serde_json::json!({ "version": version, "spec": spec });
@@ -93,6 +93,20 @@
         self.bytes(Method::Put, &path, &[], Some(body)).await?;
         Ok(())
     }
+
+    /// Reads all pages of the list of jobs.
+    pub async fn jobs(&self) -> eyre::Result<Vec<JobView>> {
+        let mut jobs = Vec::new();
+        let mut path = "/v1/jobs".to_owned();
+        loop {
+            let page: Items<JobView> = self.json(Method::Get, &path, None).await?;
+            jobs.extend(page.items);
+            match page.next {
+                Some(after) => path = format!("/v1/jobs?after={after}"),
+                None => return Ok(jobs),
+            }
+        }
+    }
 }
 
 fn describe(failure: &Failure) -> String {
--- a/crates/primrosebay/src/commands/jobs.rs
+++ b/crates/primrosebay/src/commands/jobs.rs
@@ -6,7 +6,7 @@
 use clap::ArgMatches;
 use eyre::WrapErr;
 use http_types::Method;
-use primrosebay_protocol::api::{Items, JobView, Submitted, TaskState};
+use primrosebay_protocol::api::{JobView, Submitted, TaskState};
 use primrosebay_state::id::JobId;
 use primrosebay_state::job::JobSpec;
 use serde::Deserialize;
@@ -69,25 +69,11 @@
                     .await?,
             ]
         }
-        None => all(&client).await?,
+        None => client.jobs().await?,
     };
     output::print(matches, &jobs, &rows(&jobs))
 }
 
-/// Reads all pages of the list.
-async fn all(client: &Client) -> eyre::Result<Vec<JobView>> {
-    let mut jobs = Vec::new();
-    let mut path = "/v1/jobs".to_owned();
-    loop {
-        let page: Items<JobView> = client.json(Method::Get, &path, None).await?;
-        jobs.extend(page.items);
-        match page.next {
-            Some(after) => path = format!("/v1/jobs?after={after}"),
-            None => return Ok(jobs),
-        }
-    }
-}
-
 fn rows(jobs: &[JobView]) -> Vec<Vec<String>> {
     let mut rows = vec![
         ["ID", "NAME", "ZONE", "TASKS", "RUNNING", "ENDED", "OUTCOME"]
--- a/crates/primrosebay/src/dev/cell.rs
+++ b/crates/primrosebay/src/dev/cell.rs
@@ -162,7 +162,11 @@
         call_timeout: Duration::from_secs(1),
         region: region.clone(),
         limits: settings::Limits::default(),
-        timeouts: settings::Timeouts::default(),
+        timeouts: settings::Timeouts {
+            // Without links between the entry instances no change is accepted in all zones.
+            accept_ms: 100,
+            ..settings::Timeouts::default()
+        },
         clock: Clock::default(),
     }
 }
--- a/crates/primrosebay/src/dev/load.rs
+++ b/crates/primrosebay/src/dev/load.rs
@@ -185,8 +185,7 @@
     for team in &plan.teams {
         for &entry in &entries {
             let client = Client::with_key(entry, &team.key);
-            let list: Vec<JobView> = client.json(Method::Get, "/v1/jobs", None).await?;
-            jobs.extend(list);
+            jobs.extend(client.jobs().await?);
         }
     }
     jobs.sort_by_key(|job| job.id);
--- a/crates/primrosebay_settings/src/options.rs
+++ b/crates/primrosebay_settings/src/options.rs
@@ -7,6 +7,9 @@
 /// What names of environment variables start with.
 pub const PREFIX: &str = "PRIMROSEBAY_";
 
+/// Variables of the command line's client, which are no options of an instance.
+const CLIENT: [&str; 2] = ["SERVER", "KEY"];
+
 /// Options by path, such as `limits.body_bytes`, not yet checked.
 ///
 /// They are kept as values and not as typed fields, so that one pass over all of them finds every
@@ -42,7 +45,9 @@
     #[must_use]
     pub fn with_env(mut self, vars: impl IntoIterator<Item = (String, String)>) -> Self {
         for (name, text) in vars {
-            if let Some(rest) = name.strip_prefix(PREFIX) {
+            if let Some(rest) = name.strip_prefix(PREFIX)
+                && !CLIENT.contains(&rest)
+            {
                 let path = rest.to_ascii_lowercase().replace("__", ".");
                 let value = serde_norway::from_str(&text).unwrap_or(Value::String(text));
                 self.set(path, value);
--- a/crates/primrosebay_settings/tests/settings.rs
+++ b/crates/primrosebay_settings/tests/settings.rs
@@ -48,6 +48,8 @@
     let hash = "0".repeat(64);
     let vars = [
         ("PRIMROSEBAY_LIMITS__BODY_BYTES", "2048"),
+        // The client's variable is no option.
+        ("PRIMROSEBAY_SERVER", "127.0.0.1:7400"),
         ("PRIMROSEBAY_OPERATORS__KEYS", &format!("['{hash}']")),
     ];
     let settings = resolve(LEAST, &vars).expect("valid");
