--- a/crates/primrosebay_entry/src/api/mod.rs
+++ b/crates/primrosebay_entry/src/api/mod.rs
@@ -33,7 +33,6 @@
     app.at("/metrics").get(metrics::metrics);
     app.at("/v1/jobs").post(jobs::submit).get(jobs::list);
     app.at("/v1/jobs/:id").get(jobs::get).delete(jobs::cancel);
-    app.at("/v1/services/:name/requests").post(requests::handle);
     app.at("/v1/tasks").get(views::tasks);
     app.at("/v1/workers").get(views::workers);
     app.at("/v1/workers/:name").get(views::worker);
@@ -46,6 +45,7 @@
             .put(move |request| resources::put(request, kind))
             .delete(move |request| resources::delete(request, kind));
     }
+    app.at("/v1/services/:name/requests").post(requests::handle);
     app
 }
 
--- a/crates/primrosebay_entry/src/shared.rs
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -64,14 +64,14 @@
     pub log: Arc<HttpLog>,
     /// Exchanges messages with workers.
     pub workers: HttpWorkers,
-    /// Routes requests to minions.
-    pub requests: Requests<HttpMinions>,
     /// The configuration and its freshness.
     pub configuration: Configuration,
     /// Open watches of the configuration.
     pub watchers: Watchers,
     /// Figures about the API.
     pub metrics: Metrics,
+    /// Routes requests to minions.
+    pub requests: Requests<HttpMinions>,
     stopping: AtomicBool,
     jobs: AtomicU64,
     directory: RwLock<Arc<[Instance]>>,
@@ -82,7 +82,11 @@
     /// Creates the shared state around the adapters.
     #[must_use]
     pub fn new(setup: Setup, incarnation: Incarnation, log: Arc<HttpLog>) -> Self {
+        let freshness = Freshness::new(&setup.name, &setup.zone, &setup.region);
+        let history = usize::try_from(setup.limits.watch_events).unwrap_or(usize::MAX);
         let clock = setup.clock.clone();
+        // The meter provider must be there before the instruments are made.
+        let metrics = Metrics::new();
         let requests = Requests::new(
             RequestSettings {
                 seed: incarnation.0,
@@ -93,18 +97,16 @@
             HttpMinions::default(),
             Arc::new(move || clock.now()),
         );
-        let freshness = Freshness::new(&setup.name, &setup.zone, &setup.region);
-        let history = usize::try_from(setup.limits.watch_events).unwrap_or(usize::MAX);
         Self {
-            requests,
             configuration: Configuration::new(history, freshness),
+            requests,
             publisher: Publisher::start(Arc::clone(&log), incarnation),
             workers: HttpWorkers::new(setup.call_timeout),
             incarnation,
             log,
             setup,
             watchers: Watchers::default(),
-            metrics: Metrics::new(),
+            metrics,
             stopping: AtomicBool::new(false),
             jobs: AtomicU64::new(0),
             directory: RwLock::new(Arc::from([])),
--- a/crates/primrosebay_entry/tests/request_access.rs
+++ b/crates/primrosebay_entry/tests/request_access.rs
@@ -13,6 +13,7 @@
 use primrosebay_protocol::code::Code;
 use primrosebay_protocol::list::{self, Liveness, Role};
 use primrosebay_protocol::log::{Append, CONFIG_STREAM};
+use primrosebay_settings as settings;
 use primrosebay_standin::list::ListService;
 use primrosebay_standin::log::{LogService, Settings as LogSettings};
 use primrosebay_standin::minion::{Minion, Settings};
@@ -92,16 +93,22 @@
         team: "shop".into(),
         hash: hash("secret").into(),
     };
-    let record = Record {
+    // A key works only while its team exists.
+    let team = Resource::Team {
+        share: 1,
+        limit: Resources::ZERO,
+    };
+    let changes = [change("team", "shop", team), change("key", "k", key)];
+    let records = (1..).zip(changes).map(|(sequence, change)| Record {
         id: RecordId {
             incarnation: Incarnation(9),
-            sequence: 1,
+            sequence,
         },
-        body: Body::Config(change("key", "k", key)),
-    };
+        body: Body::Config(change),
+    });
     let timeout = Duration::from_secs(30);
     let batch = Append {
-        records: vec![record],
+        records: records.collect(),
     };
     let writer = HttpLog::new(log.address(), timeout);
     writer.append(CONFIG_STREAM, &batch).await.unwrap();
@@ -111,11 +118,11 @@
         address,
         log: log.address(),
         list: list.address(),
-        region: "r".into(),
         operators: Vec::new(),
         call_timeout: timeout,
-        limits: primrosebay_settings::Limits::default(),
-        timeouts: primrosebay_settings::Timeouts::default(),
+        region: "north".into(),
+        limits: settings::Limits::default(),
+        timeouts: settings::Timeouts::default(),
         clock: Clock::default(),
     };
     let entry = Instance::start(setup).await.unwrap();
