Add commands for resources, explanations, usage and settings

Cause: operators and callers could only submit, list and cancel jobs. Change: get, describe, apply, delete, watch, zone, key, explain, top, check and completions, with the routes for explanations and usage that they need.

--- a/crates/primrosebay/src/cli.rs
+++ b/crates/primrosebay/src/cli.rs
@@ -12,13 +12,23 @@
         .args(global_args())
         .subcommands([
             serve(),
+            check(),
             dev(),
             stand_in(),
             submit(),
-            get(),
             cancel(),
             call(),
+            explain(),
+            get(),
+            describe(),
+            apply(),
+            delete(),
+            watch(),
+            zone(),
+            key(),
+            top(),
             codes(),
+            completions(),
         ])
 }
 
@@ -145,16 +155,111 @@
         )
 }
 
+fn kind_arg() -> Arg {
+    Arg::new("kind")
+        .value_name("KIND")
+        .required(true)
+        .help("keys, queues, teams, zones, jobs, tasks or workers")
+}
+
+fn name_arg(name: &'static str) -> Arg {
+    Arg::new(name)
+        .value_name(name.to_uppercase())
+        .required(true)
+}
+
 fn get() -> Command {
     Command::new("get")
-        .about("Shows jobs")
+        .about("Lists resources, or shows one")
+        .arg(kind_arg())
+        .arg(name_arg("name").required(false))
+}
+
+fn describe() -> Command {
+    Command::new("describe")
+        .about("Shows a resource in full")
+        .arg(kind_arg())
+        .arg(name_arg("name"))
+}
+
+fn apply() -> Command {
+    Command::new("apply")
+        .about("Writes the resources and submits the jobs of a file")
+        .arg(file_arg())
+}
+
+fn delete() -> Command {
+    Command::new("delete")
+        .about("Deletes a key, queue, team or zone")
+        .arg(kind_arg())
+        .arg(name_arg("name"))
+}
+
+fn watch() -> Command {
+    Command::new("watch")
+        .about("Prints changes of the configuration as they come")
+        .arg(
+            Arg::new("from")
+                .long("from")
+                .value_name("OFFSET")
+                .value_parser(value_parser!(u64))
+                .help("Offset to start from; without it only new changes are shown"),
+        )
+}
+
+fn zone() -> Command {
+    Command::new("zone")
+        .about("Takes a zone out of service or in again")
+        .subcommand_required(true)
+        .subcommands([
+            Command::new("out")
+                .about("No task starts in the zone any more")
+                .arg(name_arg("zone")),
+            Command::new("in")
+                .about("Tasks start in the zone again")
+                .arg(name_arg("zone")),
+        ])
+}
+
+fn key() -> Command {
+    Command::new("key")
+        .about("Grants or withdraws the keys of teams")
+        .subcommand_required(true)
+        .subcommands([
+            Command::new("grant")
+                .about("Creates a key and prints it once")
+                .arg(name_arg("name"))
+                .arg(name_arg("team")),
+            Command::new("withdraw")
+                .about("Makes a key invalid")
+                .arg(name_arg("name")),
+        ])
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tells why the tasks of a job wait")
+        .arg(id_arg())
+}
+
+fn top() -> Command {
+    Command::new("top").about("Shows what teams use and wait for")
+}
+
+fn check() -> Command {
+    Command::new("check")
+        .about("Checks settings without starting anything")
+        .arg(settings_arg())
+}
+
+fn completions() -> Command {
+    Command::new("completions")
+        .about("Prints a completion script")
         .arg(
-            Arg::new("kind")
-                .value_name("KIND")
+            Arg::new("shell")
                 .required(true)
-                .help("Kind of the resource, such as jobs"),
+                .value_parser(value_parser!(clap_complete::Shell)),
         )
-        .arg(Arg::new("name").value_name("NAME"))
 }
 
 fn cancel() -> Command {
--- a/crates/primrosebay/src/client.rs
+++ b/crates/primrosebay/src/client.rs
@@ -3,10 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use async_std::io::prelude::BufReadExt;
+use async_std::net::TcpStream;
+use async_std::stream::StreamExt;
 use clap::ArgMatches;
 use eyre::{WrapErr, eyre};
-use http_types::Method;
-use primrosebay_protocol::api::{Failure, Items, JobView};
+use http_types::{Method, Request, Url};
+use primrosebay_protocol::api::{Failure, Found, Items, Write, Written};
+use primrosebay_protocol::code::Code;
 use primrosebay_state::config::{Resource, Stored};
 use primrosebay_transport::http_client;
 use serde::de::DeserializeOwned;
@@ -83,29 +87,77 @@
         serde_json::from_slice(&bytes).wrap_err("malformed answer")
     }
 
-    /// Writes a resource, whatever version it has.
-    pub async fn put(&self, name: &str, spec: &Resource) -> eyre::Result<()> {
+    /// Writes a resource over the version that is read first.
+    pub async fn put(&self, name: &str, spec: &Resource) -> eyre::Result<Written> {
         let path = format!("/v1/{}s/{name}", spec.kind());
-        let current: Option<Stored> = self.json(Method::Get, &path, None).await.ok();
-        let version = current.map_or(0, |c| c.version);
-        let body = serde_json::json!({ "version": version, "spec": spec });
-        let body = serde_json::to_vec(&body)?;
-        self.bytes(Method::Put, &path, &[], Some(body)).await?;
-        Ok(())
+        let version = self.find(&path).await?.map_or(0, |c| c.version);
+        self.write(&path, version, spec).await
+    }
+
+    /// Writes a resource over `version`; 0 if it must not exist yet.
+    pub async fn write(&self, path: &str, version: u64, spec: &Resource) -> eyre::Result<Written> {
+        let spec = spec.clone();
+        let body = serde_json::to_vec(&Write { version, spec })?;
+        self.json(Method::Put, path, Some(body)).await
     }
 
-    /// Reads all pages of the list of jobs.
-    pub async fn jobs(&self) -> eyre::Result<Vec<JobView>> {
-        let mut jobs = Vec::new();
-        let mut path = "/v1/jobs".to_owned();
+    /// Reads all pages of a list.
+    pub async fn list<T: DeserializeOwned>(&self, path: &str) -> eyre::Result<Vec<T>> {
+        let mut items = Vec::new();
+        let mut after = String::new();
         loop {
-            let page: Items<JobView> = self.json(Method::Get, &path, None).await?;
-            jobs.extend(page.items);
-            match page.next {
-                Some(after) => path = format!("/v1/jobs?after={after}"),
-                None => return Ok(jobs),
+            let page: Items<T> = self
+                .json(Method::Get, &format!("{path}{after}"), None)
+                .await?;
+            items.extend(page.items);
+            let Some(next) = page.next else {
+                return Ok(items);
+            };
+            let separator = if path.contains('?') { '&' } else { '?' };
+            after = format!("{separator}after={next}");
+        }
+    }
+
+    /// Reads a resource, or nothing if it does not exist.
+    pub async fn find(&self, path: &str) -> eyre::Result<Option<Stored>> {
+        match self.bytes(Method::Get, path, &[], None).await {
+            Ok(bytes) => Ok(Some(
+                serde_json::from_slice::<Found>(&bytes)
+                    .wrap_err("malformed answer")?
+                    .item,
+            )),
+            Err(e) if e.to_string().starts_with(&Code::NOT_FOUND.to_string()) => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Opens a stream of lines and hands each to `each`.
+    pub async fn lines(
+        &self,
+        path: &str,
+        mut each: impl FnMut(&str) -> eyre::Result<()>,
+    ) -> eyre::Result<()> {
+        let stream = TcpStream::connect(self.address).await?;
+        let url = Url::parse(&format!("http://{}{path}", self.address))?;
+        let mut request = Request::new(Method::Get, url);
+        if let Some(value) = &self.authorization {
+            request.insert_header("authorization", value);
+        }
+        let response = async_h1::connect(stream, request)
+            .await
+            .map_err(|e| eyre!("no answer: {e}"))?;
+        let status = response.status();
+        let mut lines = response.lines();
+        while let Some(line) = lines.next().await {
+            let line = line?;
+            if !status.is_success() {
+                let failure: Failure = serde_json::from_str(&line)
+                    .map_err(|_| eyre!("status {status} without a result code"))?;
+                return Err(eyre!(describe(&failure)));
             }
+            each(&line)?;
         }
+        Ok(())
     }
 }
 
--- a/crates/primrosebay/src/commands/jobs.rs
+++ b/crates/primrosebay/src/commands/jobs.rs
@@ -58,23 +58,8 @@
     }
 }
 
-/// Shows jobs.
-pub async fn get(matches: &ArgMatches) -> eyre::Result<()> {
-    let client = Client::new(matches)?;
-    let jobs: Vec<JobView> = match matches.get_one::<String>("name") {
-        Some(id) => {
-            vec![
-                client
-                    .json(Method::Get, &format!("/v1/jobs/{id}"), None)
-                    .await?,
-            ]
-        }
-        None => client.jobs().await?,
-    };
-    output::print(matches, &jobs, &rows(&jobs))
-}
-
-fn rows(jobs: &[JobView]) -> Vec<Vec<String>> {
+/// Returns the lines of a table of jobs.
+pub fn rows(jobs: &[JobView]) -> Vec<Vec<String>> {
     let mut rows = vec![
         ["ID", "NAME", "ZONE", "TASKS", "RUNNING", "ENDED", "OUTCOME"]
             .map(str::to_owned)
--- a/crates/primrosebay/src/commands/mod.rs
+++ b/crates/primrosebay/src/commands/mod.rs
@@ -1,8 +1,11 @@
 //! The commands.
 
+mod check;
 mod codes;
+mod explain;
 mod jobs;
 mod request;
+mod resources;
 mod serve;
 mod stand_in;
 
@@ -21,7 +24,17 @@
         "dev" => async_std::task::block_on(dev::run(matches)),
         "stand-in" => async_std::task::block_on(stand_in::run(matches)),
         "submit" => async_std::task::block_on(jobs::submit(matches)),
-        "get" => async_std::task::block_on(jobs::get(matches)),
+        "get" => async_std::task::block_on(resources::get(matches)),
+        "describe" => async_std::task::block_on(resources::describe(matches)),
+        "apply" => async_std::task::block_on(resources::apply(matches)),
+        "delete" => async_std::task::block_on(resources::delete(matches)),
+        "zone" => async_std::task::block_on(resources::zone(matches)),
+        "key" => async_std::task::block_on(resources::key(matches)),
+        "watch" => async_std::task::block_on(resources::watch(matches)),
+        "explain" => async_std::task::block_on(explain::explain(matches)),
+        "top" => async_std::task::block_on(explain::top(matches)),
+        "check" => check::run(matches),
+        "completions" => completions(matches),
         "cancel" => async_std::task::block_on(jobs::cancel(matches)),
         "call" => async_std::task::block_on(request::call(matches)),
         "codes" => codes::run(matches),
@@ -29,6 +42,17 @@
     }
 }
 
+/// Prints a completion script for a shell.
+fn completions(matches: &ArgMatches) -> eyre::Result<()> {
+    let shell = matches
+        .get_one::<clap_complete::Shell>("shell")
+        .copied()
+        .ok_or_else(|| eyre!("no shell named"))?;
+    let mut command = crate::cli::command();
+    clap_complete::generate(shell, &mut command, "primrosebay", &mut std::io::stdout());
+    Ok(())
+}
+
 /// Returns a required text argument.
 pub fn text<'a>(matches: &'a ArgMatches, name: &str) -> eyre::Result<&'a str> {
     matches
--- a/crates/primrosebay/src/commands/serve.rs
+++ b/crates/primrosebay/src/commands/serve.rs
@@ -18,7 +18,7 @@
 pub async fn run(matches: &ArgMatches) -> eyre::Result<()> {
     logging::start(false);
     let input = read_input(text(matches, "settings")?)?;
-    let options = Options::parse(&input)?.with_env(std::env::vars());
+    let options = Options::parse(&input)?.with_env(environment());
     let settings = Settings::resolve(&options)?;
     let call_timeout = Duration::from_millis(settings.timeouts.append_ms);
     let instance = Instance::start(Setup {
@@ -42,6 +42,13 @@
     Ok(())
 }
 
+/// Returns the environment without the variables of the client commands, which are no settings.
+pub fn environment() -> impl Iterator<Item = (String, String)> {
+    std::env::vars_os()
+        .filter_map(|(name, value)| Some((name.into_string().ok()?, value.into_string().ok()?)))
+        .filter(|(name, _)| name != "PRIMROSEBAY_SERVER" && name != "PRIMROSEBAY_KEY")
+}
+
 /// Waits for a signal that asks the process to stop.
 async fn wait_for_stop() -> eyre::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int]).wrap_err("no signals")?;
--- a/crates/primrosebay/src/dev/load.rs
+++ b/crates/primrosebay/src/dev/load.rs
@@ -185,7 +185,7 @@
     for team in &plan.teams {
         for &entry in &entries {
             let client = Client::with_key(entry, &team.key);
-            jobs.extend(client.jobs().await?);
+            jobs.extend(client.list::<JobView>("/v1/jobs").await?);
         }
     }
     jobs.sort_by_key(|job| job.id);
--- a/crates/primrosebay_entry/src/api/jobs.rs
+++ b/crates/primrosebay_entry/src/api/jobs.rs
@@ -119,7 +119,7 @@
 }
 
 /// Finds the job of the request's path, of any team for an operator.
-fn find(request: &ApiRequest, team: Option<&Name>) -> Result<JobView, Code> {
+pub(super) fn find(request: &ApiRequest, team: Option<&Name>) -> Result<JobView, Code> {
     let id: JobId = request
         .param("id")
         .ok()
--- a/crates/primrosebay_entry/src/api/mod.rs
+++ b/crates/primrosebay_entry/src/api/mod.rs
@@ -1,5 +1,6 @@
 //! The HTTP API.
 
+mod explain;
 mod health;
 pub(crate) mod input;
 pub mod jobs;
@@ -33,6 +34,8 @@
     app.at("/metrics").get(metrics::metrics);
     app.at("/v1/jobs").post(jobs::submit).get(jobs::list);
     app.at("/v1/jobs/:id").get(jobs::get).delete(jobs::cancel);
+    app.at("/v1/jobs/:id/explain").get(explain::explain);
+    app.at("/v1/usage").get(explain::usage);
     app.at("/v1/tasks").get(views::tasks);
     app.at("/v1/workers").get(views::workers);
     app.at("/v1/workers/:name").get(views::worker);
--- a/crates/primrosebay_protocol/src/api.rs
+++ b/crates/primrosebay_protocol/src/api.rs
@@ -163,6 +163,32 @@
     },
 }
 
+/// Why the tasks of a job wait.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Explanation {
+    /// The job.
+    pub id: JobId,
+    /// The home zone.
+    pub zone: Name,
+    /// The reasons, resource by resource and limit by limit; empty if no task waits.
+    pub reasons: Vec<String>,
+}
+
+/// What a team uses and waits for in one zone.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TeamItem {
+    /// The zone.
+    pub zone: Name,
+    /// The team.
+    pub team: Name,
+    /// The most that it may use in the zone.
+    pub allowance: Resources,
+    /// What its running tasks use.
+    pub used: Resources,
+    /// What its pending tasks ask for.
+    pub wanted: Resources,
+}
+
 /// One worker as the API shows it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct WorkerItem {
