Retry requests that were not sent without a budget and let one of two minions be ejected

Cause: with two minions, one of them killed, requests failed with code 5002. Change: one of two or three minions may be ejected; attempts that provably did not run need no budget, as they add no work.

--- a/crates/primrosebay_coordination/src/routing/outlier.rs
+++ b/crates/primrosebay_coordination/src/routing/outlier.rs
@@ -36,9 +36,12 @@
     /// Returns how many of `total` minions may be ejected at the same time.
     ///
     /// A failure that all minions share is not the minions' own, so most of them stay in service.
+    /// One of two or three may always be ejected: otherwise a dead minion would get its part of the
+    /// requests for as long as it is listed.
     #[must_use]
     pub fn most(&self, total: usize) -> usize {
-        total * self.percent / 100
+        let one = usize::from(total > 1);
+        (total * self.percent / 100).max(one)
     }
 }
 
--- a/crates/primrosebay_coordination/src/routing/retry.rs
+++ b/crates/primrosebay_coordination/src/routing/retry.rs
@@ -97,7 +97,6 @@
     if now + wait >= candidate.deadline {
         return None;
     }
-    // A refusal cost the minion nothing and stops further requests to it, so it needs no budget.
-    let paid = candidate.ended == Ended::Refused || budget.take(now);
-    paid.then_some(wait)
+    // The budget bounds the work that retries add. An attempt that did not run added none.
+    (proved || budget.take(now)).then_some(wait)
 }
