--- a/crates/primrosebay_coordination/src/publisher.rs
+++ b/crates/primrosebay_coordination/src/publisher.rs
@@ -22,7 +22,7 @@
 pub use bucket::{Bucket, TOTAL_RATE};
 pub use copies::{Copies, CopyLimits};
 pub use seen::Seen;
-pub use snapshot::{Assembler, Plan, Restored, pieces};
+pub use snapshot::{Plan, pieces};
 
 /// Limits of a publisher.
 #[derive(Debug, Clone)]
@@ -129,6 +129,8 @@
     sent: Sent,
     /// Whether peers were asked to hold the record.
     held: bool,
+    /// Whether peers may be asked.
+    copies: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -227,13 +229,13 @@
 }
 
 impl Publisher {
-    /// Creates an empty queue for the streams. Earlier streams go first when several are due.
+    /// Creates an empty queue.
     #[must_use]
-    pub fn new(limits: Limits, streams: &[Name], seed: u64) -> Self {
+    pub fn new(limits: Limits, seed: u64) -> Self {
         Self {
             limits,
             bucket: Bucket::new(1),
-            lanes: streams.iter().map(Lane::new).collect(),
+            lanes: Vec::new(),
             bytes: 0,
             count: 0,
             tickets: 0,
@@ -247,8 +249,8 @@
         self.bucket.set_instances(now, instances);
     }
 
-    /// Queues a record whose encoding has `bytes` bytes. A record of an unknown stream is refused
-    /// like one that does not fit.
+    /// Queues a record whose encoding has `bytes` bytes. Peers are asked for `copies` of it when the
+    /// log does not confirm it in time.
     ///
     /// # Errors
     /// Returns an error if the queue is full.
@@ -258,19 +260,25 @@
         stream: &str,
         record: Record,
         bytes: usize,
+        copies: bool,
     ) -> Result<(), Full> {
         let limits = &self.limits;
         if self.count >= limits.queue_count || self.bytes + bytes > limits.queue_bytes {
             return Err(Full);
         }
-        let lane = self.lanes.iter_mut().find(|lane| *lane.stream == *stream);
-        let lane = lane.ok_or(Full)?;
+        let known = self.lanes.iter().position(|lane| *lane.stream == *stream);
+        let at = known.unwrap_or_else(|| {
+            self.lanes.push(Lane::new(&stream.into()));
+            self.lanes.len() - 1
+        });
+        let lane = &mut self.lanes[at];
         lane.queue.push_back(Queued {
             record,
             bytes,
             since: now,
             sent: Sent::No,
             held: false,
+            copies,
         });
         lane.bytes += bytes;
         self.bytes += bytes;
@@ -293,6 +301,11 @@
     /// Returns the next step.
     pub fn poll(&mut self, now: Time) -> Step {
         let mut wake: Option<Time> = None;
+        // The stream whose first record has waited longest goes first, so that none starves when
+        // there are too few tokens.
+        let oldest = |lane: &Lane| lane.queue.front().map(|queued| queued.since);
+        self.lanes
+            .sort_by_key(|lane| (oldest(lane).is_none(), oldest(lane)));
         for lane in &mut self.lanes {
             let Some(mut due) = lane.due(&self.limits) else {
                 continue;
@@ -394,7 +407,7 @@
                 {
                     break;
                 }
-                if !queued.held {
+                if queued.copies && !queued.held {
                     queued.held = true;
                     bytes += queued.bytes;
                     found.push((lane.stream.clone(), queued.record.clone()));
--- a/crates/primrosebay_coordination/src/publisher/copies.rs
+++ b/crates/primrosebay_coordination/src/publisher/copies.rs
@@ -117,4 +117,11 @@
             })
             .collect()
     }
+
+    /// Offers a copy again that [`Self::due`] returned but that could not be queued.
+    pub fn retry(&mut self, id: RecordId) {
+        if let Some(copy) = self.held.iter_mut().find(|copy| copy.record.id == id) {
+            copy.queued = false;
+        }
+    }
 }
--- a/crates/primrosebay_coordination/src/zone/log.rs
+++ b/crates/primrosebay_coordination/src/zone/log.rs
@@ -42,14 +42,12 @@
                     self.recovery.read = true;
                 }
             }
-            Body::Config(_)
-            | Body::Allowance { .. }
-            | Body::ConfigSnapshot(_)
-            | Body::Snapshot(_) => {}
+            Body::Snapshot(piece) => self.read_snapshot(now, piece),
+            Body::Config(_) | Body::Allowance { .. } | Body::ConfigSnapshot(_) => {}
         }
     }
 
-    fn read_accepted(
+    pub(super) fn read_accepted(
         &mut self,
         now: Time,
         id: JobId,
@@ -76,7 +74,7 @@
         }
     }
 
-    fn read_finished(&mut self, now: Time, id: TaskId, outcome: Outcome) {
+    pub(super) fn read_finished(&mut self, now: Time, id: TaskId, outcome: Outcome) {
         let Some((_, task)) = self.jobs.task(id) else {
             return;
         };
@@ -108,7 +106,7 @@
         self.wake_dependents(now, id.job);
     }
 
-    fn read_cancelled(&mut self, now: Time, id: JobId) {
+    pub(super) fn read_cancelled(&mut self, now: Time, id: JobId) {
         if let Some(job) = self.jobs.all.get_mut(&id) {
             let known = job.cancelled.is_some();
             job.cancelled = Some(true);
--- a/crates/primrosebay_coordination/src/zone/mod.rs
+++ b/crates/primrosebay_coordination/src/zone/mod.rs
@@ -11,6 +11,7 @@
 mod retry;
 mod send;
 mod settings;
+mod snapshot;
 mod tasks;
 mod term;
 mod view;
--- a/crates/primrosebay_entry/src/instance.rs
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -6,21 +6,28 @@
 use std::time::Duration;
 
 use async_std::task;
-use primrosebay_protocol::log::{CONFIG_STREAM, Page};
+use primrosebay_coordination::membership::{Listed, Membership};
+use primrosebay_coordination::publisher::{Copies, CopyLimits};
+use primrosebay_protocol::list::{self, Liveness, Role};
 use primrosebay_state::id::Incarnation;
 use primrosebay_transport::http_server::{Limits, Server};
 use primrosebay_transport::list::{HttpList, LiveList};
 use primrosebay_transport::log::HttpLog;
+use primrosebay_transport::peer::{LinkError, Settings};
 
 use crate::api;
 use crate::log_reader;
+use crate::peers::{Local, PeerSetup, Peers};
 use crate::shared::{Setup, Shared};
+use crate::snapshots;
 use crate::zones::Zone;
 
 /// How often the platform's list is fetched.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
 /// How often waiting requests are looked at. Ejections and slow starts end within this time.
 const REQUEST_PERIOD: Duration = Duration::from_millis(20);
+/// How often the certificate files are looked at.
+const RELOAD_PERIOD: Duration = Duration::from_secs(10);
 /// Longest wait for workers to take their leases back at a planned stop.
 const STOP_GRACE: Duration = Duration::from_secs(5);
 
@@ -32,18 +39,30 @@
 }
 
 impl Instance {
-    /// Starts the API and the coordinator of the instance's zone.
+    /// Starts the API and the coordinator of the instance's zone, without peers.
     ///
     /// # Errors
     /// Returns the error of binding the API's address.
     pub async fn start(setup: Setup) -> io::Result<Self> {
+        Self::start_with(setup, None).await
+    }
+
+    /// Starts the API, the coordinator of the instance's zone and the exchange with peers.
+    ///
+    /// # Errors
+    /// Returns the error of binding the API's address or the peer address.
+    pub async fn start_with(setup: Setup, peers: Option<PeerSetup>) -> io::Result<Self> {
         let incarnation = Incarnation(rand::random());
         let log = Arc::new(HttpLog::new(setup.log, setup.call_timeout));
         let shared = Arc::new(Shared::new(setup, incarnation, log));
+        if let Some(setup) = peers {
+            start_peers(&shared, setup).map_err(io::Error::other)?;
+        }
         let app = api::app(Arc::clone(&shared));
         let server = Server::start(shared.setup.address, app, Limits::default()).await?;
         let zone = Zone::start(&shared, &shared.setup.zone);
         task::spawn(follow_config(Arc::clone(&shared)));
+        task::spawn(snapshots::publish_config(Arc::clone(&shared)));
         task::spawn(follow_list(Arc::clone(&shared), zone));
         task::spawn(tick_requests(Arc::clone(&shared)));
         log::info!("entry: serving on {}", server.address());
@@ -56,6 +75,18 @@
         self.server.address()
     }
 
+    /// Returns what the parts of the instance share.
+    #[must_use]
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Returns the address of the peer interface, if there is one.
+    #[must_use]
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.shared.peers()?.net().address().ok()
+    }
+
     /// Stops the instance after the requests in flight.
     pub async fn close(self) {
         log::info!("entry: stopping");
@@ -63,33 +94,64 @@
         for zone in self.shared.zones() {
             zone.stop(STOP_GRACE).await;
         }
+        if !self.shared.publisher.clone().close(STOP_GRACE).await {
+            log::warn!("log: Records were still queued at the stop.");
+        }
+        self.shared.close();
+        if let Some(peers) = self.shared.peers() {
+            peers.clone().close().await;
+        }
     }
 }
 
-async fn follow_config(shared: Arc<Shared>) {
-    let log = Arc::clone(&shared.log);
-    let apply = |page: Option<Page>| {
-        if let Some(page) = page.filter(|p| !p.records.is_empty()) {
-            let mut config = (*shared.config()).clone();
-            for placed in page.records {
-                config.apply_record(placed.offset, &placed.record);
-            }
-            shared.set_config(config);
-            for zone in shared.zones() {
-                zone.update_config(&shared);
-            }
-        }
-        true
+fn start_peers(shared: &Arc<Shared>, setup: PeerSetup) -> Result<(), LinkError> {
+    let settings = Settings {
+        name: shared.setup.name.clone(),
+        incarnation: shared.incarnation,
+        address: setup.address,
+        ..Settings::default()
+    };
+    let name = shared.setup.name.clone();
+    let membership = Membership::new(name, shared.setup.zone.clone(), setup.regions);
+    let copies = Copies::new(CopyLimits::default());
+    let local: Arc<dyn Local> = Arc::clone(shared) as _;
+    let peers = Peers::start(settings, setup.identity, membership, copies, local)?;
+    if let Some(files) = setup.files {
+        peers.net().watch(files, RELOAD_PERIOD);
+    }
+    shared.use_peers(peers);
+    Ok(())
+}
+
+/// Tells the exchange with peers which entry instances the list has.
+fn update_peers(shared: &Shared, instances: &[list::Instance]) {
+    let Some(peers) = shared.peers() else {
+        return;
     };
-    log_reader::follow(&log, CONFIG_STREAM, apply).await;
+    let entries = instances.iter().filter(|i| i.role == Role::Entry);
+    let listed: Vec<_> = entries
+        .map(|instance| Listed {
+            name: instance.name.clone(),
+            zone: instance.zone.clone(),
+            address: instance.address.clone(),
+            leaving: instance.state == Liveness::Leaving,
+        })
+        .collect();
+    peers.listed(&listed);
+    shared.publisher.set_instances(peers.instances());
+}
+
+async fn follow_config(shared: Arc<Shared>) {
+    log_reader::follow_config(&shared, || !shared.is_closed()).await;
 }
 
 async fn follow_list(shared: Arc<Shared>, zone: Arc<Zone>) {
     let list = HttpList::new(shared.setup.list, shared.setup.call_timeout);
-    loop {
+    while !shared.is_closed() {
         match list.fetch().await {
             Ok(fetched) => {
                 shared.requests.update(&fetched.instances);
+                update_peers(&shared, &fetched.instances);
                 shared.set_directory(fetched.instances);
                 zone.update_directory(&shared);
             }
--- a/crates/primrosebay_entry/src/lib.rs
+++ b/crates/primrosebay_entry/src/lib.rs
@@ -2,9 +2,12 @@
 
 pub mod api;
 pub mod auth;
+pub mod config_log;
 pub mod instance;
 pub mod log_reader;
+pub mod peers;
 pub mod publisher;
 pub mod requests;
 pub mod shared;
+pub mod snapshots;
 pub mod zones;
--- a/crates/primrosebay_entry/src/shared.rs
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -1,8 +1,8 @@
 //! What the parts of an entry instance share.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use primrosebay_protocol::list::Instance;
@@ -14,6 +14,8 @@
 use primrosebay_transport::minion::HttpMinions;
 use primrosebay_transport::worker::HttpWorkers;
 
+use crate::config_log::ConfigLog;
+use crate::peers::Peers;
 use crate::publisher::Publisher;
 use crate::requests::{RequestSettings, Requests};
 use crate::zones::Zone;
@@ -53,8 +55,11 @@
     /// Routes requests to minions.
     pub requests: Requests<HttpMinions>,
     started: Instant,
+    closed: AtomicBool,
     jobs: AtomicU64,
     config: RwLock<Arc<Config>>,
+    config_log: Mutex<ConfigLog>,
+    peers: OnceLock<Arc<Peers>>,
     directory: RwLock<Arc<[Instance]>>,
     zones: Mutex<Vec<Arc<Zone>>>,
 }
@@ -82,8 +87,11 @@
             log,
             setup,
             started,
+            closed: AtomicBool::new(false),
             jobs: AtomicU64::new(0),
             config: RwLock::default(),
+            config_log: Mutex::default(),
+            peers: OnceLock::new(),
             directory: RwLock::new(Arc::from([])),
             zones: Mutex::default(),
         }
@@ -95,6 +103,17 @@
         elapsed(self.started)
     }
 
+    /// Returns whether the instance has stopped, so that its tasks end.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Relaxed)
+    }
+
+    /// Lets the tasks of the instance end.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
+    }
+
     /// Returns a new identifier for a job.
     #[must_use]
     pub fn next_job(&self) -> JobId {
@@ -115,6 +134,35 @@
         *self.config.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(config);
     }
 
+    /// Returns the configuration with its place in the log.
+    pub fn config_log(&self) -> MutexGuard<'_, ConfigLog> {
+        self.config_log
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Puts the configuration in force that has been read.
+    pub fn publish_config(&self) {
+        let config = self.config_log().config().clone();
+        self.set_config(config);
+        for zone in self.zones() {
+            zone.update_config(self);
+        }
+    }
+
+    /// Returns the exchange with other entry instances, if it was started.
+    #[must_use]
+    pub fn peers(&self) -> Option<&Arc<Peers>> {
+        self.peers.get()
+    }
+
+    /// Uses the exchange with other entry instances. The first call counts.
+    pub fn use_peers(&self, peers: Arc<Peers>) {
+        if self.peers.set(peers.clone()).is_ok() {
+            self.publisher.use_peers(peers);
+        }
+    }
+
     /// Returns the platform's list of instances as last fetched, by name.
     #[must_use]
     pub fn directory(&self) -> Arc<[Instance]> {
--- a/crates/primrosebay_entry/src/zones.rs
+++ b/crates/primrosebay_entry/src/zones.rs
@@ -16,6 +16,7 @@
 
 use crate::log_reader;
 use crate::shared::Shared;
+use crate::snapshots;
 
 /// How often a coordinator looks at its timers.
 const TICK: Duration = Duration::from_millis(20);
@@ -55,6 +56,10 @@
         shared.add_zone(Arc::clone(&zone));
         task::spawn(tick(Arc::clone(&zone)));
         task::spawn(follow_jobs(Arc::clone(&zone)));
+        task::spawn(snapshots::publish_jobs(
+            Arc::clone(shared),
+            Arc::clone(&zone),
+        ));
         zone
     }
 
@@ -147,6 +152,9 @@
 
 /// Returns this instance's rank among the candidates for `zone`.
 fn rank(shared: &Shared, zone: &str) -> Option<u32> {
+    if let Some(peers) = shared.peers() {
+        return u32::try_from(peers.rank(zone)).ok();
+    }
     let directory = shared.directory();
     let position = directory
         .iter()
@@ -163,14 +171,14 @@
 }
 
 async fn follow_jobs(zone: Arc<Zone>) {
-    let Some(log) = zone.shared.upgrade().map(|s| Arc::clone(&s.log)) else {
+    let Some(shared) = zone.shared.upgrade() else {
         return;
     };
     let apply = |page: Option<Page>| {
         zone.handle_all(page.map_or_else(|| vec![Event::LogDown], events_of));
-        zone.shared.strong_count() > 0
+        !shared.is_closed()
     };
-    log_reader::follow(&log, &stream_of(&zone.name), apply).await;
+    log_reader::follow(&shared, &stream_of(&zone.name), apply).await;
 }
 
 fn events_of(page: Page) -> Vec<Event> {
@@ -209,7 +217,7 @@
     let stream = stream_of(&zone.name);
     while shared
         .publisher
-        .append(&stream, body.clone())
+        .record(&stream, body.clone())
         .await
         .is_err()
     {
--- a/crates/primrosebay_protocol/src/peer.rs
+++ b/crates/primrosebay_protocol/src/peer.rs
@@ -21,8 +21,9 @@
 
 /// The version of the frames that this process writes and reads.
 pub const VERSION: u8 = 1;
-/// Longest frame in bytes. A batch of 256 KB of records fits with its encoding.
-pub const MAX_FRAME: usize = 1 << 20;
+/// Longest frame in bytes. The longest frames are snapshots of the configuration, with the
+/// identifiers of 16,384 records in 1 MB and some thousand resources.
+pub const MAX_FRAME: usize = 2 << 20;
 
 /// A frame that cannot be encoded or decoded.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/crates/primrosebay_state/src/config/mod.rs
+++ b/crates/primrosebay_state/src/config/mod.rs
@@ -185,21 +185,6 @@
             .take_while(move |item| &*item.kind == kind)
     }
 
-    /// Restores a configuration from the resources of a snapshot that includes all offsets before
-    /// `next`.
-    #[must_use]
-    pub fn restore(next: u64, items: &[Stored]) -> Self {
-        let mut config = Self {
-            next,
-            history: History::starting(next, HISTORY),
-            ..Self::default()
-        };
-        for item in items {
-            config.put_back(item);
-        }
-        config
-    }
-
     /// Returns all resources, by kind and name.
     #[must_use]
     pub fn stored(&self) -> &[Stored] {
--- a/crates/primrosebay_state/src/record.rs
+++ b/crates/primrosebay_state/src/record.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
-use crate::config::{Change, Piece as ConfigPiece, Stored};
+use crate::config::{Change, Piece as ConfigPiece};
 use crate::id::{Incarnation, JobId, RecordId, TaskId};
 use crate::job::JobSpec;
 
@@ -99,23 +99,16 @@
     },
     /// A piece of a snapshot of the configuration.
     ConfigSnapshot(ConfigPiece),
-    /// A part of a snapshot, published before retention drops the records that it stands for.
+    /// A part of a snapshot of jobs, published before retention drops the records that it stands
+    /// for.
     Snapshot(Piece),
 }
 
-/// A part of a snapshot.
+/// A part of a snapshot of a zone's live jobs. Each part is complete in itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Piece {
-    /// Identifies the snapshot: the identifier of the record of its first piece.
-    pub snapshot: RecordId,
-    /// What the snapshot covers: the name of a zone, or `config`.
-    pub scope: Name,
-    /// The offset after the last record that the snapshot includes.
-    pub through: u64,
-    /// The position of the piece, from 0.
-    pub index: u32,
-    /// The number of pieces.
-    pub count: u32,
+    /// The zone.
+    pub zone: Name,
     /// The contents.
     pub items: Vec<Item>,
 }
@@ -124,16 +117,12 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Item {
-    /// A resource of the configuration, with its version.
-    Resource(Stored),
-    /// The part of a team's upper limit that a zone may use.
-    Allowance {
-        /// The team.
-        team: Name,
+    /// The latest recorded term of a zone.
+    Opened {
         /// The zone.
         zone: Name,
-        /// The amount.
-        amount: crate::resources::Resources,
+        /// The epoch.
+        epoch: u64,
     },
     /// A job that has not ended.
     Job {
@@ -142,7 +131,7 @@
         /// The home zone.
         zone: Name,
         /// What the caller submitted.
-        spec: JobSpec,
+        spec: Box<JobSpec>,
         /// The tasks that ended, by index.
         ended: Vec<(u32, Outcome)>,
         /// The tasks with a `Starting` record that have not ended, by index.
--- a/crates/primrosebay_transport/src/peer/net.rs
+++ b/crates/primrosebay_transport/src/peer/net.rs
@@ -79,11 +79,18 @@
     counters: Arc<Counters>,
 }
 
-/// The links to all peers.
+/// The links to all peers. Clones share the links.
+#[derive(Clone)]
 pub struct Net {
     shared: Arc<Shared>,
-    targets: Mutex<Vec<Target>>,
-    tasks: Mutex<Vec<JoinHandle<()>>>,
+    targets: Arc<Mutex<Vec<Target>>>,
+    tasks: Arc<Mutex<Vec<JoinHandle<()>>>>,
+}
+
+impl std::fmt::Debug for Net {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Net").finish_non_exhaustive()
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -98,7 +105,7 @@
         .max_concurrent_bidi_streams(VarInt::from_u32(settings.streams))
         .max_concurrent_uni_streams(VarInt::from_u32(0))
         .stream_receive_window(window)
-        // All streams of a peer together hold at most four frames of the longest kind.
+        // All streams of a peer together hold at most two frames of the longest kind.
         .receive_window(VarInt::from_u32(4 << 20))
         .send_window(4 << 20)
         .datagram_receive_buffer_size(Some(DATAGRAM_BUFFER))
@@ -158,8 +165,8 @@
         let accept = task::spawn(accept(shared.clone()));
         Ok(Self {
             shared,
-            targets: Mutex::default(),
-            tasks: Mutex::new(vec![accept]),
+            targets: Arc::default(),
+            tasks: Arc::new(Mutex::new(vec![accept])),
         })
     }
 
@@ -277,7 +284,7 @@
         lock(&self.tasks).push(watch);
     }
 
-    /// Closes all links, and waits until peers have been told or the connection time-out passed.
+    /// Closes all links for all clones, and waits until peers have been told or the connection time-out passed.
     pub async fn close(self) {
         self.shared.closing.store(true, Ordering::Relaxed);
         let targets = std::mem::take(&mut *lock(&self.targets));
