--- a/crates/primrosebay/src/client.rs
+++ b/crates/primrosebay/src/client.rs
@@ -85,7 +85,7 @@
 
     /// Writes a resource, whatever version it has.
     pub async fn put(&self, name: &str, spec: &Resource) -> eyre::Result<()> {
-        let path = format!("/v1/{}/{name}", spec.kind());
+        let path = format!("/v1/{}s/{name}", spec.kind());
         let current: Option<Stored> = self.json(Method::Get, &path, None).await.ok();
         let version = current.map_or(0, |c| c.version);
         let body = serde_json::json!({ "version": version, "spec": spec });
--- a/crates/primrosebay_coordination/src/publisher.rs
+++ b/crates/primrosebay_coordination/src/publisher.rs
@@ -104,7 +104,7 @@
 pub enum Withdrawn {
     /// The record never reached the log and never will.
     Yes,
-    /// The record may be in the log; it stays queued.
+    /// The record may be in the log or get there.
     MaySurvive,
     /// The record is not queued.
     Gone,
@@ -428,21 +428,28 @@
         }
     }
 
-    /// Takes a record out of the queue, unless the log or a peer may already have it.
+    /// Takes a record out of the queue whose caller has given up. One that the log or a peer may
+    /// have stays queued, because it may be accepted; one without copies is not sent again, so that
+    /// it does not take effect long after its caller was told that its fate is unknown.
     pub fn withdraw(&mut self, id: RecordId) -> Withdrawn {
         for lane in &mut self.lanes {
             let found = lane.queue.iter().find(|queued| queued.record.id == id);
             let Some(queued) = found else {
                 continue;
             };
-            if queued.sent != Sent::No || queued.held {
+            let unsent = queued.sent == Sent::No && !queued.held;
+            if !unsent && queued.copies {
                 return Withdrawn::MaySurvive;
             }
             if let Some(queued) = lane.remove(id) {
                 self.bytes -= queued.bytes;
                 self.count -= 1;
             }
-            return Withdrawn::Yes;
+            return if unsent {
+                Withdrawn::Yes
+            } else {
+                Withdrawn::MaySurvive
+            };
         }
         Withdrawn::Gone
     }
--- a/crates/primrosebay_coordination/tests/publisher.rs
+++ b/crates/primrosebay_coordination/tests/publisher.rs
@@ -252,6 +252,26 @@
     assert_eq!(publisher.withdraw(record(1, 1).id), expected);
 }
 
+/// Guards against a change of configuration that takes effect long after its caller gave up.
+#[test]
+fn record_without_copies_is_not_sent_again() {
+    let mut publisher = publisher(Limits::default());
+    let mut log = FakeLog::default();
+    let change = record(1, 1);
+    publisher
+        .push(Time(0), "jobs", change.clone(), RECORD, false)
+        .unwrap();
+    push(&mut publisher, 0, record(1, 2)).unwrap();
+    // Nothing reaches the log, but the answer leaves that open.
+    log.turn(10, &mut publisher, || Fate::Late);
+    log.late.clear();
+    assert_eq!(publisher.withdraw(change.id), Withdrawn::MaySurvive);
+    for now in 11..5_000 {
+        log.turn(now, &mut publisher, || Fate::Done);
+    }
+    assert_eq!(log.effects(), [2]);
+}
+
 /// Guards against accepted records that are lost with their instance, or applied once for each
 /// holder.
 #[test]
--- a/crates/primrosebay_entry/src/instance.rs
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -6,18 +6,14 @@
 use std::time::Duration;
 
 use async_std::task;
-use primrosebay_coordination::membership::{Listed, Membership};
-use primrosebay_coordination::publisher::{Copies, CopyLimits};
-use primrosebay_protocol::list::{self, Liveness, Role};
 use primrosebay_state::id::Incarnation;
 use primrosebay_transport::http_server::{Limits, Server};
 use primrosebay_transport::list::{HttpList, LiveList};
 use primrosebay_transport::log::HttpLog;
-use primrosebay_transport::peer::{LinkError, Settings};
 
 use crate::api;
-use crate::log_reader;
-use crate::peers::{Local, PeerSetup, Peers};
+use crate::configuration;
+use crate::peers::{PeerSetup, Peers};
 use crate::shared::{Setup, Shared};
 use crate::snapshots;
 use crate::zones::Zone;
@@ -26,8 +22,6 @@
 const LIST_PERIOD: Duration = Duration::from_secs(1);
 /// How often waiting requests are looked at. Ejections and slow starts end within this time.
 const REQUEST_PERIOD: Duration = Duration::from_millis(20);
-/// How often the certificate files are looked at.
-const RELOAD_PERIOD: Duration = Duration::from_secs(10);
 /// Longest wait for workers to take their leases back at a planned stop.
 const STOP_GRACE: Duration = Duration::from_secs(5);
 
@@ -55,14 +49,15 @@
         let incarnation = Incarnation(rand::random());
         let log = Arc::new(HttpLog::new(setup.log, setup.call_timeout));
         let shared = Arc::new(Shared::new(setup, incarnation, log));
-        if let Some(setup) = peers {
-            start_peers(&shared, setup).map_err(io::Error::other)?;
+        if let Some(peers) = peers {
+            Peers::join(&shared, peers).map_err(io::Error::other)?;
         }
         let app = api::app(Arc::clone(&shared));
         let server = Server::start(shared.setup.address, app, Limits::default()).await?;
         let zone = Zone::start(&shared, &shared.setup.zone);
-        task::spawn(follow_config(Arc::clone(&shared)));
-        task::spawn(snapshots::publish_config(Arc::clone(&shared)));
+        task::spawn(configuration::follow(Arc::downgrade(&shared)));
+        task::spawn(configuration::watch_status(Arc::downgrade(&shared)));
+        task::spawn(snapshots::publish_config(Arc::downgrade(&shared)));
         task::spawn(follow_list(Arc::clone(&shared), zone));
         task::spawn(tick_requests(Arc::clone(&shared)));
         log::info!("entry: serving on {}", server.address());
@@ -90,6 +85,7 @@
     /// Stops the instance after the requests in flight.
     pub async fn close(self) {
         log::info!("entry: stopping");
+        self.shared.stop();
         self.server.close().await;
         for zone in self.shared.zones() {
             zone.stop(STOP_GRACE).await;
@@ -97,61 +93,19 @@
         if !self.shared.publisher.clone().close(STOP_GRACE).await {
             log::warn!("log: Records were still queued at the stop.");
         }
-        self.shared.close();
         if let Some(peers) = self.shared.peers() {
-            peers.clone().close().await;
+            Arc::clone(peers).close().await;
         }
     }
 }
 
-fn start_peers(shared: &Arc<Shared>, setup: PeerSetup) -> Result<(), LinkError> {
-    let settings = Settings {
-        name: shared.setup.name.clone(),
-        incarnation: shared.incarnation,
-        address: setup.address,
-        ..Settings::default()
-    };
-    let name = shared.setup.name.clone();
-    let membership = Membership::new(name, shared.setup.zone.clone(), setup.regions);
-    let copies = Copies::new(CopyLimits::default());
-    let local: Arc<dyn Local> = Arc::clone(shared) as _;
-    let peers = Peers::start(settings, setup.identity, membership, copies, local)?;
-    if let Some(files) = setup.files {
-        peers.net().watch(files, RELOAD_PERIOD);
-    }
-    shared.use_peers(peers);
-    Ok(())
-}
-
-/// Tells the exchange with peers which entry instances the list has.
-fn update_peers(shared: &Shared, instances: &[list::Instance]) {
-    let Some(peers) = shared.peers() else {
-        return;
-    };
-    let entries = instances.iter().filter(|i| i.role == Role::Entry);
-    let listed: Vec<_> = entries
-        .map(|instance| Listed {
-            name: instance.name.clone(),
-            zone: instance.zone.clone(),
-            address: instance.address.clone(),
-            leaving: instance.state == Liveness::Leaving,
-        })
-        .collect();
-    peers.listed(&listed);
-    shared.publisher.set_instances(peers.instances());
-}
-
-async fn follow_config(shared: Arc<Shared>) {
-    log_reader::follow_config(&shared, || !shared.is_closed()).await;
-}
-
 async fn follow_list(shared: Arc<Shared>, zone: Arc<Zone>) {
     let list = HttpList::new(shared.setup.list, shared.setup.call_timeout);
-    while !shared.is_closed() {
+    loop {
         match list.fetch().await {
             Ok(fetched) => {
+                shared.update_peers(&fetched.instances);
                 shared.requests.update(&fetched.instances);
-                update_peers(&shared, &fetched.instances);
                 shared.set_directory(fetched.instances);
                 zone.update_directory(&shared);
             }
--- a/crates/primrosebay_entry/src/peers.rs
+++ b/crates/primrosebay_entry/src/peers.rs
@@ -11,7 +11,6 @@
 
 use async_std::task::{self, JoinHandle};
 
-pub use local::FRESH_MS;
 use primrosebay_coordination::membership::{Beat, HEARTBEAT_MS, Health, Listed, Membership};
 use primrosebay_coordination::publisher::Copies;
 use primrosebay_protocol::api::Failure;
@@ -50,13 +49,29 @@
     pub summary: Summary,
 }
 
+/// A heartbeat of a peer whose answer shows when it was true.
+#[derive(Debug)]
+pub struct Heard<'a> {
+    /// The peer.
+    pub name: &'a Name,
+    /// Its zone.
+    pub zone: &'a Name,
+    /// What it said was true at this time or later.
+    pub sent: Time,
+    /// The heartbeat.
+    pub heartbeat: &'a Heartbeat,
+}
+
 /// The parts of the entry instance that the exchange uses.
 pub trait Local: Send + Sync + 'static {
     /// Returns the local time.
     fn now(&self) -> Time;
 
-    /// Returns what the next heartbeat says.
-    fn report(&self) -> Report;
+    /// Returns what the next heartbeat says; nothing if the instance is gone.
+    fn report(&self) -> Option<Report>;
+
+    /// Takes a heartbeat.
+    fn heard(&self, heard: Heard<'_>);
 
     /// Returns configuration records from an offset on, or a snapshot if they are not kept.
     fn records(&self, from: u64) -> Page;
@@ -81,8 +96,6 @@
     pub identity: Identity,
     /// The files of the identity, which are read again when they change; nothing in development.
     pub files: Option<Files>,
-    /// Zones with their regions.
-    pub regions: Vec<(Name, Name)>,
 }
 
 /// The latest heartbeat of a peer.
@@ -166,6 +179,11 @@
         &self.net
     }
 
+    /// Declares the zones with their regions.
+    pub fn set_regions(&self, regions: Vec<(Name, Name)>) {
+        lock(&self.core.membership).set_regions(regions);
+    }
+
     /// Takes the entry instances of the platform's list. An address that is no IP address with a
     /// port is reported and not connected to.
     pub fn listed(&self, list: &[Listed]) {
@@ -426,7 +444,9 @@
             let now = self.core.local.now();
             let due = lock(&self.core.membership).due(now);
             if !due.is_empty() {
-                let report = self.core.local.report();
+                let Some(report) = self.core.local.report() else {
+                    return self.net.clone().close().await;
+                };
                 for due in due {
                     let heartbeat = Heartbeat {
                         incarnation: self.incarnation,
@@ -506,8 +526,22 @@
             echo: heartbeat.echo,
         };
         let now = self.local.now();
-        if !lock(&self.membership).received(now, peer, beat) {
-            return;
+        let (zone, sent) = {
+            let mut membership = lock(&self.membership);
+            if !membership.received(now, peer, beat) {
+                return;
+            }
+            let listed = membership.targets().find(|listed| listed.name == *peer);
+            let zone = listed.map(|listed| listed.zone.clone());
+            (zone, membership.confirmed(peer))
+        };
+        if let (Some(zone), Some(sent)) = (zone, sent) {
+            self.local.heard(Heard {
+                name: peer,
+                zone: &zone,
+                sent,
+                heartbeat: &heartbeat,
+            });
         }
         let mut beats = lock(&self.beats);
         match beats.binary_search_by(|(name, _)| name.cmp(peer)) {
--- a/crates/primrosebay_entry/src/peers/local.rs
+++ b/crates/primrosebay_entry/src/peers/local.rs
@@ -2,10 +2,16 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use primrosebay_coordination::freshness::Beat;
+use primrosebay_coordination::membership::{Listed, Membership};
+use primrosebay_coordination::publisher::{Copies, CopyLimits};
 
 use primrosebay_protocol::api::{Failure, JobView, Submitted};
 use primrosebay_protocol::code::Code;
+use primrosebay_protocol::list::{Instance, Liveness, Role};
 use primrosebay_protocol::log::{Page, Placed};
 use primrosebay_protocol::peer::{
     Caller, Document, Request, Response, Summary, ZoneFree, ZoneTerm,
@@ -16,41 +22,75 @@
 use primrosebay_state::record::Body;
 use primrosebay_state::time::Time;
 
-use super::{Local, Report};
+use primrosebay_transport::peer::{LinkError, Settings};
+
+use super::{Heard, Local, PeerSetup, Peers, Report};
+use crate::clock::Clock;
 use crate::publisher::{Kept, PublishError};
 use crate::shared::Shared;
 use crate::zones::stream_of;
 
-/// Age of the last confirmation of the log's end up to which an instance counts as fresh, in
-/// milliseconds.
-pub const FRESH_MS: u64 = 4_000;
 /// Most jobs of one answer to a list call.
 const LIST_LIMIT: u32 = 1_000;
 
-impl Local for Shared {
+/// How often the certificate files are looked at.
+const RELOAD_PERIOD: Duration = Duration::from_secs(10);
+
+/// Answers for an entry instance for as long as it exists.
+struct Host {
+    shared: Weak<Shared>,
+    clock: Clock,
+}
+
+impl Local for Host {
     fn now(&self) -> Time {
-        Self::now(self)
+        self.clock.now()
     }
 
-    fn report(&self) -> Report {
-        let log_age = self.log_age();
-        Report {
-            config: self.config_log().next(),
-            log_age,
-            current: log_age.is_some_and(|age| age <= FRESH_MS),
-            summary: self.summary(),
-        }
+    fn report(&self) -> Option<Report> {
+        let shared = self.shared.upgrade()?;
+        let now = shared.now();
+        let beat = shared
+            .configuration
+            .with_freshness(|freshness| freshness.beat(now));
+        Some(Report {
+            config: beat.next,
+            log_age: beat.age,
+            current: beat.current,
+            summary: shared.summary(),
+        })
+    }
+
+    fn heard(&self, heard: Heard<'_>) {
+        let Some(shared) = self.shared.upgrade() else {
+            return;
+        };
+        let config = shared.config();
+        let mut zones = config.zones();
+        let region = zones.find(|(zone, _)| *zone == heard.zone);
+        let heartbeat = heard.heartbeat;
+        let beat = Beat {
+            name: heard.name.clone(),
+            zone: heard.zone.clone(),
+            region: region.map_or_else(|| Name::from(""), |(_, region)| region.clone()),
+            next: heartbeat.config,
+            age: heartbeat.log_age,
+            current: heartbeat.current,
+        };
+        let now = shared.now();
+        shared
+            .configuration
+            .with_freshness(|freshness| freshness.heard(now, heard.sent, beat));
     }
 
     fn records(&self, from: u64) -> Page {
-        self.config_log().page(from)
+        let shared = self.shared.upgrade();
+        shared.map_or_else(Page::default, |shared| shared.configuration.page(from))
     }
 
     fn apply(&self, records: Vec<Placed>) {
-        let before = self.config_log().next();
-        self.config_log().apply(records);
-        if self.config_log().next() != before {
-            self.publish_config();
+        if let Some(shared) = self.shared.upgrade() {
+            shared.apply_pushed(&records);
         }
     }
 
@@ -60,6 +100,9 @@
         request: Request,
     ) -> Pin<Box<dyn Future<Output = Response> + Send + 'a>> {
         Box::pin(async move {
+            let Some(shared) = self.shared.upgrade() else {
+                return Response::Refused(Code::STOPPING);
+            };
             let answer = match request {
                 Request::Submit {
                     id,
@@ -67,17 +110,17 @@
                     caller,
                     spec,
                 } => match spec.read() {
-                    Ok(spec) => self.submit(id, zone, &caller, spec).await,
+                    Ok(spec) => shared.submit(id, zone, &caller, spec).await,
                     Err(_) => Err(Code::MALFORMED),
                 },
-                Request::Read { id, caller } => self.find(id, &caller).map(|job| document(&job)),
-                Request::Cancel { id, caller } => self.cancel(id, &caller).await,
+                Request::Read { id, caller } => shared.find(id, &caller).map(|job| document(&job)),
+                Request::Cancel { id, caller } => shared.cancel(id, &caller).await,
                 Request::List {
                     caller,
                     zone,
                     after,
                     limit,
-                } => Ok(self.list(&caller, &zone, after, limit)),
+                } => Ok(shared.list(&caller, &zone, after, limit)),
                 _ => Err(Code::MALFORMED),
             };
             answer.unwrap_or_else(Response::Refused)
@@ -85,27 +128,61 @@
     }
 }
 
-impl Shared {
-    /// Returns the milliseconds since the end of the log was confirmed, by this instance or through
-    /// a peer. A peer's confirmation counts if this instance has applied all that the peer had.
-    #[must_use]
-    pub fn log_age(&self) -> Option<u64> {
-        let (next, own) = {
-            let log = self.config_log();
-            (log.next(), log.age(Self::now(self)))
+impl Peers {
+    /// Starts the exchange of an entry instance.
+    ///
+    /// # Errors
+    /// Returns an error if the socket cannot be opened or the identity cannot be used.
+    pub fn join(shared: &Arc<Shared>, setup: PeerSetup) -> Result<(), LinkError> {
+        let settings = Settings {
+            name: shared.setup.name.clone(),
+            incarnation: shared.incarnation,
+            address: setup.address,
+            ..Settings::default()
         };
-        let peers = self.peers().map_or_else(Vec::new, |peers| peers.view());
-        let through_peers = peers.into_iter().filter_map(|peer| {
-            let age = peer.heartbeat.log_age? + peer.age?;
-            (peer.heartbeat.config <= next).then_some(age)
+        let membership = Membership::new(settings.name.clone(), shared.setup.zone.clone());
+        let copies = Copies::new(CopyLimits::default());
+        let host = Arc::new(Host {
+            shared: Arc::downgrade(shared),
+            clock: shared.setup.clock.clone(),
         });
-        through_peers.chain(own).min()
+        let peers = Self::start(settings, setup.identity, membership, copies, host)?;
+        if let Some(files) = setup.files {
+            peers.net().watch(files, RELOAD_PERIOD);
+        }
+        shared.use_peers(peers);
+        Ok(())
+    }
+}
+
+impl Shared {
+    /// Tells the exchange with peers which entry instances the list has.
+    pub fn update_peers(&self, instances: &[Instance]) {
+        let Some(peers) = self.peers() else {
+            return;
+        };
+        let config = self.config();
+        let regions = config
+            .zones()
+            .map(|(zone, region)| (zone.clone(), region.clone()));
+        peers.set_regions(regions.collect());
+        let entries = instances.iter().filter(|i| i.role == Role::Entry);
+        let listed: Vec<_> = entries
+            .map(|instance| Listed {
+                name: instance.name.clone(),
+                zone: instance.zone.clone(),
+                address: instance.address.clone(),
+                leaving: instance.state == Liveness::Leaving,
+            })
+            .collect();
+        peers.listed(&listed);
+        self.publisher.set_instances(peers.instances());
     }
 
     fn summary(&self) -> Summary {
         let mut summary = Summary::default();
         for zone in self.zones() {
-            let now = Self::now(self);
+            let now = self.now();
             let authority = zone.read(|coordinator| coordinator.authority(now));
             if !authority.held {
                 continue;
@@ -140,7 +217,7 @@
             return Err(Code::OTHER_TEAM);
         }
         let known = self.zone(&zone).ok_or(Code::NO_COORDINATOR)?;
-        let now = Self::now(self);
+        let now = self.now();
         if !known.read(|coordinator| coordinator.authority(now).held) {
             return Err(Code::NO_COORDINATOR);
         }
@@ -216,7 +293,7 @@
         caller: Caller,
         spec: JobSpec,
     ) -> Result<Submitted, Failure> {
-        let now = Self::now(self);
+        let now = self.now();
         let own = self.zone(zone);
         if own.is_some_and(|zone| zone.read(|coordinator| coordinator.authority(now).held)) {
             let answer = self.submit(id, zone.clone(), &caller, spec).await;
--- a/crates/primrosebay_entry/src/publisher.rs
+++ b/crates/primrosebay_entry/src/publisher.rs
@@ -60,6 +60,7 @@
     sequence: AtomicU64,
     appends: AtomicU64,
     incarnation: Incarnation,
+    /// Paces appends. It is not the instance's clock, which a test may stop.
     started: Instant,
     wake: Sender<()>,
     closed: AtomicBool,
@@ -390,12 +391,12 @@
     }
 }
 
-/// Returns whether the failure proves that the append did not take effect. The log answers 429 and
-/// 503 before it handles an append.
+/// Returns whether the failure proves that the append did not take effect. A status of 500 and
+/// above proves nothing, because it may come from a proxy that lost the log's answer.
 fn took_no_effect(error: &CallError) -> bool {
     match error {
         CallError::NotSent { .. } => true,
-        CallError::Status { status, .. } => (400..500).contains(status) || *status == 503,
+        CallError::Status { status, .. } => (400..500).contains(status),
         CallError::Lost { .. } | CallError::Malformed { .. } => false,
     }
 }
--- a/crates/primrosebay_entry/src/shared.rs
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use primrosebay_coordination::freshness::Freshness;
 use primrosebay_protocol::list::Instance;
+use primrosebay_settings::{Limits, Timeouts};
 use primrosebay_state::Name;
 use primrosebay_state::config::Config;
 use primrosebay_state::id::{Incarnation, JobId};
@@ -14,7 +16,10 @@
 use primrosebay_transport::minion::HttpMinions;
 use primrosebay_transport::worker::HttpWorkers;
 
-use crate::config_log::ConfigLog;
+use crate::api::metrics::Metrics;
+use crate::api::watch::Watchers;
+use crate::clock::Clock;
+use crate::configuration::Configuration;
 use crate::peers::Peers;
 use crate::publisher::Publisher;
 use crate::requests::{RequestSettings, Requests};
@@ -27,16 +32,24 @@
     pub name: Name,
     /// The availability zone of the instance.
     pub zone: Name,
+    /// The region of the instance.
+    pub region: Name,
     /// Address of the API.
     pub address: SocketAddr,
     /// Address of the platform's log.
     pub log: SocketAddr,
     /// Address of the platform's list of instances.
     pub list: SocketAddr,
-    /// SHA-256 of the operators' key, in hexadecimal digits.
-    pub operator_hash: Name,
+    /// SHA-256 of each operators' key, in hexadecimal digits.
+    pub operators: Vec<Name>,
     /// Time-out of a call to the platform.
     pub call_timeout: Duration,
+    /// Bounds.
+    pub limits: Limits,
+    /// Time-outs.
+    pub timeouts: Timeouts,
+    /// The local clock.
+    pub clock: Clock,
 }
 
 /// The state that the parts of an entry instance share.
@@ -54,12 +67,15 @@
     pub workers: HttpWorkers,
     /// Routes requests to minions.
     pub requests: Requests<HttpMinions>,
-    started: Instant,
-    closed: AtomicBool,
-    jobs: AtomicU64,
-    config: RwLock<Arc<Config>>,
-    config_log: Mutex<ConfigLog>,
+    /// The configuration and its freshness.
+    pub configuration: Configuration,
+    /// Open watches of the configuration.
+    pub watchers: Watchers,
+    /// Figures about the API.
+    pub metrics: Metrics,
     peers: OnceLock<Arc<Peers>>,
+    stopping: AtomicBool,
+    jobs: AtomicU64,
     directory: RwLock<Arc<[Instance]>>,
     zones: Mutex<Vec<Arc<Zone>>>,
 }
@@ -68,7 +84,7 @@
     /// Creates the shared state around the adapters.
     #[must_use]
     pub fn new(setup: Setup, incarnation: Incarnation, log: Arc<HttpLog>) -> Self {
-        let started = Instant::now();
+        let clock = setup.clock.clone();
         let requests = Requests::new(
             RequestSettings {
                 seed: incarnation.0,
@@ -77,21 +93,23 @@
             setup.zone.clone(),
             incarnation,
             HttpMinions::default(),
-            Arc::new(move || elapsed(started)),
+            Arc::new(move || clock.now()),
         );
+        let freshness = Freshness::new(&setup.name, &setup.zone, &setup.region);
+        let history = usize::try_from(setup.limits.watch_events).unwrap_or(usize::MAX);
         Self {
             requests,
+            configuration: Configuration::new(history, freshness),
             publisher: Publisher::start(Arc::clone(&log), incarnation),
             workers: HttpWorkers::new(setup.call_timeout),
             incarnation,
             log,
             setup,
-            started,
-            closed: AtomicBool::new(false),
-            jobs: AtomicU64::new(0),
-            config: RwLock::default(),
-            config_log: Mutex::default(),
+            watchers: Watchers::default(),
+            metrics: Metrics::new(),
             peers: OnceLock::new(),
+            stopping: AtomicBool::new(false),
+            jobs: AtomicU64::new(0),
             directory: RwLock::new(Arc::from([])),
             zones: Mutex::default(),
         }
@@ -100,18 +118,18 @@
     /// Returns the time on the local clock.
     #[must_use]
     pub fn now(&self) -> Time {
-        elapsed(self.started)
+        self.setup.clock.now()
     }
 
-    /// Returns whether the instance has stopped, so that its tasks end.
-    #[must_use]
-    pub fn is_closed(&self) -> bool {
-        self.closed.load(Ordering::Relaxed)
+    /// Makes the instance report that it is not ready.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
     }
 
-    /// Lets the tasks of the instance end.
-    pub fn close(&self) {
-        self.closed.store(true, Ordering::Relaxed);
+    /// Returns whether the instance is stopping.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
     }
 
     /// Returns a new identifier for a job.
@@ -126,28 +144,7 @@
     /// Returns the configuration in force.
     #[must_use]
     pub fn config(&self) -> Arc<Config> {
-        Arc::clone(&self.config.read().unwrap_or_else(PoisonError::into_inner))
-    }
-
-    /// Puts a configuration in force.
-    pub fn set_config(&self, config: Config) {
-        *self.config.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(config);
-    }
-
-    /// Returns the configuration with its place in the log.
-    pub fn config_log(&self) -> MutexGuard<'_, ConfigLog> {
-        self.config_log
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Puts the configuration in force that has been read.
-    pub fn publish_config(&self) {
-        let config = self.config_log().config().clone();
-        self.set_config(config);
-        for zone in self.zones() {
-            zone.update_config(self);
-        }
+        self.configuration.get()
     }
 
     /// Returns the exchange with other entry instances, if it was started.
@@ -158,7 +155,7 @@
 
     /// Uses the exchange with other entry instances. The first call counts.
     pub fn use_peers(&self, peers: Arc<Peers>) {
-        if self.peers.set(peers.clone()).is_ok() {
+        if self.peers.set(Arc::clone(&peers)).is_ok() {
             self.publisher.use_peers(peers);
         }
     }
@@ -219,7 +216,3 @@
         self.zones.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn elapsed(started: Instant) -> Time {
-    Time(u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX))
-}
--- a/crates/primrosebay_entry/src/snapshots.rs
+++ b/crates/primrosebay_entry/src/snapshots.rs
@@ -1,6 +1,6 @@
 //! Publishes snapshots before the log's retention drops the records that they stand for.
 
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use async_std::task;
@@ -9,6 +9,7 @@
 use primrosebay_protocol::log::CONFIG_STREAM;
 use primrosebay_state::Name;
 use primrosebay_state::record::Body;
+use primrosebay_state::time::Time;
 use primrosebay_transport::log::Log;
 
 use crate::shared::Shared;
@@ -20,11 +21,10 @@
 const PIECE_BYTES: usize = 128 << 10;
 
 /// Publishes snapshots of one zone's jobs while this instance coordinates it.
-pub async fn publish_jobs(shared: Arc<Shared>, zone: Arc<Zone>) {
+pub async fn publish_jobs(shared: Weak<Shared>, zone: Arc<Zone>) {
     let stream = stream_of(&zone.name);
-    let mut plan = Plan::new(shared.now());
-    while !shared.is_closed() {
-        task::sleep(PERIOD).await;
+    let mut plan = Plan::new(Time(0));
+    while let Some(shared) = shared.upgrade() {
         let make = |_| {
             let items = zone.read(|coordinator| {
                 let held = coordinator.authority(shared.now()).held;
@@ -38,24 +38,27 @@
             Some(pieces.into_iter().map(Body::Snapshot).collect())
         };
         step(&shared, &stream, &mut plan, make).await;
+        drop(shared);
+        task::sleep(PERIOD).await;
     }
 }
 
 /// Publishes snapshots of the configuration while this instance coordinates the lowest-named zone.
-pub async fn publish_config(shared: Arc<Shared>) {
-    let mut plan = Plan::new(shared.now());
-    while !shared.is_closed() {
-        task::sleep(PERIOD).await;
+pub async fn publish_config(shared: Weak<Shared>) {
+    let mut plan = Plan::new(Time(0));
+    while let Some(shared) = shared.upgrade() {
         let make = |end| {
             let zone = shared.zone(&lowest_zone(&shared)?)?;
             let held = zone.read(|coordinator| coordinator.authority(shared.now()).held);
-            let log = shared.config_log();
+            let config = shared.config();
             // A snapshot of an instance that lags would not be newer than the records it follows.
-            let current = held && log.next() >= end;
-            let pieces = current.then(|| log.config().pieces())?;
+            let current = held && config.next >= end;
+            let pieces = current.then(|| config.pieces())?;
             Some(pieces.into_iter().map(Body::ConfigSnapshot).collect())
         };
         step(&shared, CONFIG_STREAM, &mut plan, make).await;
+        drop(shared);
+        task::sleep(PERIOD).await;
     }
 }
 
