--- a/crates/primrosebay_entry/src/configuration.rs
+++ b/crates/primrosebay_entry/src/configuration.rs
@@ -1,5 +1,6 @@
 //! Keeps the configuration up to date and knows how far it can be relied on.
 
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock, Weak};
 use std::time::Duration;
@@ -11,6 +12,8 @@
 use primrosebay_protocol::list::Role;
 use primrosebay_protocol::log::{CONFIG_STREAM, Page, Placed};
 use primrosebay_state::config::{Applied, Config, Loader};
+use primrosebay_state::id::{Incarnation, RecordId};
+use primrosebay_state::record::{Body, Record};
 use primrosebay_state::time::Time;
 use primrosebay_transport::log::Log;
 
@@ -20,6 +23,8 @@
 const RETRY: Duration = Duration::from_millis(200);
 /// How often a waiting write looks whether its change is accepted.
 const ACCEPT: Duration = Duration::from_millis(5);
+/// Records that are kept for peers that lag; at 710 changes a day, those of 5 days.
+const RECENT: usize = 4_096;
 /// How often the status is looked at; well below the second that the 4 s of the freshness rule
 /// leave until a change must be in force.
 const WATCH: Duration = Duration::from_millis(100);
@@ -32,6 +37,8 @@
     wakers: Mutex<Vec<Sender<()>>>,
     /// Records of the log by what became of them.
     outcomes: [AtomicU64; 3],
+    /// The latest applied records without a gap, for peers that lag.
+    recent: Mutex<VecDeque<Placed>>,
 }
 
 impl Configuration {
@@ -43,6 +50,7 @@
             freshness: Mutex::new(freshness),
             wakers: Mutex::default(),
             outcomes: Default::default(),
+            recent: Mutex::default(),
         }
     }
 
@@ -92,8 +100,45 @@
         std::array::from_fn(|i| self.outcomes[i].load(Ordering::Relaxed))
     }
 
-    fn apply(&self, now: Time, records: &[Placed]) {
+    /// Returns the records from `from` on, or a snapshot if they are not kept any longer. The
+    /// records of a snapshot take the last applied offset, so that they never pass for new ones.
+    #[must_use]
+    pub fn page(&self, from: u64) -> Page {
+        let recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
+        let config = self.get();
+        let end = config.next;
+        let oldest = recent.front().map_or(end, |first| first.offset);
+        if from >= oldest {
+            let newer = recent.iter().filter(|placed| placed.offset >= from);
+            return Page {
+                oldest,
+                end,
+                records: newer.cloned().collect(),
+            };
+        }
+        let id = RecordId {
+            incarnation: Incarnation(0),
+            sequence: 0,
+        };
+        let pieces = config.pieces().into_iter();
+        let placed = pieces.map(|piece| Placed {
+            offset: end.saturating_sub(1),
+            record: Record {
+                id,
+                body: Body::ConfigSnapshot(piece),
+            },
+        });
+        Page {
+            oldest: end,
+            end,
+            records: placed.collect(),
+        }
+    }
+
+    /// Applies records and returns those that took effect in the order of the log now.
+    fn apply(&self, now: Time, records: &[Placed]) -> Vec<Placed> {
         let mut config = (*self.get()).clone();
+        let mut applied = Vec::new();
         for placed in records {
             let at = match config.apply_record(placed.offset, &placed.record) {
                 Applied::Done => 0,
@@ -102,8 +147,29 @@
                 Applied::Old | Applied::Gap => continue,
             };
             self.outcomes[at].fetch_add(1, Ordering::Relaxed);
+            applied.push(placed.clone());
         }
         self.set(now, config);
+        self.keep(&applied);
+        applied
+    }
+
+    fn keep(&self, applied: &[Placed]) {
+        let mut recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
+        for placed in applied {
+            let next = recent.back().map(|last| last.offset + 1);
+            // Another source may have brought the same records at the same time.
+            if next.is_some_and(|next| placed.offset < next) {
+                continue;
+            }
+            if next.is_some_and(|next| placed.offset > next) {
+                recent.clear();
+            }
+            if recent.len() == RECENT {
+                recent.pop_front();
+            }
+            recent.push_back(placed.clone());
+        }
     }
 }
 
@@ -167,6 +233,50 @@
         members
     }
 
+    /// Applies records that a peer pushed.
+    pub fn apply_pushed(&self, records: &[Placed]) {
+        let applied = self.configuration.apply(self.now(), records);
+        if !applied.is_empty() {
+            self.update_zones();
+        }
+    }
+
+    /// Asks peers for a newer configuration, and returns whether there was one.
+    async fn fetch_config(&self) -> bool {
+        let Some(peers) = self.peers() else {
+            return false;
+        };
+        let before = self.config().next;
+        let Some(page) = peers.fetch(before).await else {
+            return false;
+        };
+        if page.oldest <= before {
+            self.apply_pushed(&page.records);
+            return self.config().next > before;
+        }
+        let history = usize::try_from(self.setup.limits.watch_events).unwrap_or(usize::MAX);
+        let mut loader = Loader::new(page.oldest, history);
+        for placed in page.records {
+            loader.push(placed.offset, placed.record);
+        }
+        let Some(config) = loader.build() else {
+            return false;
+        };
+        log::info!(
+            "config: the configuration of a peer is used, at {}",
+            config.next
+        );
+        self.configuration.set(self.now(), config);
+        self.update_zones();
+        true
+    }
+
+    fn update_zones(&self) {
+        for zone in self.zones() {
+            zone.update_config(self);
+        }
+    }
+
     /// Forgets peers that neither answer nor are listed.
     fn forget_lost(&self) {
         let (now, directory) = (self.now(), self.directory());
@@ -214,9 +324,23 @@
         let sent = shared.now();
         let wait = Duration::from_millis(shared.setup.timeouts.poll_ms);
         match shared.log.read(CONFIG_STREAM, from, wait).await {
-            Ok(page) => take(&shared, sent, from, page, &mut loader),
+            Ok(page) => {
+                for placed in &page.records {
+                    let id = placed.record.id;
+                    let publisher = &shared.publisher;
+                    publisher.observed(CONFIG_STREAM, placed.offset, id);
+                }
+                let applied = take(&shared, sent, from, page, &mut loader);
+                if let Some(peers) = shared.peers() {
+                    peers.push(&applied).await;
+                }
+                if loader.is_some() && shared.fetch_config().await {
+                    loader = None;
+                }
+            }
             Err(e) => {
                 log::warn!("config: cannot read the log: {e}");
+                shared.fetch_config().await;
                 drop(shared);
                 task::sleep(RETRY).await;
             }
@@ -225,8 +349,15 @@
 }
 
 /// Applies a page that was asked for at `sent`, or adds it to the loader if the log has dropped
-/// records that were not read.
-fn take(shared: &Shared, sent: Time, from: u64, page: Page, loader: &mut Option<(Loader, u64)>) {
+/// records that were not read. Returns the records that were applied.
+fn take(
+    shared: &Shared,
+    sent: Time,
+    from: u64,
+    page: Page,
+    loader: &mut Option<(Loader, u64)>,
+) -> Vec<Placed> {
+    let mut applied = Vec::new();
     let (now, end) = (shared.now(), page.end);
     if loader.is_none() && page.oldest > from {
         log::warn!("config: the log starts at {}, not at {from}", page.oldest);
@@ -240,19 +371,20 @@
             pieces.push(placed.offset, placed.record);
         }
         if *next < end {
-            return;
+            return applied;
         }
         let Some(config) = pieces.build() else {
             log::warn!("config: the log holds no complete snapshot");
-            return;
+            return applied;
         };
         configuration.set(now, config);
         *loader = None;
     } else if !page.records.is_empty() {
-        configuration.apply(now, &page.records);
+        applied = configuration.apply(now, &page.records);
     }
     configuration.with_freshness(|freshness| freshness.confirmed(now, sent, end));
     for zone in shared.zones() {
         zone.update_config(shared);
     }
+    applied
 }
--- a/crates/primrosebay_entry/tests/cell/mod.rs
+++ b/crates/primrosebay_entry/tests/cell/mod.rs
@@ -33,6 +33,8 @@
     Lost,
     /// Reads are refused.
     Deaf,
+    /// Appends take effect and are answered with an error, and reads are refused.
+    LostDeaf,
 }
 
 pub struct Node {
@@ -78,12 +80,13 @@
         let (log, fault) = (log.clone(), fault.load(Ordering::SeqCst));
         async move {
             let append = request.method() == Method::Post;
-            if fault == Fault::Down as u8 || fault == Fault::Deaf as u8 && !append {
+            let deaf = fault == Fault::Deaf as u8 || fault == Fault::LostDeaf as u8;
+            if fault == Fault::Down as u8 || deaf && !append {
                 return Ok(tide::Response::new(503));
             }
             let inner: tide::http::Request = request.into();
             let response: tide::Response = log.respond(inner).await?;
-            if append && fault == Fault::Lost as u8 {
+            if append && (fault == Fault::Lost as u8 || deaf && fault != Fault::Deaf as u8) {
                 return Ok(tide::Response::new(502));
             }
             Ok(response)
