Keep report numbers of a worker's earlier run out of acknowledgements

Cause: a report of an unknown job was applied again when its record was read. Change: only answers move the acknowledged number.

--- a/crates/primrosebay_coordination/src/zone/reports.rs
+++ b/crates/primrosebay_coordination/src/zone/reports.rs
@@ -55,6 +55,7 @@
             member.granted = member.granted.max(Some(sent));
         }
         for report in &reply.reports {
+            self.note_handled(worker, report);
             self.on_report(now, worker, report);
         }
         self.end_unreported(now, worker, reply.sequence);
@@ -78,14 +79,18 @@
         }
     }
 
-    pub(super) fn on_report(&mut self, now: Time, worker: &Name, report: &Report) {
-        let id = report.attempt.task;
+    /// Notes that a report need not be sent again, except for ends that are not durable.
+    fn note_handled(&mut self, worker: &Name, report: &Report) {
         if let Some(member) = self.members.get_mut(worker) {
             if report.state != AttemptState::Running && report.sequence > member.handled {
-                member.ended.push((report.sequence, id));
+                member.ended.push((report.sequence, report.attempt.task));
             }
             member.handled = member.handled.max(report.sequence);
         }
+    }
+
+    pub(super) fn on_report(&mut self, now: Time, worker: &Name, report: &Report) {
+        let id = report.attempt.task;
         let Some(task) = self.jobs.task_mut(id) else {
             self.note_orphan(now, worker, report);
             return;
