--- a/crates/primrosebay_coordination/src/zone/log.rs
+++ b/crates/primrosebay_coordination/src/zone/log.rs
@@ -102,6 +102,7 @@
             job.failed = true;
             self.close(now, id.job);
         }
+        self.regroup(now, id.job);
         self.wake_dependents(now, id.job);
     }
 
--- a/crates/primrosebay_coordination/src/zone/tasks.rs
+++ b/crates/primrosebay_coordination/src/zone/tasks.rs
@@ -135,7 +135,6 @@
         let Some(worker) = task.worker().cloned() else {
             return;
         };
-        let preempted = matches!(&task.state, State::Active(active) if active.stop.is_some());
         let (closing, once) = (job.is_closing(), job.is_once());
         let service = job.spec.policy == Policy::Service;
         let keep = job.moving.is_some() || job.is_gang();
@@ -164,11 +163,11 @@
             _ if keep => self.hold_back(now, id),
             Over::NotRun => self.retry_later(now, id, self.settings.heartbeat),
             Over::Stopped | Over::Lost => {
-                debug_assert!(preempted || over != Over::Done);
                 self.set_state(id, State::Waiting);
                 self.submit(now, id.job);
             }
         }
+        self.regroup(now, id.job);
     }
 
     /// Takes the task off its worker and frees its resources.
