Block a shape together with every larger one

Cause: a call tried about 80 shapes one after the other, which differ only in run time or need more than one that had just failed. Change: when a shape fits nowhere, all shapes that need no less are blocked with it; run times matter only while some worker is held. The heads of classes are kept apart from the classes.

--- a/crates/primrosebay_coordination/src/schedule/fleet.rs
+++ b/crates/primrosebay_coordination/src/schedule/fleet.rs
@@ -308,6 +308,12 @@
         self.workers.iter().enumerate().filter(|(_, w)| w.live)
     }
 
+    /// Returns whether `amount` would fit on a worker that is held for some job.
+    pub(super) fn has_held(&self, amount: &Resources) -> bool {
+        let mut held = self.held.iter().map(|&id| &self.workers[id]);
+        held.any(|worker| amount.fits(worker.offered(amount)))
+    }
+
     /// Counts a task that was placed on a held worker and runs longer than the hold against what
     /// others may use there.
     pub(super) fn outlast(&mut self, id: usize, need: &Need) {
--- a/crates/primrosebay_coordination/src/schedule/queue.rs
+++ b/crates/primrosebay_coordination/src/schedule/queue.rs
@@ -60,10 +60,24 @@
     pub(super) retry: Time,
 }
 
+/// What the choice of the next job reads of a class, apart from the rest of the class because each
+/// round reads it for every class.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Head {
+    /// The first job of the class.
+    pub(super) entry: Entry,
+    /// As in [`Class`].
+    pub(super) shape: Option<usize>,
+    /// What is needed to start anything of the class.
+    pub(super) least: Resources,
+}
+
 /// The classes of pending jobs of a team, sorted by key.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     pub(super) classes: Vec<Class>,
+    /// The heads of the classes, in the same order.
+    pub(super) heads: Vec<Head>,
     /// The job that should have started first.
     pub(super) head: Option<Entry>,
     /// Classes that need accelerators.
@@ -89,10 +103,20 @@
                     retry: Time(0),
                 };
                 self.classes.insert(at, class);
+                let least = key.least();
+                self.heads.insert(
+                    at,
+                    Head {
+                        entry,
+                        shape,
+                        least,
+                    },
+                );
                 at
             }
         };
         self.classes[at].jobs.insert(entry);
+        self.heads[at].entry = self.heads[at].entry.min(entry);
         self.head = Some(self.head.map_or(entry, |head| head.min(entry)));
     }
 
@@ -107,10 +131,12 @@
             }
             self.accelerated -= usize::from(key.shape.accelerators > 0);
             self.classes.remove(at);
+            self.heads.remove(at);
+        } else if let Some(&first) = class.jobs.first() {
+            self.heads[at].entry = first;
         }
         if self.head == Some(*entry) {
-            let heads = self.classes.iter().filter_map(|c| c.jobs.first());
-            self.head = heads.min().copied();
+            self.head = self.heads.iter().map(|head| head.entry).min();
         }
     }
 
--- a/crates/primrosebay_coordination/src/schedule/round.rs
+++ b/crates/primrosebay_coordination/src/schedule/round.rs
@@ -37,12 +37,12 @@
     fn keep_accelerators(&mut self, now: Time) {
         let mut wanted = Resources::ZERO;
         for team in self.teams.items.iter().filter(|t| t.queue.accelerated > 0) {
-            for class in &team.queue.classes {
-                let amount = class.key.amount();
-                if amount.accelerators > 0 && team.allows(&class.key.least()) {
+            for head in &team.queue.heads {
+                let least = &head.least;
+                if least.accelerators > 0 && team.allows(least) {
                     let each = Resources {
-                        cores_milli: amount.cores_milli / amount.accelerators,
-                        memory_mib: amount.memory_mib / amount.accelerators,
+                        cores_milli: least.cores_milli / least.accelerators,
+                        memory_mib: least.memory_mib / least.accelerators,
                         accelerators: 0,
                     };
                     wanted = larger(&wanted, &each);
@@ -350,20 +350,28 @@
         accept: impl Fn(&ClassKey, &super::share::Team) -> bool,
     ) -> Option<(ClassKey, Entry)> {
         let team = &self.teams.items[team];
-        team.queue
-            .classes
-            .iter()
-            .filter(|class| match class.shape {
+        let queue = &team.queue;
+        let waits = |at: usize| {
+            let class = &queue.classes[at];
+            class.round < self.round
+                && class.retry <= now
+                && (class.key.urgent || class.freed != self.fleet.freed)
+        };
+        let mut best: Option<(usize, Entry)> = None;
+        for (at, head) in queue.heads.iter().enumerate() {
+            let open = match head.shape {
                 Some(shape) => !self.fleet.shapes.is_blocked(shape),
-                None => {
-                    class.round < self.round
-                        && class.retry <= now
-                        && (class.key.urgent || class.freed != self.fleet.freed)
-                }
-            })
-            .filter(|class| team.allows(&class.key.least()) && accept(&class.key, team))
-            .filter_map(|class| Some((class.key, *class.jobs.first()?)))
-            .min_by_key(|&(_, entry)| entry)
+                None => waits(at),
+            };
+            if open
+                && best.is_none_or(|(_, entry)| head.entry < entry)
+                && team.allows(&head.least)
+                && accept(&queue.classes[at].key, team)
+            {
+                best = Some((at, head.entry));
+            }
+        }
+        best.map(|(at, entry)| (queue.classes[at].key, entry))
     }
 
     /// Remembers that a class did not fit.
@@ -373,7 +381,8 @@
             queue.classes[at].round = self.round;
             queue.classes[at].freed = self.fleet.freed;
             if let Some(shape) = queue.classes[at].shape {
-                self.fleet.shapes.block(shape);
+                let held = self.fleet.has_held(&key.amount());
+                self.fleet.shapes.block(shape, held);
             }
             if key.tasks > 0 {
                 queue.classes[at].retry = now + self.settings.gang_ms;
--- a/crates/primrosebay_coordination/src/schedule/shapes.rs
+++ b/crates/primrosebay_coordination/src/schedule/shapes.rs
@@ -27,7 +27,6 @@
     shape: Shape,
     /// Classes of pending jobs that have the shape.
     classes: usize,
-    blocked: bool,
 }
 
 /// All shapes of pending work.
@@ -35,6 +34,8 @@
 pub(super) struct Shapes {
     sorted: Vec<(Shape, usize)>,
     items: Vec<Item>,
+    /// Whether each item is known to fit nowhere, apart because it is read most.
+    blocked: Vec<bool>,
     unused: Vec<usize>,
     /// Shapes that may fit somewhere.
     open: usize,
@@ -51,16 +52,14 @@
             }
             Err(place) => place,
         };
-        let item = Item {
-            shape,
-            classes: 1,
-            blocked: false,
-        };
+        let item = Item { shape, classes: 1 };
         let at = self.unused.pop().unwrap_or(self.items.len());
         if at == self.items.len() {
             self.items.push(item);
+            self.blocked.push(false);
         } else {
             self.items[at] = item;
+            self.blocked[at] = false;
         }
         self.sorted.insert(place, (shape, at));
         self.open += 1;
@@ -74,8 +73,8 @@
         if item.classes > 0 {
             return;
         }
-        self.open -= usize::from(!item.blocked);
-        item.blocked = true;
+        self.open -= usize::from(!self.blocked[at]);
+        self.blocked[at] = true;
         if let Ok(place) = self.sorted.binary_search_by(|s| s.0.cmp(&item.shape)) {
             self.sorted.remove(place);
         }
@@ -83,7 +82,7 @@
     }
 
     pub(super) fn is_blocked(&self, at: usize) -> bool {
-        self.items[at].blocked
+        self.blocked[at]
     }
 
     /// Returns whether some shape may fit somewhere.
@@ -91,19 +90,27 @@
         self.open > 0
     }
 
-    /// Remembers that a shape fits nowhere until room is made for it.
-    pub(super) fn block(&mut self, at: usize) {
-        let item = &mut self.items[at];
-        self.open -= usize::from(!item.blocked);
-        item.blocked = true;
+    /// Remembers that a shape, and every shape that needs no less, fits nowhere until room is made.
+    /// Where resources are `held`, only shapes that run no shorter are known not to fit.
+    pub(super) fn block(&mut self, at: usize, held: bool) {
+        let low = self.items[at].shape;
+        let amount = low.amount();
+        for &(shape, at) in &self.sorted {
+            // Work with accelerators may use what is kept from other work.
+            let alike = (shape.accelerators == 0) == (low.accelerators == 0);
+            let longer = !held || shape.span >= low.span;
+            if !self.blocked[at] && alike && longer && amount.fits(&shape.amount()) {
+                self.blocked[at] = true;
+                self.open -= 1;
+            }
+        }
     }
 
     /// Takes into account that `free` is free on some worker.
     pub(super) fn unblock(&mut self, free: &Resources) {
         for &(shape, at) in &self.sorted {
-            let item = &mut self.items[at];
-            if item.blocked && shape.amount().fits(free) {
-                item.blocked = false;
+            if self.blocked[at] && shape.amount().fits(free) {
+                self.blocked[at] = false;
                 self.open += 1;
             }
         }
