Let preempted tasks be preempted again at twice the cost

Cause: a task could be preempted once only, so after an hour of urgent work in a full cell of small workers too few victims were left and urgent tasks waited for a minute. Change: the loss of a task counts twice for each earlier preemption instead.

--- a/crates/primrosebay_coordination/src/schedule/job.rs
+++ b/crates/primrosebay_coordination/src/schedule/job.rs
@@ -27,8 +27,8 @@
     /// Running tasks and their positions in the ledger, sorted.
     pub(super) running: Vec<(u32, usize)>,
     pub(super) counts: Counts,
-    /// Tasks that were preempted and are not preempted again, sorted.
-    pub(super) preempted: Vec<u32>,
+    /// How often tasks were preempted, sorted by task.
+    pub(super) preempted: Vec<(u32, u32)>,
     /// Pending tasks that wait for their victims to stop.
     pub(super) claims: usize,
     /// When resources may next be held for the job.
@@ -91,6 +91,20 @@
         }
     }
 
+    pub(super) fn add_preempted(&mut self, index: u32) {
+        match self.preempted.binary_search_by_key(&index, |p| p.0) {
+            Ok(at) => self.preempted[at].1 += 1,
+            Err(at) => self.preempted.insert(at, (index, 1)),
+        }
+    }
+
+    /// Returns how often a task was preempted.
+    pub(super) fn preempted(&self, index: u32) -> u32 {
+        self.preempted
+            .binary_search_by_key(&index, |p| p.0)
+            .map_or(0, |at| self.preempted[at].1)
+    }
+
     pub(super) fn class(&self) -> ClassKey {
         ClassKey {
             urgent: self.spec.urgent,
--- a/crates/primrosebay_coordination/src/schedule/ledger.rs
+++ b/crates/primrosebay_coordination/src/schedule/ledger.rs
@@ -20,6 +20,8 @@
     pub(super) team: usize,
     pub(super) amount: Resources,
     pub(super) start: Time,
+    /// How often the task was preempted before.
+    pub(super) preempted: u32,
     /// When the task is expected to end; nothing for a service.
     pub(super) end: Option<Time>,
     /// Whether the task may be preempted for urgent work.
--- a/crates/primrosebay_coordination/src/schedule/preempt.rs
+++ b/crates/primrosebay_coordination/src/schedule/preempt.rs
@@ -13,6 +13,9 @@
 /// Milliseconds of work that stopping any task costs, whatever it loses.
 const RESTART_MS: u64 = 5_000;
 
+/// Earlier preemptions beyond which the cost of a task grows no further.
+const MAX_DOUBLING: u32 = 16;
+
 /// What stops, and what that costs.
 #[derive(Debug)]
 pub(super) struct Victims {
@@ -122,7 +125,8 @@
         })
     }
 
-    /// Returns the work that is lost, in milliseconds times the part of the worker.
+    /// Returns the work that is lost, in milliseconds times the part of the worker. It counts twice
+    /// for each earlier preemption of the task, so that no task is chosen again and again.
     fn loss(&self, running: &Running) -> f64 {
         let total = &self.fleet.workers[running.worker].total;
         let lost = if running.checkpoint {
@@ -130,7 +134,8 @@
         } else {
             self.now.since(running.start) + RESTART_MS
         };
-        ratio(lost, 1) * running.amount.dominant(total)
+        let again = f64::from(running.preempted.min(MAX_DOUBLING)).exp2();
+        ratio(lost, 1) * running.amount.dominant(total) * again
     }
 }
 
--- a/crates/primrosebay_coordination/src/schedule/scheduler.rs
+++ b/crates/primrosebay_coordination/src/schedule/scheduler.rs
@@ -186,10 +186,8 @@
             && !job.cancelled
         {
             job.add_pending(task.index);
-            if running.stopping
-                && let Err(place) = job.preempted.binary_search(&task.index)
-            {
-                job.preempted.insert(place, task.index);
+            if running.stopping {
+                job.add_preempted(task.index);
             }
         }
         self.enqueue(at);
@@ -321,10 +319,8 @@
         } else {
             self.settings.run_ms
         };
-        let yields = spec.policy == Policy::Batch
-            && spec.repeat == Repeat::Idempotent
-            && !spec.urgent
-            && job.preempted.binary_search(&index).is_err();
+        let yields =
+            spec.policy == Policy::Batch && spec.repeat == Repeat::Idempotent && !spec.urgent;
         let running = Running {
             task: TaskId { job: job.id, index },
             job: at,
@@ -332,6 +328,7 @@
             team: job.team,
             amount: spec.resources,
             start: now,
+            preempted: job.preempted(index),
             end: (spec.policy != Policy::Service).then(|| now + assumed),
             yields,
             checkpoint: spec.checkpoint,
