--- /dev/null
+++ b/crates/primrosebay_load/src/cell.rs
@@ -0,0 +1,140 @@
+//! An entry instance with minion stand-ins.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::task;
+use primrosebay_entry::auth::hash;
+use primrosebay_entry::instance::Instance;
+use primrosebay_entry::shared::Setup;
+use primrosebay_protocol::list::{self, Liveness, Role};
+use primrosebay_protocol::log::{Append, CONFIG_STREAM};
+use primrosebay_standin::list::ListService;
+use primrosebay_standin::log::{LogService, Settings as LogSettings};
+use primrosebay_standin::minion::{Minion, Settings};
+use primrosebay_state::config::{Change, Resource};
+use primrosebay_state::id::{Incarnation, RecordId};
+use primrosebay_state::record::{Body, Record};
+use primrosebay_state::resources::Resources;
+use primrosebay_transport::http_server::{Limits, Server};
+use primrosebay_transport::log::{HttpLog, Log};
+
+use crate::caller::{Target, once};
+
+/// Minions of the cell.
+pub(crate) const MINIONS: usize = 48;
+/// The key of the team that sends the requests.
+const KEY: &str = "load-key";
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A running cell. The instances run until the process ends.
+pub(crate) struct Cell {
+    pub(crate) minions: Vec<Minion>,
+    entry: Instance,
+    _platform: [Server; 2],
+}
+
+impl Cell {
+    /// Starts a cell whose minions take `service` for each request, and waits until the entry
+    /// instance answers requests.
+    pub(crate) async fn start(service: Duration) -> io::Result<Self> {
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut minions = Vec::new();
+        for _ in 0..MINIONS {
+            let settings = Settings {
+                service,
+                ..Settings::default()
+            };
+            minions.push(Minion::start(loopback, settings).await?);
+        }
+        let listed = minions.iter().enumerate().map(listed).collect();
+        let log = LogService::new(LogSettings::default()).app();
+        let log = Server::start(loopback, log, Limits::default()).await?;
+        let list = ListService::new(listed).app();
+        let list = Server::start(loopback, list, Limits::default()).await?;
+        HttpLog::new(log.address(), TIMEOUT)
+            .append(CONFIG_STREAM, &key())
+            .await
+            .map_err(io::Error::other)?;
+        let entry = Instance::start(Setup {
+            name: "entry".into(),
+            zone: "a".into(),
+            address: loopback,
+            log: log.address(),
+            list: list.address(),
+            operator_hash: "".into(),
+            call_timeout: TIMEOUT,
+        })
+        .await?;
+        let cell = Self {
+            minions,
+            entry,
+            _platform: [log, list],
+        };
+        cell.wait_ready().await?;
+        Ok(cell)
+    }
+
+    /// Returns how requests reach the minions through the entry instance.
+    pub(crate) fn entry(&self) -> Target {
+        Target {
+            address: self.entry.address(),
+            path: "/v1/services/load/requests",
+            headers: format!("authorization: Bearer {KEY}\r\n"),
+        }
+    }
+
+    /// Returns how requests reach one minion directly.
+    pub(crate) fn minion(&self, i: usize) -> Target {
+        Target {
+            address: self.minions[i % MINIONS].address(),
+            path: "/run",
+            headers: String::new(),
+        }
+    }
+
+    async fn wait_ready(&self) -> io::Result<()> {
+        for _ in 0..200 {
+            if once(&self.entry(), "once", 5_000).await? == 200 {
+                return Ok(());
+            }
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        Err(io::Error::other("the entry instance does not answer"))
+    }
+}
+
+fn listed((i, minion): (usize, &Minion)) -> list::Instance {
+    list::Instance {
+        name: format!("minion-{i:02}").into(),
+        role: Role::Minion,
+        zone: "a".into(),
+        rack: "".into(),
+        service: "load".into(),
+        address: minion.address().to_string().into(),
+        state: Liveness::Live,
+        resources: Resources::ZERO,
+    }
+}
+
+fn key() -> Append {
+    let spec = Resource::Key {
+        team: "load".into(),
+        hash: hash(KEY).into(),
+    };
+    let change = Change {
+        kind: "key".into(),
+        name: "load".into(),
+        expected: 0,
+        spec: Some(spec),
+    };
+    let id = RecordId {
+        incarnation: Incarnation(1),
+        sequence: 1,
+    };
+    let body = Body::Config(change);
+    Append {
+        records: vec![Record { id, body }],
+    }
+}
--- /dev/null
+++ b/crates/primrosebay_load/src/goodput.rs
@@ -0,0 +1,161 @@
+//! Requests answered in time when callers send more than the minions can serve.
+
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_std::net::TcpStream;
+use async_std::task;
+
+use crate::caller::{Target, send};
+use crate::cell::{Cell, MINIONS};
+
+/// Slots of a minion.
+const SLOTS: u64 = 8;
+
+/// Size of a measurement.
+#[derive(Debug, Clone, Copy)]
+pub struct GoodputPlan {
+    /// Time that a minion takes.
+    pub service: Duration,
+    /// Offered load in percent of the capacity.
+    pub load: u64,
+    /// Deadline of each request.
+    pub deadline: Duration,
+    /// Time before the count begins.
+    pub warmup: Duration,
+    /// Time in which answers are counted.
+    pub time: Duration,
+}
+
+impl Default for GoodputPlan {
+    fn default() -> Self {
+        Self {
+            service: Duration::from_millis(200),
+            load: 200,
+            deadline: Duration::from_millis(800),
+            warmup: Duration::from_secs(3),
+            time: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Figures of a measurement.
+#[derive(Debug, Clone, Copy)]
+pub struct GoodputFigures {
+    /// Answers per second that the minions can give at most.
+    pub capacity: u64,
+    /// Requests sent per second.
+    pub offered: u64,
+    /// Requests per second that were answered with 200 before their deadline.
+    pub good: u64,
+    /// Requests per second that were refused as not run.
+    pub refused: u64,
+    /// Requests per second with another end: lost answers, late answers and broken connections.
+    pub wasted: u64,
+    /// Goodput in tenths of a percent of the capacity.
+    pub permille: u64,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    counting: AtomicU64,
+    sent: AtomicU64,
+    good: AtomicU64,
+    refused: AtomicU64,
+    wasted: AtomicU64,
+}
+
+/// Sends requests at a fixed rate, whether or not earlier ones were answered.
+///
+/// # Errors
+/// Returns the error of starting the cell.
+pub async fn measure(plan: GoodputPlan) -> io::Result<GoodputFigures> {
+    let cell = Cell::start(plan.service).await?;
+    let capacity = MINIONS as u64 * SLOTS * 1_000_000 / micros(plan.service);
+    let rate = capacity * plan.load / 100;
+    let callers = Arc::new(Callers {
+        target: cell.entry(),
+        plan,
+        counts: Counts::default(),
+        idle: Mutex::default(),
+    });
+    let start = Instant::now();
+    let total = rate * micros(plan.warmup + plan.time) / 1_000_000;
+    let first = rate * micros(plan.warmup) / 1_000_000;
+    for i in 0..total {
+        let due = start + Duration::from_micros(i * 1_000_000 / rate);
+        task::sleep(due.saturating_duration_since(Instant::now())).await;
+        if i == first {
+            callers.counts.counting.store(1, Ordering::Relaxed);
+        }
+        task::spawn(Arc::clone(&callers).call(i));
+    }
+    callers.counts.counting.store(0, Ordering::Relaxed);
+    let per_second = |count: &AtomicU64| {
+        count.load(Ordering::Relaxed) * 1_000_000
+            / micros(start.elapsed().saturating_sub(plan.warmup))
+    };
+    let counts = &callers.counts;
+    let good = per_second(&counts.good);
+    Ok(GoodputFigures {
+        capacity,
+        offered: per_second(&counts.sent),
+        good,
+        refused: per_second(&counts.refused),
+        wasted: per_second(&counts.wasted),
+        permille: good * 1_000 / capacity,
+    })
+}
+
+struct Callers {
+    target: Target,
+    plan: GoodputPlan,
+    counts: Counts,
+    idle: Mutex<Vec<TcpStream>>,
+}
+
+impl Callers {
+    async fn call(self: Arc<Self>, i: u64) {
+        let start = Instant::now();
+        self.count(&self.counts.sent);
+        let deadline = u64::try_from(self.plan.deadline.as_millis()).unwrap_or(u64::MAX);
+        let request = self.target.request(&i.to_string(), "once", deadline);
+        let status = self.exchange(&request).await.unwrap_or(0);
+        let in_time = start.elapsed() <= self.plan.deadline;
+        self.count(match status {
+            200 if in_time => &self.counts.good,
+            // 504 is also the status of a deadline that passed before the request was sent, which
+            // takes no slot; lost answers are counted by the minions' runs beyond the good ones.
+            503 | 504 => &self.counts.refused,
+            _ => &self.counts.wasted,
+        });
+    }
+
+    async fn exchange(&self, request: &[u8]) -> io::Result<u16> {
+        let idle = self.idle().pop();
+        let stream = match idle {
+            Some(stream) => stream,
+            None => TcpStream::connect(self.target.address).await?,
+        };
+        let status = send(&stream, request).await?;
+        self.idle().push(stream);
+        Ok(status)
+    }
+
+    fn idle(&self) -> std::sync::MutexGuard<'_, Vec<TcpStream>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn count(&self, counter: &AtomicU64) {
+        counter.fetch_add(
+            self.counts.counting.load(Ordering::Relaxed),
+            Ordering::Relaxed,
+        );
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX).max(1)
+}
