Connect entry instances over mutual TLS in serve and in the development cell

Cause: instances did not exchange heartbeats, so changes were not accepted in all zones. Change: serve reads the TLS files and joins its peers; the development cell issues certificates of its own; setups have defaults. Conclusion: peers are connected.

--- a/crates/primrosebay/src/commands/serve.rs
+++ b/crates/primrosebay/src/commands/serve.rs
@@ -1,5 +1,6 @@
 //! `primrosebay serve`.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use async_signal::{Signal, Signals};
@@ -8,8 +9,10 @@
 use eyre::WrapErr;
 use primrosebay_entry::clock::Clock;
 use primrosebay_entry::instance::Instance;
+use primrosebay_entry::peers::PeerSetup;
 use primrosebay_entry::shared::Setup;
-use primrosebay_settings::{Options, Settings};
+use primrosebay_settings::{Options, Settings, Tls};
+use primrosebay_transport::peer::{Files, Identity};
 
 use super::{read_input, text};
 use crate::logging;
@@ -20,8 +23,9 @@
     let input = read_input(text(matches, "settings")?)?;
     let options = Options::parse(&input)?.with_env(environment());
     let settings = Settings::resolve(&options)?;
+    let peers = settings.tls.map(|tls| peers(settings.addresses.peers, tls));
     let call_timeout = Duration::from_millis(settings.timeouts.append_ms);
-    let instance = Instance::start(Setup {
+    let setup = Setup {
         name: settings.instance.name,
         zone: settings.instance.zone,
         region: settings.instance.region,
@@ -33,15 +37,34 @@
         limits: settings.limits,
         timeouts: settings.timeouts,
         clock: Clock::default(),
-    })
-    .await
-    .wrap_err("cannot start")?;
+    };
+    let instance = Instance::start_with(setup, peers.transpose()?)
+        .await
+        .wrap_err("cannot start")?;
     println!("entry listening on {}", instance.address());
+    match instance.peer_address() {
+        Some(address) => println!("peers listening on {address}"),
+        None => log::warn!("entry: No TLS files are set, so this instance talks to no others."),
+    }
     wait_for_stop().await?;
     instance.close().await;
     Ok(())
 }
 
+/// Reads the files of the instance's identity.
+fn peers(address: SocketAddr, tls: Tls) -> eyre::Result<PeerSetup> {
+    let files = Files {
+        certificate: tls.certificate,
+        key: tls.key,
+        roots: tls.authorities,
+    };
+    Ok(PeerSetup {
+        address,
+        identity: Identity::load(&files)?,
+        files: Some(files),
+    })
+}
+
 /// Returns the environment without the variables of the client commands, which are no settings.
 pub fn environment() -> impl Iterator<Item = (String, String)> {
     std::env::vars_os()
--- a/crates/primrosebay/src/dev/cell.rs
+++ b/crates/primrosebay/src/dev/cell.rs
@@ -4,26 +4,31 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eyre::WrapErr;
+use eyre::{WrapErr, eyre};
+use http_types::Method;
 use primrosebay_entry::auth;
-use primrosebay_entry::clock::Clock;
 use primrosebay_entry::instance::Instance;
+use primrosebay_entry::peers::PeerSetup;
 use primrosebay_entry::shared::Setup;
 use primrosebay_protocol::list::{self, Liveness, Role};
-use primrosebay_settings as settings;
 use primrosebay_standin::list::ListService;
 use primrosebay_standin::log::{LogService, Settings};
 use primrosebay_standin::minion::{self, Minion};
 use primrosebay_standin::worker::{Status, WorkerService};
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
+use primrosebay_transport::http_client::Client;
 use primrosebay_transport::http_server::{Limits, Server};
+use primrosebay_transport::peer::DevAuthority;
 
 use super::plan::Plan;
 
 /// The operators' key of a development cell.
 pub const OPERATOR_KEY: &str = "operator-key";
 
+/// Time-out of a call to the list.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A running development cell.
 #[derive(Debug)]
 pub struct Cell {
@@ -58,13 +63,22 @@
             instances.push(minion_entry(plan, i, minion.address()));
             minions.push(minion);
         }
-        instances.extend(plan.zones.iter().map(entry));
         let log = listen(LogService::new(Settings::default()).app()).await?;
         let list = listen(ListService::new(instances).app()).await?;
+        let authority = DevAuthority::new()?;
         let mut entries = Vec::new();
         for zone in &plan.zones {
             let setup = setup(zone, &plan.region, log.address(), list.address());
-            entries.push(Instance::start(setup).await.wrap_err("cannot start")?);
+            let peers = PeerSetup {
+                address: loopback(),
+                identity: authority.issue(&setup.name)?,
+                files: None,
+            };
+            let entry = Instance::start_with(setup, Some(peers))
+                .await
+                .wrap_err("cannot start")?;
+            enlist(list.address(), zone, &entry).await?;
+            entries.push(entry);
         }
         Ok(Self {
             platform: vec![log, list],
@@ -138,35 +152,38 @@
     }
 }
 
-fn entry(zone: &Name) -> list::Instance {
-    list::Instance {
-        name: format!("entry-{zone}").into(),
+/// Writes an entry instance with its peer address to the list.
+async fn enlist(list: SocketAddr, zone: &Name, entry: &Instance) -> eyre::Result<()> {
+    let address = entry
+        .peer_address()
+        .ok_or_else(|| eyre!("no peer address"))?;
+    let name: Name = format!("entry-{zone}").into();
+    let path = format!("/instances/{name}");
+    let instance = list::Instance {
+        name,
         role: Role::Entry,
         zone: zone.clone(),
         rack: Name::from(""),
         service: Name::from(""),
-        address: Name::from(""),
+        address: address.to_string().into(),
         state: Liveness::Live,
         resources: Resources::ZERO,
-    }
+    };
+    let body = serde_json::to_vec(&instance)?;
+    Client::new()
+        .bytes(list, Method::Put, &path, &[], Some(body), TIMEOUT)
+        .await?;
+    Ok(())
 }
 
 fn setup(zone: &Name, region: &Name, log: SocketAddr, list: SocketAddr) -> Setup {
     Setup {
         name: format!("entry-{zone}").into(),
         zone: zone.clone(),
-        address: loopback(),
+        region: region.clone(),
         log,
         list,
         operators: vec![auth::hash(OPERATOR_KEY).into()],
-        call_timeout: Duration::from_secs(1),
-        region: region.clone(),
-        limits: settings::Limits::default(),
-        timeouts: settings::Timeouts {
-            // Without links between the entry instances no change is accepted in all zones.
-            accept_ms: 100,
-            ..settings::Timeouts::default()
-        },
-        clock: Clock::default(),
+        ..Setup::default()
     }
 }
--- a/crates/primrosebay/tests/support/mod.rs
+++ b/crates/primrosebay/tests/support/mod.rs
@@ -2,7 +2,8 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::path::PathBuf;
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use primrosebay_state::job::JobSpec;
 use primrosebay_state::resources::Resources;
 use primrosebay_transport::http_client::{CallError, Client};
+use primrosebay_transport::peer::DevAuthority;
 use rustix::process::{Pid, Signal, kill_process};
 
 /// The key of the operators.
@@ -31,6 +33,7 @@
 /// A child process that is killed when the test ends.
 pub struct Process {
     child: Child,
+    lines: BufReader<ChildStdout>,
     pub address: SocketAddr,
 }
 
@@ -43,17 +46,20 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap())
-            .read_line(&mut line)
-            .unwrap();
-        let address = line.rsplit(' ').next().unwrap().trim().parse();
+        let mut lines = BufReader::new(child.stdout.take().unwrap());
+        let address = read_address(&mut lines, args);
         Self {
             child,
-            address: address.unwrap_or_else(|_| panic!("{args:?} printed {line:?}")),
+            lines,
+            address,
         }
     }
 
+    /// Reads the next address that the process prints.
+    fn next_address(&mut self) -> SocketAddr {
+        read_address(&mut self.lines, &["serve"])
+    }
+
     fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
@@ -86,6 +92,13 @@
     }
 }
 
+fn read_address(lines: &mut BufReader<ChildStdout>, args: &[&str]) -> SocketAddr {
+    let mut line = String::new();
+    lines.read_line(&mut line).unwrap();
+    let address = line.rsplit(' ').next().unwrap().trim().parse();
+    address.unwrap_or_else(|_| panic!("{args:?} printed {line:?}"))
+}
+
 /// A cell with one zone.
 pub struct Cell {
     pub log: Process,
@@ -93,13 +106,28 @@
     pub workers: Vec<Process>,
     pub minions: Vec<Process>,
     pub entries: Vec<Process>,
+    folder: PathBuf,
+    authority: DevAuthority,
     http: Client,
 }
 
+impl Drop for Cell {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 impl Cell {
     /// Starts a cell and sets up its team.
     pub async fn start(workers: usize, entries: usize) -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let folder = format!("primrosebay-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(folder);
+        std::fs::create_dir_all(&folder).unwrap();
         let mut cell = Self {
+            folder,
+            authority: DevAuthority::new().unwrap(),
             log: Process::start(&["stand-in", "log"]),
             list: Process::start(&["stand-in", "list"]),
             workers: Vec::new(),
@@ -137,25 +165,41 @@
     pub async fn add_entry(&mut self) {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let name = format!("entry-{}", NEXT.fetch_add(1, Ordering::Relaxed));
-        let path = std::env::temp_dir().join(format!("{name}-{}.yaml", std::process::id()));
+        let [certificate, key, authorities] = self.certificates(&name);
         let settings = format!(
             "instance: {{name: {name}, zone: a, region: r}}\n\
              addresses: {{http: '127.0.0.1:0', peers: '127.0.0.1:0', log: '{}', list: '{}'}}\n\
              operators: {{keys: [{}]}}\n\
+             tls: {{certificate: '{certificate}', key: '{key}', authorities: '{authorities}'}}\n\
              timeouts: {{task_ms: 3000}}\n",
             self.log.address,
             self.list.address,
             primrosebay_entry::auth::hash(OPERATOR),
         );
+        let path = self.write(&format!("{name}.yaml"), &settings);
+        let mut process = Process::start(&["serve", "--settings", &path]);
+        let peers = process.next_address();
+        self.enlist(&name, Role::Entry, peers, Liveness::Live).await;
+        self.entries.push(process);
+    }
+
+    /// Writes the PEM files of an entry instance and returns their paths.
+    fn certificates(&self, name: &str) -> [String; 3] {
+        let [certificate, key, root] = self.authority.issue_pem(name).unwrap();
+        [
+            self.write(&format!("{name}.pem"), &certificate),
+            self.write(&format!("{name}.key"), &key),
+            self.write("roots.pem", &root),
+        ]
+    }
+
+    fn write(&self, name: &str, text: &str) -> String {
+        let path = self.folder.join(name);
         std::fs::File::create(&path)
             .unwrap()
-            .write_all(settings.as_bytes())
+            .write_all(text.as_bytes())
             .unwrap();
-        let process = Process::start(&["serve", "--settings", path.to_str().unwrap()]);
-        std::fs::remove_file(&path).unwrap();
-        self.enlist(&name, Role::Entry, process.address, Liveness::Live)
-            .await;
-        self.entries.push(process);
+        path.to_str().unwrap().to_owned()
     }
 
     /// Writes an instance to the live list.
--- a/crates/primrosebay_entry/src/shared.rs
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -1,6 +1,6 @@
 //! What the parts of an entry instance share.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
@@ -52,6 +52,26 @@
     pub clock: Clock,
 }
 
+impl Default for Setup {
+    /// Loopback addresses with port 0, and a platform that cannot be reached.
+    fn default() -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            name: Name::from("entry"),
+            zone: Name::from("zone"),
+            region: Name::from("region"),
+            address: any,
+            log: any,
+            list: any,
+            operators: Vec::new(),
+            call_timeout: Duration::from_secs(1),
+            limits: Limits::default(),
+            timeouts: Timeouts::default(),
+            clock: Clock::default(),
+        }
+    }
+}
+
 /// The state that the parts of an entry instance share.
 #[derive(Debug)]
 pub struct Shared {
--- a/crates/primrosebay_load/src/cell.rs
+++ b/crates/primrosebay_load/src/cell.rs
@@ -63,8 +63,8 @@
             address: loopback,
             log: log.address(),
             list: list.address(),
-            operator_hash: "".into(),
             call_timeout: TIMEOUT,
+            ..Setup::default()
         })
         .await?;
         let cell = Self {
