Test the exchange between entry instances around a faulty log

Submissions go to the coordinator of the home zone, and the answer says whether the log or peers hold the job.

Mechanisms switched off in a scratch copy: - asking peers for copies: both cases of records_are_held_by_two_peers_while_the_log_is_down fail (Err(Unknown) instead of Ok(Held)); - appending copies of dead instances, and dropping copies that were read from the log: its case maker_dies fails (the copies were not released). Pushing configuration alone can be switched off without a failure, because lagging peers are helped and fetch records themselves.

--- a/crates/primrosebay_entry/src/api/jobs.rs
+++ b/crates/primrosebay_entry/src/api/jobs.rs
@@ -1,7 +1,8 @@
 //! Submission, reading and cancellation of jobs.
 
-use primrosebay_protocol::api::{Failure, JobView, Submitted};
+use primrosebay_protocol::api::{Failure, JobView};
 use primrosebay_protocol::code::Code;
+use primrosebay_protocol::peer::Caller;
 use primrosebay_state::Name;
 use primrosebay_state::id::JobId;
 use primrosebay_state::job::{JobSpec, Problem};
@@ -47,22 +48,14 @@
         return fail(Code::NO_COORDINATOR);
     };
     let id = shared.next_job();
-    let body = Body::Accepted {
-        job: id,
-        zone: zone.clone(),
-        spec,
+    let caller = Caller {
+        team: spec.team.clone(),
+        operator: false,
+        config: shared.config().next,
     };
-    match shared.publisher.append(&stream_of(&zone), body).await {
-        Ok(_) => json(
-            Code::ACCEPTED.status(),
-            &Submitted {
-                code: Code::ACCEPTED,
-                id,
-                zone,
-            },
-        ),
-        Err(PublishError::NotAppended) => fail(Code::LOG_UNAVAILABLE),
-        Err(PublishError::Unknown) => fail(Code::RECORD_UNKNOWN),
+    match shared.submit_to(&zone, id, caller, spec).await {
+        Ok(submitted) => json(submitted.code.status(), &submitted),
+        Err(failure) => json(failure.code.status(), &failure),
     }
 }
 
--- a/crates/primrosebay_entry/src/peers/local.rs
+++ b/crates/primrosebay_entry/src/peers/local.rs
@@ -8,6 +8,7 @@
 use primrosebay_coordination::freshness::Beat;
 use primrosebay_coordination::membership::{Listed, Membership};
 use primrosebay_coordination::publisher::{Copies, CopyLimits};
+use primrosebay_coordination::zone::Event;
 
 use primrosebay_protocol::api::{Failure, JobView, Submitted};
 use primrosebay_protocol::code::Code;
@@ -204,8 +205,7 @@
         summary
     }
 
-    /// Accepts a job for a zone that this instance coordinates. A job that is known was accepted by
-    /// an earlier try of the same call.
+    /// Accepts a job that a peer forwarded, for a zone that this instance coordinates.
     async fn submit(
         &self,
         id: JobId,
@@ -216,28 +216,57 @@
         if spec.team != caller.team {
             return Err(Code::OTHER_TEAM);
         }
-        let known = self.zone(&zone).ok_or(Code::NO_COORDINATOR)?;
-        let now = self.now();
-        if !known.read(|coordinator| coordinator.authority(now).held) {
+        if !self.coordinates(&zone) {
             return Err(Code::NO_COORDINATOR);
         }
-        let code = if known.read(|coordinator| coordinator.job(id)).is_some() {
-            Code::ACCEPTED
-        } else {
+        let submitted = self.accept(id, zone, spec).await?;
+        Document::new(&submitted).map_or(Err(Code::INTERNAL), |d| Ok(Response::Submitted(d)))
+    }
+
+    fn coordinates(&self, zone: &str) -> bool {
+        let now = self.now();
+        let zone = self.zone(zone);
+        zone.is_some_and(|zone| zone.read(|coordinator| coordinator.authority(now).held))
+    }
+
+    /// Makes a job durable and tells the coordinator. A job that is known was accepted by an earlier
+    /// try of the same call.
+    async fn accept(&self, job: JobId, zone: Name, spec: JobSpec) -> Result<Submitted, Code> {
+        let home = self.zone(&zone);
+        let known = home
+            .as_ref()
+            .and_then(|zone| zone.read(|coordinator| coordinator.job(job)));
+        let mut code = Code::ACCEPTED;
+        if known.is_none() {
             let body = Body::Accepted {
-                job: id,
+                job,
                 zone: zone.clone(),
-                spec,
+                spec: spec.clone(),
             };
-            match self.publisher.accept(&stream_of(&zone), body).await {
-                Ok(Kept::Logged(_)) => Code::ACCEPTED,
-                Ok(Kept::Held) => Code::ACCEPTED_BY_PEERS,
+            let kept = self.publisher.accept(&stream_of(&zone), body).await;
+            let durable = match kept {
+                Ok(Kept::Logged(_)) => true,
+                Ok(Kept::Held) => false,
                 Err(PublishError::NotAppended) => return Err(Code::LOG_UNAVAILABLE),
                 Err(PublishError::Unknown) => return Err(Code::RECORD_UNKNOWN),
+            };
+            if !durable {
+                code = Code::ACCEPTED_BY_PEERS;
             }
-        };
-        let submitted = Submitted { code, id, zone };
-        Document::new(&submitted).map_or(Err(Code::INTERNAL), |d| Ok(Response::Submitted(d)))
+            if let Some(home) = home {
+                home.handle(Event::Accepted {
+                    job,
+                    spec,
+                    durable,
+                    own: true,
+                });
+            }
+        }
+        Ok(Submitted {
+            code,
+            id: job,
+            zone,
+        })
     }
 
     fn find(&self, id: JobId, caller: &Caller) -> Result<JobView, Code> {
@@ -282,28 +311,25 @@
         }
     }
 
-    /// Submits a job to the coordinator of `zone`, here or at a peer.
+    /// Submits a job to the coordinator of `zone`: at a peer if one is known, and here otherwise.
     ///
     /// # Errors
     /// Returns a failure that tells whether the job may have been accepted.
     pub async fn submit_to(
-        self: &Arc<Self>,
+        &self,
         zone: &Name,
         id: JobId,
         caller: Caller,
         spec: JobSpec,
     ) -> Result<Submitted, Failure> {
-        let now = self.now();
-        let own = self.zone(zone);
-        if own.is_some_and(|zone| zone.read(|coordinator| coordinator.authority(now).held)) {
-            let answer = self.submit(id, zone.clone(), &caller, spec).await;
-            return submitted(answer.map_err(Failure::new)?);
-        }
-        let peers = self
-            .peers()
-            .ok_or_else(|| Failure::new(Code::NO_COORDINATOR))?;
-        let coordinator = peers.coordinator(zone);
-        let coordinator = coordinator.ok_or_else(|| Failure::new(Code::NO_COORDINATOR))?;
+        let elsewhere = self.peers().filter(|_| !self.coordinates(zone));
+        let elsewhere = elsewhere.and_then(|peers| Some((peers, peers.coordinator(zone)?)));
+        let Some((peers, coordinator)) = elsewhere else {
+            return self
+                .accept(id, zone.clone(), spec)
+                .await
+                .map_err(Failure::new);
+        };
         let spec = Document::new(&spec).map_err(|_| Failure::new(Code::BODY_TOO_LARGE))?;
         let request = Request::Submit {
             id,
--- a/crates/primrosebay_entry/src/publisher.rs
+++ b/crates/primrosebay_entry/src/publisher.rs
@@ -58,6 +58,7 @@
     state: Mutex<State>,
     peers: OnceLock<Arc<Peers>>,
     sequence: AtomicU64,
+    pushed: AtomicU64,
     appends: AtomicU64,
     incarnation: Incarnation,
     /// Paces appends. It is not the instance's clock, which a test may stop.
@@ -91,6 +92,7 @@
             }),
             peers: OnceLock::new(),
             sequence: AtomicU64::new(0),
+            pushed: AtomicU64::new(0),
             appends: AtomicU64::new(0),
             incarnation,
             started: Instant::now(),
@@ -177,6 +179,12 @@
         self.inner.lock().queue.waiting()
     }
 
+    /// Returns the number of records that were queued, from all sources.
+    #[must_use]
+    pub fn pushed(&self) -> u64 {
+        self.inner.pushed.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of appends that were sent.
     #[must_use]
     pub fn appends(&self) -> u64 {
@@ -267,6 +275,7 @@
             state.waiters.insert(at, (id, done));
         }
         drop(state);
+        self.pushed.fetch_add(1, Ordering::Relaxed);
         self.notify();
         Ok(())
     }
--- /dev/null
+++ b/crates/primrosebay_entry/tests/peers.rs
@@ -0,0 +1,384 @@
+//! Entry instances that exchange heartbeats, configuration, copies and calls, around a log with
+//! faults.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task::{self, block_on};
+use rstest::rstest;
+use tide::http::{Method, Request, Url};
+
+use primrosebay_coordination::publisher::Seen;
+use primrosebay_entry::instance::Instance;
+use primrosebay_entry::peers::PeerSetup;
+use primrosebay_entry::publisher::{Kept, PublishError};
+use primrosebay_entry::shared::{Setup, Shared};
+use primrosebay_protocol::code::Code;
+use primrosebay_protocol::list::{self, Liveness, Role};
+use primrosebay_protocol::log::CONFIG_STREAM;
+use primrosebay_protocol::peer::{self, Caller, Response};
+use primrosebay_standin::list::ListService;
+use primrosebay_standin::log::{Faults, LogService, Settings};
+use primrosebay_standin::worker::WorkerService;
+use primrosebay_state::config::{Change, Resource, ZoneState};
+use primrosebay_state::id::{Incarnation, JobId, RecordId};
+use primrosebay_state::job::JobSpec;
+use primrosebay_state::record::Body;
+use primrosebay_state::resources::Resources;
+use primrosebay_transport::http_server::{Limits, Server};
+use primrosebay_transport::log::{HttpLog, Log};
+use primrosebay_transport::peer::DevAuthority;
+
+const STREAM: &str = "jobs-test";
+/// Turns after which a condition that never holds fails the test.
+const TURNS: u32 = 2_000;
+
+fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+async fn listen<S: Clone + Send + Sync + 'static>(app: tide::Server<S>) -> Server {
+    Server::start(loopback(), app, Limits::default())
+        .await
+        .unwrap()
+}
+
+async fn until(what: &str, condition: impl Fn() -> bool) {
+    for _ in 0..TURNS {
+        if condition() {
+            return;
+        }
+        task::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what}");
+}
+
+fn member(name: &str, role: Role, zone: &str, address: SocketAddr) -> list::Instance {
+    list::Instance {
+        name: name.into(),
+        role,
+        zone: zone.into(),
+        rack: "".into(),
+        service: "".into(),
+        address: address.to_string().into(),
+        state: Liveness::Live,
+        resources: Resources::ZERO,
+    }
+}
+
+/// The platform and the certificates.
+struct Platform {
+    log: Arc<LogService>,
+    log_server: Server,
+    list: tide::Server<Arc<ListService>>,
+    list_server: Server,
+    authority: DevAuthority,
+}
+
+impl Platform {
+    async fn start() -> Self {
+        let log = LogService::new(Settings::default()).app();
+        let list = ListService::new(Vec::new()).app();
+        Self {
+            log: log.state().clone(),
+            log_server: listen(log).await,
+            list_server: listen(list.clone()).await,
+            list,
+            authority: DevAuthority::new().unwrap(),
+        }
+    }
+
+    /// Starts an instance and puts it on the list. Without a log, its reads and appends fail.
+    async fn join(&self, zone: &str, has_log: bool) -> Instance {
+        let name = format!("entry-{zone}");
+        let setup = Setup {
+            name: name.as_str().into(),
+            zone: zone.into(),
+            region: "r".into(),
+            address: loopback(),
+            // The list answers calls for the log with 404.
+            log: if has_log {
+                self.log_server.address()
+            } else {
+                self.list_server.address()
+            },
+            list: self.list_server.address(),
+            operators: Vec::new(),
+            call_timeout: Duration::from_secs(1),
+            limits: primrosebay_settings::Limits::default(),
+            timeouts: primrosebay_settings::Timeouts::default(),
+            clock: primrosebay_entry::clock::Clock::default(),
+        };
+        let peers = PeerSetup {
+            address: loopback(),
+            identity: self.authority.issue(&name).unwrap(),
+            files: None,
+        };
+        let instance = Instance::start_with(setup, Some(peers)).await.unwrap();
+        let address = instance.peer_address().unwrap();
+        self.put(member(&name, Role::Entry, zone, address)).await;
+        instance
+    }
+
+    async fn put(&self, instance: list::Instance) {
+        let url = format!("http://list/instances/{}", instance.name);
+        let mut request = Request::new(Method::Put, Url::parse(&url).unwrap());
+        request.set_body(tide::Body::from_json(&instance).unwrap());
+        let _: tide::Response = self.list.respond(request).await.unwrap();
+    }
+
+    /// Starts instances in the zones and waits until all reach each other.
+    async fn cell(&self, zones: &[&str]) -> Vec<Instance> {
+        let mut cell = Vec::new();
+        for zone in zones {
+            cell.push(self.join(zone, true).await);
+        }
+        self.linked(&cell).await;
+        cell
+    }
+
+    async fn linked(&self, cell: &[Instance]) {
+        let alive = |instance: &Instance| {
+            let view = instance.shared().peers().unwrap().view();
+            let alive = |health| health == primrosebay_coordination::membership::Health::Alive;
+            view.iter().filter(|peer| alive(peer.health)).count()
+        };
+        until("the instances did not reach each other", || {
+            cell.iter().all(|one| alive(one) == cell.len() - 1)
+        })
+        .await;
+    }
+
+    fn down(&self, down: bool) {
+        self.log.set_faults(Faults {
+            down,
+            ..Faults::default()
+        });
+    }
+
+    /// Returns the jobs whose cancellation takes effect, in log order.
+    async fn effects(&self) -> Vec<u64> {
+        let log = HttpLog::new(self.log_server.address(), Duration::from_secs(5));
+        let mut seen = Seen::new();
+        let page = log.read(STREAM, 0, Duration::ZERO).await.unwrap();
+        let new = page.records.into_iter();
+        let new = new.filter(|placed| seen.insert(placed.offset, placed.record.id));
+        new.map(|placed| match placed.record.body {
+            Body::Cancelled { job } => job.sequence,
+            _ => panic!("another record"),
+        })
+        .collect()
+    }
+}
+
+fn job(sequence: u64) -> JobId {
+    JobId {
+        incarnation: Incarnation(1),
+        sequence,
+    }
+}
+
+fn body(sequence: u64) -> Body {
+    Body::Cancelled { job: job(sequence) }
+}
+
+fn copies(shared: &Shared) -> usize {
+    shared.peers().unwrap().copies()
+}
+
+/// Guards against records that are lost, doubled or reordered when the log is slow, down or limits
+/// appends, or when answers get lost before or after the effect.
+#[rstest]
+#[case::slow(Faults { slow_ms: 60, ..Faults::default() })]
+#[case::answers_lost(Faults { lose: 5, ..Faults::default() })]
+#[case::appends_lost(Faults { drop: 5, ..Faults::default() })]
+#[case::limited(Faults { rate: 8, ..Faults::default() })]
+#[case::down(Faults { down: true, ..Faults::default() })]
+fn faults_of_the_log_lose_no_record(#[case] faults: Faults) {
+    block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.join("a", true).await;
+        platform.log.set_faults(faults);
+        let mut calls = Vec::new();
+        for sequence in 1..=40 {
+            let publisher = instance.shared().publisher.clone();
+            calls.push(task::spawn(async move {
+                publisher.record(STREAM, body(sequence)).await
+            }));
+            // The calls are queued in order.
+            until("a call was not queued", || {
+                instance.shared().publisher.pushed() >= sequence
+            })
+            .await;
+        }
+        if faults.down {
+            until("the outage was not noticed", || {
+                instance.shared().publisher.failing().is_some()
+            })
+            .await;
+            platform.down(false);
+        }
+        for call in calls {
+            call.await.unwrap();
+        }
+        assert_eq!(platform.effects().await, (1..=40).collect::<Vec<_>>());
+        assert_eq!(instance.shared().publisher.waiting(), (0, 0));
+        instance.close().await;
+    });
+}
+
+/// Guards against jobs that are rejected or lost in an outage although peers can hold them, and
+/// against copies that are appended twice in effect or kept for ever.
+#[rstest]
+#[case::maker_lives(true)]
+#[case::maker_dies(false)]
+fn records_are_held_by_two_peers_while_the_log_is_down(#[case] lives: bool) {
+    block_on(async {
+        let platform = Platform::start().await;
+        let cell = platform.cell(&["a", "b", "c"]).await;
+        platform.down(true);
+        for sequence in 1..=3 {
+            let kept = cell[0]
+                .shared()
+                .publisher
+                .accept(STREAM, body(sequence))
+                .await;
+            assert_eq!(kept, Ok(Kept::Held));
+        }
+        assert_eq!(copies(cell[1].shared()), 3);
+        assert_eq!(copies(cell[2].shared()), 3);
+        if !lives {
+            // The process ends without a word to the log or to its peers.
+            let shared = cell[0].shared();
+            shared.publisher.clone().close(Duration::ZERO).await;
+            shared.peers().unwrap().clone().close().await;
+        }
+        platform.down(false);
+        until("the copies were not released", || {
+            cell[1..].iter().all(|holder| copies(holder.shared()) == 0)
+        })
+        .await;
+        assert_eq!(platform.effects().await, [1, 2, 3]);
+    });
+}
+
+/// Guards against an acceptance that nobody holds: without the log and without peers, the caller
+/// must learn that nothing was accepted.
+#[test]
+fn record_without_log_and_peers_is_refused() {
+    block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.join("a", false).await;
+        let kept = instance.shared().publisher.accept(STREAM, body(1)).await;
+        assert_eq!(kept, Err(PublishError::NotAppended));
+        assert_eq!(instance.shared().publisher.waiting().0, 0);
+    });
+}
+
+fn zone_change(name: &str) -> Body {
+    Body::Config(Change {
+        kind: "zone".into(),
+        name: name.into(),
+        expected: 0,
+        spec: Some(Resource::Zone {
+            state: ZoneState::Out,
+            region: "r".into(),
+        }),
+    })
+}
+
+/// Guards against an instance that cannot read the log and keeps an old configuration although its
+/// peers have a newer one, both for a change and for an instance that starts late.
+#[test]
+fn configuration_reaches_instances_without_the_log() {
+    block_on(async {
+        let platform = Platform::start().await;
+        let cell = [
+            platform.join("a", true).await,
+            platform.join("b", false).await,
+        ];
+        platform.linked(&cell).await;
+        let publisher = &cell[0].shared().publisher;
+        for zone in ["x", "y"] {
+            publisher
+                .append(CONFIG_STREAM, zone_change(zone))
+                .await
+                .unwrap();
+        }
+        let has = |instance: &Instance| {
+            let config = instance.shared().config();
+            config.next == 2 && config.zone_state("y") == ZoneState::Out
+        };
+        until("the change was not pushed", || has(&cell[1])).await;
+        let late = platform.join("c", false).await;
+        until("the late instance got nothing", || has(&late)).await;
+    });
+}
+
+/// Guards against forwarded submissions that take effect twice when they are repeated, that are
+/// shown to other teams, or whose loss passes for a success.
+#[test]
+fn submissions_are_forwarded_to_the_coordinator() {
+    block_on(async {
+        let platform = Platform::start().await;
+        let worker = listen(Arc::new(WorkerService::new(1, Resources::ZERO)).app()).await;
+        let on_list = member("worker", Role::Worker, "a", worker.address());
+        platform.put(on_list).await;
+        let mut cell = platform.cell(&["a", "b"]).await;
+        let (b, a) = (cell.pop().unwrap(), cell.pop().unwrap());
+        let peers = b.shared().peers().unwrap().clone();
+        until("no coordinator is known", || {
+            peers.coordinator("a").is_some()
+        })
+        .await;
+        let home = "a".into();
+        let caller = |team: &str| Caller {
+            team: team.into(),
+            operator: false,
+            config: 0,
+        };
+        let spec = JobSpec {
+            name: "rebuild".into(),
+            team: "shop".into(),
+            ..JobSpec::default()
+        };
+        for _ in 0..2 {
+            let answer = b
+                .shared()
+                .submit_to(&home, job(1), caller("shop"), spec.clone());
+            assert_eq!(answer.await.unwrap().code, Code::ACCEPTED);
+        }
+        let zone = a.shared().zone("a").unwrap();
+        assert_eq!(zone.read(|coordinator| coordinator.jobs().count()), 1);
+        let read = |team| peer::Request::Read {
+            id: job(1),
+            caller: caller(team),
+        };
+        let answer = peers.forward("entry-a", &read("shop")).await;
+        assert!(matches!(answer, Ok(Response::Job(_))));
+        let other = peers.forward("entry-a", &read("other")).await.unwrap_err();
+        assert_eq!(other.code, Code::NOT_FOUND);
+        // The coordinator ends without a word.
+        a.shared().peers().unwrap().clone().close().await;
+        let answer = b.shared().submit_to(&home, job(2), caller("shop"), spec);
+        assert_eq!(answer.await.unwrap_err().code, Code::NO_COORDINATOR);
+    });
+}
+
+/// Guards against a record identifier that two processes or two records share.
+#[test]
+fn record_identifiers_are_unique() {
+    block_on(async {
+        let platform = Platform::start().await;
+        let a = platform.join("a", true).await;
+        let b = platform.join("b", true).await;
+        let mut ids: Vec<RecordId> = [&a, &b, &a]
+            .iter()
+            .map(|instance| instance.shared().publisher.next_id())
+            .collect();
+        ids.sort();
+        ids.dedup();
+        assert_eq!(ids.len(), 3);
+    });
+}
