--- a/crates/primrosebay_entry/src/api/mod.rs
+++ b/crates/primrosebay_entry/src/api/mod.rs
@@ -36,6 +36,7 @@
     app.at("/v1/tasks").get(views::tasks);
     app.at("/v1/workers").get(views::workers);
     app.at("/v1/workers/:name").get(views::worker);
+    app.at("/v1/workers/:name/lost").post(views::lost);
     app.at("/v1/watch").get(watch::watch);
     for kind in &resources::KINDS {
         app.at(&format!("/v1/{}", kind.path))
--- a/crates/primrosebay_entry/src/api/views.rs
+++ b/crates/primrosebay_entry/src/api/views.rs
@@ -1,5 +1,6 @@
-//! Workers and tasks, which operators can only read.
+//! Workers and tasks, which operators can only read, but for declaring a worker lost.
 
+use primrosebay_coordination::zone::Event;
 use primrosebay_protocol::api::{Failure, JobView, TaskItem, WorkerItem};
 use primrosebay_protocol::code::Code;
 
@@ -45,6 +46,25 @@
     }
 }
 
+/// Handles `POST /v1/workers/{name}/lost`, by which an operator asserts that a worker has been
+/// switched off.
+pub(super) async fn lost(request: ApiRequest) -> tide::Result {
+    answer(declare_lost(&request))
+}
+
+fn declare_lost(request: &ApiRequest) -> Result<tide::Response, Failure> {
+    auth::operator(request).map_err(Failure::new)?;
+    let shared = request.state();
+    let name = request.param("name").unwrap_or_default();
+    let mut workers = all_workers(shared).into_iter();
+    let worker = workers.find(|worker| &*worker.name == name);
+    let worker = worker.ok_or_else(|| Failure::new(Code::NOT_FOUND))?;
+    if let Some(zone) = shared.zone(&worker.zone) {
+        zone.handle(Event::WorkerLost(worker.name.clone()));
+    }
+    json(200, &worker)
+}
+
 fn all_workers(shared: &Shared) -> Vec<WorkerItem> {
     let now = shared.now();
     let mut all = Vec::new();
--- a/crates/primrosebay_entry/tests/cell/mod.rs
+++ b/crates/primrosebay_entry/tests/cell/mod.rs
@@ -107,6 +107,22 @@
     }
 }
 
+/// A worker of zone `a` that does not answer: nothing listens on the reserved port 0.
+fn worker() -> list::Instance {
+    list::Instance {
+        name: "worker-1".into(),
+        role: Role::Worker,
+        rack: "rack-1".into(),
+        address: "127.0.0.1:0".into(),
+        resources: Resources {
+            cores_milli: 64_000,
+            memory_mib: 131_072,
+            accelerators: 0,
+        },
+        ..entry("a")
+    }
+}
+
 impl Cell {
     pub async fn start(zones: &[&str]) -> Self {
         let limits = Limits {
@@ -122,11 +138,14 @@
     }
 
     pub async fn with(zones: &[&str], limits: Limits, timeouts: Timeouts, log: Settings) -> Self {
-        let list = ListService::new(zones.iter().map(|zone| entry(zone)).collect());
+        let mut listed: Vec<_> = zones.iter().map(|zone| entry(zone)).collect();
+        listed.push(worker());
+        let list = ListService::new(listed);
         let list = listen(list.app()).await;
         let mut cell = Self {
             nodes: Vec::new(),
-            clock: Arc::default(),
+            // The coordinator takes 0 for a time that was never set.
+            clock: Arc::new(AtomicU64::new(1000)),
             client: Client::new(),
             log: LogService::new(log).app(),
             list: list.address(),
--- a/crates/primrosebay_protocol/src/code.rs
+++ b/crates/primrosebay_protocol/src/code.rs
@@ -95,6 +95,38 @@
     INTERNAL = 9001, 500, Unknown, IfIdempotent, "The entry instance failed.";
 }
 
+/// The head of [`page`].
+const HEAD: &str = "# Result codes
+
+Generated from `crates/primrosebay_protocol/src/code.rs`; `UPDATE_DOCS=1 cargo test -p primrosebay_protocol --test page` writes it again. `docs/operators.md` says what to do.
+
+A body with a result code has the field `code` with the number. *Ran* tells whether the work ran. *Retry* tells whether to send the same call again.
+
+| code | status | ran | retry | meaning |
+| --- | --- | --- | --- | --- |
+";
+
+/// Returns the page `docs/codes.md` in Markdown.
+#[must_use]
+pub fn page() -> String {
+    TABLE.iter().fold(HEAD.to_owned(), |mut page, entry| {
+        let ran = match entry.ran {
+            Ran::Yes => "yes",
+            Ran::No => "no",
+            Ran::Unknown => "unknown",
+        };
+        let retry = match entry.retry {
+            Retry::Never => "no",
+            Retry::Later => "later",
+            Retry::IfIdempotent => "if idempotent",
+        };
+        let (code, status) = (entry.code.0.to_string(), entry.status.to_string());
+        let row = [&code, &status, ran, retry, entry.meaning].join(" | ");
+        page += &["| ", &row, " |\n"].concat();
+        page
+    })
+}
+
 impl Code {
     /// Returns the documentation of the code.
     #[must_use]
--- /dev/null
+++ b/crates/primrosebay_protocol/tests/page.rs
@@ -0,0 +1,26 @@
+//! The table of result codes and its page.
+
+use std::path::Path;
+
+use primrosebay_protocol::code::{TABLE, page};
+
+/// Guards against a page that differs from the code.
+#[test]
+fn codes_page_is_current() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/codes.md");
+    let page = page();
+    if std::env::var_os("UPDATE_DOCS").is_some() {
+        std::fs::write(&path, &page).expect("the page can be written");
+    }
+    let current = std::fs::read_to_string(&path).expect("the page exists");
+    assert!(
+        current == page,
+        "run with UPDATE_DOCS=1 and commit docs/codes.md"
+    );
+}
+
+/// Guards against codes that the binary search does not find.
+#[test]
+fn codes_are_in_ascending_order() {
+    assert!(TABLE.is_sorted_by(|a, b| a.code < b.code));
+}
