--- a/crates/primrosebay/src/dev/load.rs
+++ b/crates/primrosebay/src/dev/load.rs
@@ -185,7 +185,7 @@
     for team in &plan.teams {
         for &entry in &entries {
             let client = Client::with_key(entry, &team.key);
-            jobs.extend(client.jobs().await?);
+            jobs.extend(client.list::<JobView>("/v1/jobs").await?);
         }
     }
     jobs.sort_by_key(|job| job.id);
@@ -269,7 +269,7 @@
             Ok(()) => {
                 self.done += 1;
                 let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
-                self.latency.saturating_record(micros);
+                self.latency.record(micros).ok();
             }
             Err(e) => {
                 let message = e.to_string();
--- a/crates/primrosebay_coordination/src/membership.rs
+++ b/crates/primrosebay_coordination/src/membership.rs
@@ -105,18 +105,23 @@
 }
 
 impl Membership {
-    /// Creates a membership without peers. A zone that `regions` lacks is a region of its own.
+    /// Creates a membership without peers. Each zone is a region of its own until it is declared.
     #[must_use]
-    pub fn new(name: Name, zone: Name, mut regions: Vec<(Name, Name)>) -> Self {
-        regions.sort();
+    pub fn new(name: Name, zone: Name) -> Self {
         Self {
             name,
             zone,
-            regions,
+            regions: Vec::new(),
             peers: Vec::new(),
         }
     }
 
+    /// Declares the zones with their regions.
+    pub fn set_regions(&mut self, mut regions: Vec<(Name, Name)>) {
+        regions.sort();
+        self.regions = regions;
+    }
+
     /// Takes a list. A peer that the list lacks stays as long as its heartbeats arrive, because the
     /// list can be wrong.
     pub fn listed(&mut self, now: Time, list: &[Listed]) {
@@ -229,9 +234,15 @@
     /// heartbeat that it echoes, so the bound holds however long the network took.
     #[must_use]
     pub fn age(&self, now: Time, name: &str) -> Option<u64> {
+        self.confirmed(name).map(|at| now.since(at))
+    }
+
+    /// Returns when the latest heartbeat was sent that a peer has echoed. What the peer says in its
+    /// own latest heartbeat was true at that time or later.
+    #[must_use]
+    pub fn confirmed(&self, name: &str) -> Option<Time> {
         let peer = &self.peers[self.position(name).ok()?];
-        let confirmed = peer.heard.as_ref()?.confirmed?;
-        Some(now.since(confirmed))
+        peer.heard.as_ref()?.confirmed
     }
 
     /// Returns the health of a peer; an unknown peer is dropped.
--- a/crates/primrosebay_coordination/src/schedule/job.rs
+++ b/crates/primrosebay_coordination/src/schedule/job.rs
@@ -6,7 +6,9 @@
 use primrosebay_state::time::Time;
 
 use super::counts::Counts;
+use super::fleet::Need;
 use super::queue::{ClassKey, Entry};
+use super::shapes::Shape;
 
 #[derive(Debug)]
 pub(super) struct Job {
@@ -25,10 +27,12 @@
     /// Running tasks and their positions in the ledger, sorted.
     pub(super) running: Vec<(u32, usize)>,
     pub(super) counts: Counts,
-    /// Tasks that were preempted and are not preempted again, sorted.
-    pub(super) preempted: Vec<u32>,
+    /// How often tasks were preempted, sorted by task.
+    pub(super) preempted: Vec<(u32, u32)>,
     /// Pending tasks that wait for their victims to stop.
     pub(super) claims: usize,
+    /// When resources may next be held for the job.
+    pub(super) hold_after: Time,
     /// The rack from which the next worker is looked for.
     pub(super) rack: usize,
     /// Where the job is in the queue of its team.
@@ -45,6 +49,21 @@
         self.spec.policy == Policy::Gang
     }
 
+    /// Returns the expected run time of a task in milliseconds, if it is known to end.
+    pub(super) fn ends(&self) -> Option<u64> {
+        (self.run_ms > 0 && self.spec.policy != Policy::Service).then_some(self.run_ms)
+    }
+
+    /// Returns what the next task of the job needs; `at` is where the job is among the jobs.
+    pub(super) fn need(&self, at: usize, now: Time) -> Need {
+        Need {
+            amount: self.amount(),
+            end: self.ends().map(|ms| now + ms),
+            job: at,
+            urgent: self.spec.urgent,
+        }
+    }
+
     /// Returns whether places depend on where other tasks of the job are.
     pub(super) fn is_counted(&self) -> bool {
         self.spec.policy == Policy::Service || self.is_limited()
@@ -72,6 +91,20 @@
         }
     }
 
+    pub(super) fn add_preempted(&mut self, index: u32) {
+        match self.preempted.binary_search_by_key(&index, |p| p.0) {
+            Ok(at) => self.preempted[at].1 += 1,
+            Err(at) => self.preempted.insert(at, (index, 1)),
+        }
+    }
+
+    /// Returns how often a task was preempted.
+    pub(super) fn preempted(&self, index: u32) -> u32 {
+        self.preempted
+            .binary_search_by_key(&index, |p| p.0)
+            .map_or(0, |at| self.preempted[at].1)
+    }
+
     pub(super) fn class(&self) -> ClassKey {
         ClassKey {
             urgent: self.spec.urgent,
@@ -81,10 +114,12 @@
             } else {
                 0
             },
-            cores_milli: self.spec.resources.cores_milli,
-            memory_mib: self.spec.resources.memory_mib,
-            accelerators: self.spec.resources.accelerators,
-            span: self.run_ms.checked_ilog2().unwrap_or(u32::MAX),
+            shape: Shape {
+                cores_milli: self.spec.resources.cores_milli,
+                memory_mib: self.spec.resources.memory_mib,
+                accelerators: self.spec.resources.accelerators,
+                span: self.ends().map_or(u32::MAX, u64::ilog2),
+            },
             own: self.is_limited().then_some(self.id),
         }
     }
--- a/crates/primrosebay_coordination/src/schedule/mod.rs
+++ b/crates/primrosebay_coordination/src/schedule/mod.rs
@@ -17,9 +17,12 @@
 mod round;
 mod scheduler;
 mod settings;
+mod shapes;
 mod share;
+mod usage;
 
 pub use decision::Decision;
 pub use reason::{Kind, Reason};
 pub use scheduler::Scheduler;
 pub use settings::Settings;
+pub use usage::TeamUsage;
--- a/crates/primrosebay_entry/src/instance.rs
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -13,7 +13,9 @@
 
 use crate::api;
 use crate::configuration;
+use crate::peers::{PeerSetup, Peers};
 use crate::shared::{Setup, Shared};
+use crate::snapshots;
 use crate::zones::Zone;
 
 /// How often the platform's list is fetched.
@@ -31,19 +33,31 @@
 }
 
 impl Instance {
-    /// Starts the API and the coordinator of the instance's zone.
+    /// Starts the API and the coordinator of the instance's zone, without peers.
     ///
     /// # Errors
     /// Returns the error of binding the API's address.
     pub async fn start(setup: Setup) -> io::Result<Self> {
+        Self::start_with(setup, None).await
+    }
+
+    /// Starts the API, the coordinator of the instance's zone and the exchange with peers.
+    ///
+    /// # Errors
+    /// Returns the error of binding the API's address or the peer address.
+    pub async fn start_with(setup: Setup, peers: Option<PeerSetup>) -> io::Result<Self> {
         let incarnation = Incarnation(rand::random());
         let log = Arc::new(HttpLog::new(setup.log, setup.call_timeout));
         let shared = Arc::new(Shared::new(setup, incarnation, log));
+        if let Some(peers) = peers {
+            Peers::join(&shared, peers).map_err(io::Error::other)?;
+        }
         let app = api::app(Arc::clone(&shared));
         let server = Server::start(shared.setup.address, app, Limits::default()).await?;
         let zone = Zone::start(&shared, &shared.setup.zone);
         task::spawn(configuration::follow(Arc::downgrade(&shared)));
         task::spawn(configuration::watch_status(Arc::downgrade(&shared)));
+        task::spawn(snapshots::publish_config(Arc::downgrade(&shared)));
         task::spawn(follow_list(Arc::clone(&shared), zone));
         task::spawn(tick_requests(Arc::clone(&shared)));
         log::info!("entry: serving on {}", server.address());
@@ -62,6 +76,12 @@
         &self.shared
     }
 
+    /// Returns the address of the peer interface, if there is one.
+    #[must_use]
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.shared.peers()?.net().address().ok()
+    }
+
     /// Stops the instance after the requests in flight.
     pub async fn close(self) {
         log::info!("entry: stopping");
@@ -70,6 +90,12 @@
         for zone in self.shared.zones() {
             zone.stop(STOP_GRACE).await;
         }
+        if !self.shared.publisher.clone().close(STOP_GRACE).await {
+            log::warn!("log: Records were still queued at the stop.");
+        }
+        if let Some(peers) = self.shared.peers() {
+            Arc::clone(peers).close().await;
+        }
     }
 }
 
@@ -78,6 +104,7 @@
     loop {
         match list.fetch().await {
             Ok(fetched) => {
+                shared.update_peers(&fetched.instances);
                 shared.requests.update(&fetched.instances);
                 shared.set_directory(fetched.instances);
                 zone.update_directory(&shared);
--- a/crates/primrosebay_entry/src/shared.rs
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 
 use primrosebay_coordination::freshness::Freshness;
@@ -20,6 +20,7 @@
 use crate::api::watch::Watchers;
 use crate::clock::Clock;
 use crate::configuration::Configuration;
+use crate::peers::Peers;
 use crate::publisher::Publisher;
 use crate::requests::{RequestSettings, Requests};
 use crate::zones::Zone;
@@ -72,6 +73,7 @@
     pub metrics: Metrics,
     /// Routes requests to minions.
     pub requests: Requests<HttpMinions>,
+    peers: OnceLock<Arc<Peers>>,
     stopping: AtomicBool,
     jobs: AtomicU64,
     directory: RwLock<Arc<[Instance]>>,
@@ -107,6 +109,7 @@
             setup,
             watchers: Watchers::default(),
             metrics,
+            peers: OnceLock::new(),
             stopping: AtomicBool::new(false),
             jobs: AtomicU64::new(0),
             directory: RwLock::new(Arc::from([])),
@@ -146,6 +149,19 @@
         self.configuration.get()
     }
 
+    /// Returns the exchange with other entry instances, if it was started.
+    #[must_use]
+    pub fn peers(&self) -> Option<&Arc<Peers>> {
+        self.peers.get()
+    }
+
+    /// Uses the exchange with other entry instances. The first call counts.
+    pub fn use_peers(&self, peers: Arc<Peers>) {
+        if self.peers.set(Arc::clone(&peers)).is_ok() {
+            self.publisher.use_peers(peers);
+        }
+    }
+
     /// Returns the platform's list of instances as last fetched, by name.
     #[must_use]
     pub fn directory(&self) -> Arc<[Instance]> {
--- a/crates/primrosebay_entry/src/zones.rs
+++ b/crates/primrosebay_entry/src/zones.rs
@@ -17,6 +17,7 @@
 
 use crate::log_reader;
 use crate::shared::Shared;
+use crate::snapshots;
 
 /// How often a coordinator looks at its timers.
 const TICK: Duration = Duration::from_millis(20);
@@ -46,7 +47,7 @@
     pub fn start(shared: &Arc<Shared>, name: &Name) -> Arc<Self> {
         let seed = shared.incarnation.0;
         let coordinator =
-            Coordinator::new(Settings::default(), shared.incarnation, name.clone(), seed);
+            Coordinator::new(settings(shared), shared.incarnation, name.clone(), seed);
         let zone = Arc::new(Self {
             name: name.clone(),
             coordinator: Mutex::new(coordinator),
@@ -56,6 +57,10 @@
         shared.add_zone(Arc::clone(&zone));
         task::spawn(tick(Arc::clone(&zone)));
         task::spawn(follow_jobs(Arc::clone(&zone)));
+        task::spawn(snapshots::publish_jobs(
+            Arc::downgrade(shared),
+            Arc::clone(&zone),
+        ));
         zone
     }
 
@@ -146,8 +151,22 @@
     }
 }
 
+fn settings(shared: &Shared) -> Settings {
+    let timeouts = &shared.setup.timeouts;
+    Settings {
+        control_ttl: timeouts.control_ms,
+        task_ttl: timeouts.task_ms,
+        heartbeat: timeouts.heartbeat_ms,
+        rank_delay: timeouts.rank_ms,
+        ..Settings::default()
+    }
+}
+
 /// Returns this instance's rank among the candidates for `zone`.
 fn rank(shared: &Shared, zone: &str) -> Option<u32> {
+    if let Some(peers) = shared.peers() {
+        return u32::try_from(peers.rank(zone)).ok();
+    }
     let directory = shared.directory();
     let position = directory
         .iter()
@@ -164,14 +183,11 @@
 }
 
 async fn follow_jobs(zone: Arc<Zone>) {
-    let Some(log) = zone.shared.upgrade().map(|s| Arc::clone(&s.log)) else {
-        return;
-    };
     let apply = |page: Option<Page>| {
         zone.handle_all(page.map_or_else(|| vec![Event::LogDown], events_of));
         zone.shared.strong_count() > 0
     };
-    log_reader::follow(&log, &stream_of(&zone.name), apply).await;
+    log_reader::follow(zone.shared.clone(), &stream_of(&zone.name), apply).await;
 }
 
 fn events_of(page: Page) -> Vec<Event> {
@@ -210,7 +226,7 @@
     let stream = stream_of(&zone.name);
     while shared
         .publisher
-        .append(&stream, body.clone())
+        .record(&stream, body.clone())
         .await
         .is_err()
     {
--- a/crates/primrosebay_protocol/src/log.rs
+++ b/crates/primrosebay_protocol/src/log.rs
@@ -33,7 +33,7 @@
 }
 
 /// The answer to a read.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Page {
     /// The oldest offset that is still kept.
     pub oldest: u64,
