Test the worker's table by itself and stalled links in the cell

Cause: random sequences did not notice a worker that ignores deadlines, because no request was delayed for longer than the lease of a task. Change: requests of a link can be held back and released much later. Tests of the worker's table for each rule. Scenarios name workers by what they run, so that they do not depend on placement. The coordinator looks only at the worker that answered, and computes the common part of requests once.

--- a/crates/primrosebay_coordination/src/zone/advance.rs
+++ b/crates/primrosebay_coordination/src/zone/advance.rs
@@ -11,11 +11,17 @@
 use crate::schedule::Decision;
 
 impl Coordinator {
-    pub(super) fn advance(&mut self, now: Time) {
+    /// Does what the event made possible. `answered` is the worker that it came from; only this
+    /// one is looked at then, because a busy coordinator handles thousands of answers a second.
+    pub(super) fn advance(&mut self, now: Time, answered: Option<&Name>) {
+        let epoch = self.terms.voters.epoch;
         self.advance_term(now);
         if self.terms.phase == Phase::Claiming {
             self.advance_recovery(now);
-            self.check_members(now);
+            match answered {
+                Some(worker) if epoch == self.terms.voters.epoch => self.check_member(now, worker),
+                _ => self.check_members(now),
+            }
             self.limit_teams(now);
             self.end_backoff(now);
             self.advance_moves(now);
@@ -35,7 +41,7 @@
         let scheduler = &mut self.scheduler;
         self.members.retain(|name, member| {
             let keep = member.listed
-                || voters.contains(name)
+                || voters.binary_search(name).is_ok()
                 || !member.tasks.is_empty()
                 || !member.placed.is_empty();
             if !keep && member.known.is_some() {
@@ -88,8 +94,10 @@
             && member.listed
             && !member.leaving
             && !self.lost.contains(name)
-            && self.terms.voters.names.contains(name)
-            && proposal.as_ref().is_none_or(|names| names.contains(name))
+            && self.terms.voters.names.binary_search(name).is_ok()
+            && proposal
+                .as_ref()
+                .is_none_or(|names| names.binary_search(name).is_ok())
     }
 
     /// Gives a task whose start has not been sent back to the scheduler.
--- a/crates/primrosebay_coordination/src/zone/mod.rs
+++ b/crates/primrosebay_coordination/src/zone/mod.rs
@@ -231,6 +231,10 @@
 
     /// Handles one event. `now` is the local monotonic clock and never goes back.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Command> {
+        let answered = match &event {
+            Event::Reply { worker, .. } => Some(worker.clone()),
+            _ => None,
+        };
         match event {
             Event::Tick => self.changed = true,
             Event::Workers(list) => self.set_workers(&list),
@@ -270,7 +274,7 @@
             Event::WorkerLost(worker) => self.on_lost(now, &worker),
             Event::Stop => self.stop(now),
         }
-        self.advance(now);
+        self.advance(now, answered.as_ref());
         std::mem::take(&mut self.out)
     }
 
--- a/crates/primrosebay_coordination/src/zone/send.rs
+++ b/crates/primrosebay_coordination/src/zone/send.rs
@@ -1,6 +1,6 @@
 //! Requests to workers.
 
-use primrosebay_protocol::worker::{Command as Order, Request, Start};
+use primrosebay_protocol::worker::{Command as Order, Request, Start, Term};
 use primrosebay_state::Name;
 use primrosebay_state::id::TaskId;
 use primrosebay_state::time::{Time, WorkerTime};
@@ -15,6 +15,12 @@
 /// Most starts in one request, so that it stays within about 64 KB.
 const MAX_STARTS: usize = 256;
 
+/// What all requests of one moment have in common.
+struct Basis {
+    term: Term,
+    may_renew: bool,
+}
+
 impl Coordinator {
     /// Sends what is due.
     pub(super) fn send_all(&mut self, now: Time) {
@@ -48,8 +54,9 @@
         } else {
             Vec::new()
         };
+        let basis = self.basis(now);
         for name in names {
-            let request = self.request(now, &name, false);
+            let request = self.request(now, &name, &basis, false);
             self.send(now, name, request);
         }
     }
@@ -69,13 +76,14 @@
             .members
             .iter()
             .filter(|(name, member)| {
-                (member.listed || voters.contains(name)) && !self.lost.contains(name)
+                (member.listed || voters.binary_search(name).is_ok()) && !self.lost.contains(name)
             })
             .filter(|(_, member)| wanted(member))
             .map(|(name, _)| name.clone())
             .collect();
+        let basis = self.basis(now);
         for name in names {
-            let mut request = self.request(now, &name, true);
+            let mut request = self.request(now, &name, &basis, true);
             if request.deadline.is_some() {
                 self.add_stops(&name, &mut request);
                 if starts {
@@ -93,13 +101,20 @@
             && self.has_authority(now)
     }
 
+    fn basis(&self, now: Time) -> Basis {
+        let may_renew = self.may_renew(now);
+        Basis {
+            term: self.request_term(may_renew),
+            may_renew,
+        }
+    }
+
     /// Returns a request without commands: a claim, or a renewal with a deadline if the lease is
     /// held. A process that pauses after this point sends a request that the worker rejects.
-    fn request(&mut self, now: Time, worker: &Name, claim: bool) -> Request {
+    fn request(&mut self, now: Time, worker: &Name, basis: &Basis, claim: bool) -> Request {
         self.sequence += 1;
-        let may_renew = self.may_renew(now);
         let mut request = Request {
-            term: self.request_term(now),
+            term: basis.term.clone(),
             run: 0,
             sequence: self.sequence,
             deadline: None,
@@ -120,7 +135,7 @@
             let clock = reading.earliest(now);
             request.run = member.run;
             request.deadline = Some(clock + self.settings.control_ttl);
-            if may_renew {
+            if basis.may_renew {
                 request.tasks_until = clock + self.settings.task_ttl;
             }
         }
@@ -217,8 +232,9 @@
             .filter(|(_, member)| member.granted.is_some())
             .map(|(name, _)| name.clone())
             .collect();
+        let basis = self.basis(now);
         for name in held {
-            let mut request = self.request(now, &name, true);
+            let mut request = self.request(now, &name, &basis, true);
             request.release = true;
             self.send(now, name, request);
         }
--- a/crates/primrosebay_coordination/src/zone/term.rs
+++ b/crates/primrosebay_coordination/src/zone/term.rs
@@ -30,6 +30,7 @@
 pub(super) struct Voters {
     /// The epoch of their term; 0 if no term was learned of and the live list stands in.
     pub epoch: u64,
+    /// In ascending order.
     pub names: Vec<Name>,
     /// Whether the term is this coordinator's own.
     pub own: bool,
@@ -108,7 +109,7 @@
         let voters = &self.terms.voters.names;
         self.members
             .iter()
-            .filter(|(name, member)| member.listed || voters.contains(name))
+            .filter(|(name, member)| member.listed || voters.binary_search(name).is_ok())
             .all(|(name, member)| self.lost.contains(name) || long(member))
     }
 
@@ -141,9 +142,9 @@
 
     /// Returns the term that requests carry. Voters are told only while no other instance can have
     /// authority, so that a worker that has restarted learns no outdated term.
-    pub(super) fn request_term(&self, now: Time) -> Term {
+    pub(super) fn request_term(&self, may_renew: bool) -> Term {
         let voters = match &self.terms.proposal {
-            _ if !self.may_renew(now) => Vec::new(),
+            _ if !may_renew => Vec::new(),
             Some(names) => names.clone(),
             None if self.terms.voters.own => self.terms.voters.names.clone(),
             None => Vec::new(),
@@ -248,9 +249,11 @@
             member.remembers |= !own && granted;
         }
         if !own && !self.terms.voters.own && opened.epoch > self.terms.voters.epoch {
+            let mut names = opened.voters.clone();
+            names.sort();
             self.terms.voters = Voters {
                 epoch: opened.epoch,
-                names: opened.voters.clone(),
+                names,
                 own: false,
             };
             self.terms.quorum_at = None;
@@ -335,7 +338,7 @@
     fn next_voters(&self, now: Time) -> Vec<Name> {
         let ttl = self.settings.control_ttl;
         let keep = |name: &Name, member: &Member| {
-            let voter = self.terms.voters.names.contains(name);
+            let voter = self.terms.voters.names.binary_search(name).is_ok();
             member.is_held(now, ttl)
                 || (voter && !self.lost.contains(name) && !self.tasks_have_ended(now, member))
         };
--- /dev/null
+++ b/crates/primrosebay_coordination/tests/worker.rs
@@ -0,0 +1,192 @@
+//! Tests of the worker's side of leases and attempts.
+
+use primrosebay_coordination::worker::WorkerTable;
+use primrosebay_protocol::worker::{AttemptState, Command, Reply, Request, Start, Term};
+use primrosebay_state::id::{AttemptId, Incarnation, JobId, TaskId};
+use primrosebay_state::job::Repeat;
+use primrosebay_state::resources::Resources;
+use primrosebay_state::time::WorkerTime;
+use rstest::rstest;
+
+const RUN: u64 = 7;
+const TTL: u64 = 1_200;
+
+fn cores(count: u64) -> Resources {
+    Resources {
+        cores_milli: 1_000 * count,
+        ..Resources::ZERO
+    }
+}
+
+fn attempt(index: u32) -> AttemptId {
+    let incarnation = Incarnation(1);
+    let job = JobId {
+        incarnation,
+        sequence: 1,
+    };
+    let task = TaskId { job, index };
+    AttemptId { task, attempt: 1 }
+}
+
+fn request(holder: u64, epoch: u64, sequence: u64) -> Request {
+    Request {
+        term: Term {
+            epoch,
+            holder: Incarnation(holder),
+            voters: Vec::new(),
+        },
+        run: RUN,
+        sequence,
+        deadline: Some(WorkerTime(1_000)),
+        lease_ms: TTL,
+        tasks_until: WorkerTime(20_000),
+        acknowledged: 0,
+        commands: Vec::new(),
+        release: false,
+    }
+}
+
+fn start(index: u32, size: u64) -> Command {
+    Command::Start(Start {
+        attempt: attempt(index),
+        resources: cores(size),
+        repeat: Repeat::Idempotent,
+        run_ms: 0,
+        team: "t".into(),
+    })
+}
+
+/// Returns a worker of 4 cores that instance 1 holds under epoch 5, with its last request at 100.
+fn held() -> WorkerTable {
+    let mut table = WorkerTable::new(RUN, cores(4));
+    let mut first = request(1, 5, 10);
+    first.commands.push(start(0, 2));
+    assert!(table.exchange(WorkerTime(100), &first).granted);
+    table
+}
+
+fn states(reply: &Reply) -> Vec<AttemptState> {
+    reply.reports.iter().map(|report| report.state).collect()
+}
+
+/// Guards against two coordinators that both start tasks on one worker.
+#[rstest]
+#[case::renewal(100, 1, 5, true)]
+#[case::next_term_of_the_holder(100, 1, 6, true)]
+#[case::earlier_term_of_the_holder(100, 1, 4, false)]
+#[case::other_instance_while_held(1_299, 2, 6, false)]
+#[case::other_instance_after_expiry(1_300, 2, 6, true)]
+#[case::other_instance_with_equal_epoch(1_300, 2, 5, false)]
+#[case::other_instance_with_lower_epoch(1_300, 2, 4, false)]
+fn lease_goes_to_one_holder(
+    #[case] clock: u64,
+    #[case] holder: u64,
+    #[case] epoch: u64,
+    #[case] granted: bool,
+) {
+    let mut request = request(holder, epoch, 11);
+    request.deadline = Some(WorkerTime(2_000));
+    request.commands.push(start(1, 1));
+    let mut table = held();
+    assert_eq!(table.exchange(WorkerTime(clock), &request).granted, granted);
+    assert_eq!(table.running().count(), 1 + usize::from(granted));
+}
+
+/// Guards against commands that arrive late, out of order, or meant for an earlier run.
+#[rstest]
+#[case::in_time(1_000, 11, RUN, true)]
+#[case::after_the_deadline(1_001, 11, RUN, false)]
+#[case::doubled(900, 10, RUN, false)]
+#[case::overtaken(900, 9, RUN, false)]
+#[case::before_a_restart(900, 11, RUN - 1, false)]
+fn outdated_commands_are_void(
+    #[case] clock: u64,
+    #[case] sequence: u64,
+    #[case] run: u64,
+    #[case] granted: bool,
+) {
+    let mut request = request(1, 5, sequence);
+    request.run = run;
+    request.commands.push(start(1, 1));
+    let mut table = held();
+    assert_eq!(table.exchange(WorkerTime(clock), &request).granted, granted);
+    assert_eq!(table.running().count(), 1 + usize::from(granted));
+}
+
+/// Guards against a claim that was delayed without bound and renews tasks.
+#[test]
+fn claim_without_deadline_changes_only_the_lease() {
+    let mut table = held();
+    let mut claim = request(2, 6, 1);
+    claim.deadline = None;
+    claim.tasks_until = WorkerTime(90_000);
+    claim.commands.push(start(1, 1));
+    assert!(table.exchange(WorkerTime(1_300), &claim).granted);
+    assert_eq!(table.running().count(), 1);
+    table.tick(WorkerTime(20_000));
+    assert_eq!(table.running().count(), 0);
+}
+
+/// Guards against a worker over its capacity when the coordinator's ledger is wrong.
+#[test]
+fn start_that_does_not_fit_is_refused() {
+    let mut table = held();
+    let mut more = request(1, 5, 11);
+    more.commands.extend([start(1, 3), start(2, 2)]);
+    let reply = table.exchange(WorkerTime(200), &more);
+    let expected = [
+        AttemptState::Running,
+        AttemptState::Refused,
+        AttemptState::Running,
+    ];
+    assert_eq!(states(&reply), expected);
+    assert_eq!(table.used(), cores(4));
+}
+
+/// Guards against a second run of an attempt that has ended, and against a lost result.
+#[test]
+fn ended_attempt_is_kept_until_it_is_acknowledged() {
+    let mut table = held();
+    assert!(table.finish(WorkerTime(200), attempt(0), AttemptState::Done));
+    let mut again = request(1, 5, 11);
+    again.commands.push(start(0, 2));
+    let reply = table.exchange(WorkerTime(300), &again);
+    assert_eq!(states(&reply), [AttemptState::Done]);
+    let mut acknowledge = request(1, 5, 12);
+    acknowledge.acknowledged = reply.reports[0].sequence;
+    table.exchange(WorkerTime(300), &acknowledge);
+    let reply = table.exchange(WorkerTime(300), &request(1, 5, 13));
+    assert_eq!(states(&reply), []);
+}
+
+/// Guards against tasks that run on after their coordinator counts them as stopped.
+#[test]
+fn attempts_stop_when_nobody_renews_them() {
+    let mut table = held();
+    table.tick(WorkerTime(19_999));
+    assert_eq!(table.running().count(), 1);
+    table.tick(WorkerTime(20_000));
+    assert_eq!(table.running().count(), 0);
+    assert!(!table.finish(WorkerTime(20_001), attempt(0), AttemptState::Done));
+}
+
+/// Guards against a delayed renewal that takes back a later one.
+#[test]
+fn earlier_end_of_tasks_has_no_effect() {
+    let mut table = held();
+    let mut renewal = request(1, 5, 11);
+    renewal.tasks_until = WorkerTime(500);
+    table.exchange(WorkerTime(200), &renewal);
+    table.tick(WorkerTime(600));
+    assert_eq!(table.running().count(), 1);
+}
+
+/// Guards against a successor that waits for leases after a planned stop.
+#[test]
+fn released_lease_is_free_at_once() {
+    let mut table = held();
+    let mut release = request(1, 5, 11);
+    release.release = true;
+    assert!(table.exchange(WorkerTime(200), &release).granted);
+    assert!(table.exchange(WorkerTime(201), &request(2, 6, 1)).granted);
+}
--- a/crates/primrosebay_coordination/tests/zone/random.rs
+++ b/crates/primrosebay_coordination/tests/zone/random.rs
@@ -39,6 +39,7 @@
     KillWorker(usize),
     StartWorker(usize),
     Cut(usize, usize),
+    Stall(usize, usize),
     Join,
     Failing(usize, bool),
     Network {
@@ -72,6 +73,7 @@
         1 => node.clone().prop_map(Step::Stop),
         1 => worker.clone().prop_map(Step::KillWorker),
         1 => worker.clone().prop_map(Step::StartWorker),
+        2 => (node.clone(), worker.clone()).prop_map(|(node, worker)| Step::Stall(node, worker)),
         3 => (node, worker.clone()).prop_map(|(node, worker)| Step::Cut(node, worker)),
         1 => Just(Step::Join),
         1 => (worker, any::<bool>()).prop_map(|(worker, on)| Step::Failing(worker, on)),
@@ -147,7 +149,11 @@
         Step::Cut(node, worker) => {
             world.cut.insert((*node, *worker));
         }
-        Step::Join => world.cut.clear(),
+        Step::Stall(node, worker) => world.stall(*node, *worker),
+        Step::Join => {
+            world.cut.clear();
+            world.release();
+        }
         Step::Failing(worker, on) => world.workers[*worker].failing = *on,
         Step::Network {
             delay,
--- a/crates/primrosebay_coordination/tests/zone/script.rs
+++ b/crates/primrosebay_coordination/tests/zone/script.rs
@@ -91,16 +91,19 @@
         ["pause", name] => world.pause(node(name)),
         ["wake", name] => world.wake(node(name)),
         ["stop", name] => world.stop_node(node(name)),
-        ["kill", name] => world.kill_worker(worker(world, name)),
-        ["start", name] => world.start_worker(worker(world, name)),
-        ["declare", name, "lost"] => {
-            let zone = name[..1].to_owned();
-            world.tell(&zone, &Event::WorkerLost((*name).into()));
+        ["kill", "the", "worker", "of", task] => world.kill_worker(worker(world, task)),
+        ["declare", "the", "worker", "of", task, "lost"] => {
+            let name = world.workers[worker(world, task)].name.clone();
+            world.tell("a", &Event::WorkerLost(name));
         }
-        ["cut", name, "off", "from", other] => {
-            let pair = (node(name), worker(world, other));
+        ["cut", name, "off", "from", "the", "worker", "of", task] => {
+            let pair = (node(name), worker(world, task));
             world.cut.insert(pair);
         }
+        ["stall", name, "towards", other] => world.stall(node(name), worker(world, other)),
+        ["release", "everything"] => world.release(),
+        ["kill", name] => world.kill_worker(worker(world, name)),
+        ["start", name] => world.start_worker(worker(world, name)),
         ["join", "everything"] => world.cut.clear(),
         ["make", name, "fail", "everything"] => {
             let worker = worker(world, name);
--- a/crates/primrosebay_coordination/tests/zone/world.rs
+++ b/crates/primrosebay_coordination/tests/zone/world.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use primrosebay_coordination::worker::WorkerTable;
-use primrosebay_coordination::zone::{Command, Coordinator, Event, Settings};
+use primrosebay_coordination::zone::{Command, Coordinator, Event, Phase, Settings};
 use primrosebay_protocol::list::{Instance, Liveness, Role};
 use primrosebay_protocol::worker::{AttemptState, Command as Order, Request};
 use primrosebay_state::Name;
@@ -83,7 +83,7 @@
 
 #[derive(Debug)]
 pub struct Worker {
-    name: Name,
+    pub name: Name,
     zone: Name,
     pub table: WorkerTable,
     clock: Clock,
@@ -139,6 +139,9 @@
     ran: BTreeMap<TaskId, u32>,
     running: BTreeSet<(usize, AttemptId)>,
     done: BTreeSet<TaskId>,
+    places: BTreeMap<TaskId, usize>,
+    /// Requests that wait in a buffer until their link is released.
+    stalled: BTreeMap<(usize, usize), Vec<Message>>,
 }
 
 pub fn cores(count: u64) -> Resources {
@@ -173,6 +176,8 @@
             ran: BTreeMap::new(),
             running: BTreeSet::new(),
             done: BTreeSet::new(),
+            places: BTreeMap::new(),
+            stalled: BTreeMap::new(),
         };
         for (zone, candidates, workers) in zones {
             for i in 0..*workers {
@@ -273,6 +278,12 @@
 
     fn deliver(&mut self, message: Message) {
         match message {
+            Message::ToWorker(node, _, worker, ..)
+                if self.stalled.contains_key(&(node, worker)) =>
+            {
+                let link = self.stalled.entry((node, worker)).or_default();
+                link.push(message);
+            }
             Message::ToWorker(node, run, worker, sent, request) => {
                 self.at_worker(node, run, worker, sent, &request);
             }
@@ -535,8 +546,13 @@
             return Some(job);
         }
         // The log is down, so two other instances hold the record.
-        let free =
-            |n: &usize| *n != node && !self.nodes[*n].paused && self.nodes[*n].core.is_some();
+        // An instance that is about to stop takes no copies.
+        let free = |n: &usize| {
+            let state = &self.nodes[*n];
+            let core = state.core.as_ref().filter(|_| *n != node && !state.paused);
+            let phase = core.map(|core| core.authority(self.local(*n)).phase);
+            matches!(phase, Some(Phase::Watching | Phase::Claiming))
+        };
         let peers: Vec<_> = (0..self.nodes.len()).filter(free).take(2).collect();
         if peers.is_empty() {
             return None;
@@ -685,6 +701,18 @@
         }
     }
 
+    /// Holds requests of a candidate to a worker back.
+    pub fn stall(&mut self, node: usize, worker: usize) {
+        self.stalled.entry((node, worker)).or_default();
+    }
+
+    /// Delivers all requests that were held back.
+    pub fn release(&mut self) {
+        for message in std::mem::take(&mut self.stalled).into_values().flatten() {
+            self.post(1, message);
+        }
+    }
+
     pub fn set_zone(&mut self, zone: &str, state: ZoneState) {
         let since = match state {
             ZoneState::Out => self.out.insert(zone.into(), self.now),
@@ -704,6 +732,7 @@
             ..Faults::default()
         };
         self.cut.clear();
+        self.release();
         for worker in 0..self.workers.len() {
             self.workers[worker].failing = false;
             self.start_worker(worker);
@@ -753,6 +782,7 @@
     }
 
     fn check_start(&mut self, worker: usize, attempt: AttemptId) {
+        self.places.insert(attempt.task, worker);
         let zone = &self.workers[worker].zone;
         if let Some(since) = self.out.get(zone)
             && self.now > since + OUT_BOUND
@@ -769,7 +799,13 @@
         }
     }
 
+    /// Returns a worker by its name, or the one that was given a task last, as in `job/0`.
     pub fn worker(&self, name: &str) -> Option<usize> {
+        if let Some((job, index)) = name.split_once('/') {
+            let job = self.jobs.iter().find(|other| &*other.spec.name == job)?.id;
+            let index = index.parse().ok()?;
+            return self.places.get(&TaskId { job, index }).copied();
+        }
         self.workers.iter().position(|worker| &*worker.name == name)
     }
 
@@ -820,19 +856,14 @@
                 lines.push(format!("n{} coordinates {}: {stage:?}", n + 1, node.zone));
             }
         }
-        for worker in self.workers.iter().filter(|worker| worker.up) {
-            let tasks: Vec<_> = worker
-                .table
-                .running()
-                .map(|r| self.task_name(r.attempt))
-                .collect();
-            if !tasks.is_empty() {
-                lines.push(format!("{} runs {}", worker.name, tasks.join(", ")));
-            }
-        }
         for job in &self.jobs {
-            if let Some(outcome) = self.outcome(job.id) {
-                lines.push(format!("{} ended: {outcome:?}", job.spec.name));
+            let name = &job.spec.name;
+            let running = self.running.iter().filter(|(_, a)| a.task.job == job.id);
+            let tries: Vec<_> = running.map(|(_, a)| a.attempt.to_string()).collect();
+            match self.outcome(job.id) {
+                Some(outcome) => lines.push(format!("{name} ended: {outcome:?}")),
+                None if tries.is_empty() => lines.push(format!("{name} waits")),
+                None => lines.push(format!("{name} runs, tries {}", tries.join(", "))),
             }
         }
         lines.extend(
@@ -842,12 +873,6 @@
         );
         lines.join("\n") + "\n"
     }
-
-    fn task_name(&self, attempt: AttemptId) -> String {
-        let job = self.jobs.iter().find(|job| job.id == attempt.task.job);
-        let name = job.map_or(Name::from("?"), |job| job.spec.name.clone());
-        format!("{name}/{} try {}", attempt.task.index, attempt.attempt)
-    }
 }
 
 fn instance(worker: &Worker) -> Instance {
