--- a/crates/primrosebay_coordination/src/schedule/job.rs
+++ b/crates/primrosebay_coordination/src/schedule/job.rs
@@ -6,7 +6,9 @@
 use primrosebay_state::time::Time;
 
 use super::counts::Counts;
+use super::fleet::Need;
 use super::queue::{ClassKey, Entry};
+use super::shapes::Shape;
 
 #[derive(Debug)]
 pub(super) struct Job {
@@ -25,8 +27,8 @@
     /// Running tasks and their positions in the ledger, sorted.
     pub(super) running: Vec<(u32, usize)>,
     pub(super) counts: Counts,
-    /// Tasks that were preempted and are not preempted again, sorted.
-    pub(super) preempted: Vec<u32>,
+    /// How often tasks were preempted, sorted by task.
+    pub(super) preempted: Vec<(u32, u32)>,
     /// Pending tasks that wait for their victims to stop.
     pub(super) claims: usize,
     /// When resources may next be held for the job.
@@ -52,6 +54,16 @@
         (self.run_ms > 0 && self.spec.policy != Policy::Service).then_some(self.run_ms)
     }
 
+    /// Returns what the next task of the job needs; `at` is where the job is among the jobs.
+    pub(super) fn need(&self, at: usize, now: Time) -> Need {
+        Need {
+            amount: self.amount(),
+            end: self.ends().map(|ms| now + ms),
+            job: at,
+            urgent: self.spec.urgent,
+        }
+    }
+
     /// Returns whether places depend on where other tasks of the job are.
     pub(super) fn is_counted(&self) -> bool {
         self.spec.policy == Policy::Service || self.is_limited()
@@ -79,6 +91,20 @@
         }
     }
 
+    pub(super) fn add_preempted(&mut self, index: u32) {
+        match self.preempted.binary_search_by_key(&index, |p| p.0) {
+            Ok(at) => self.preempted[at].1 += 1,
+            Err(at) => self.preempted.insert(at, (index, 1)),
+        }
+    }
+
+    /// Returns how often a task was preempted.
+    pub(super) fn preempted(&self, index: u32) -> u32 {
+        self.preempted
+            .binary_search_by_key(&index, |p| p.0)
+            .map_or(0, |at| self.preempted[at].1)
+    }
+
     pub(super) fn class(&self) -> ClassKey {
         ClassKey {
             urgent: self.spec.urgent,
@@ -88,10 +114,12 @@
             } else {
                 0
             },
-            cores_milli: self.spec.resources.cores_milli,
-            memory_mib: self.spec.resources.memory_mib,
-            accelerators: self.spec.resources.accelerators,
-            span: self.ends().map_or(u32::MAX, u64::ilog2),
+            shape: Shape {
+                cores_milli: self.spec.resources.cores_milli,
+                memory_mib: self.spec.resources.memory_mib,
+                accelerators: self.spec.resources.accelerators,
+                span: self.ends().map_or(u32::MAX, u64::ilog2),
+            },
             own: self.is_limited().then_some(self.id),
         }
     }
--- a/crates/primrosebay_coordination/src/schedule/scheduler.rs
+++ b/crates/primrosebay_coordination/src/schedule/scheduler.rs
@@ -12,7 +12,7 @@
 use super::Settings;
 use super::counts::Counts;
 use super::estimate::Estimates;
-use super::fleet::{Fleet, Need};
+use super::fleet::Fleet;
 use super::gang::Reservation;
 use super::job::{Job, Jobs};
 use super::ledger::{Ledger, Running};
@@ -46,8 +46,6 @@
     pub(super) reservations: Vec<Reservation>,
     /// Teams that may use more than their allowance.
     pub(super) over: Vec<usize>,
-    /// What is kept for each free accelerator.
-    pub(super) keep: Resources,
     /// When an accelerator job last waited.
     pub(super) kept: Time,
     pub(super) sequence: u64,
@@ -69,7 +67,6 @@
             claims: Vec::new(),
             reservations: Vec::new(),
             over: Vec::new(),
-            keep: Resources::ZERO,
             kept: Time(0),
             sequence: 0,
             round: 0,
@@ -189,10 +186,8 @@
             && !job.cancelled
         {
             job.add_pending(task.index);
-            if running.stopping
-                && let Err(place) = job.preempted.binary_search(&task.index)
-            {
-                job.preempted.insert(place, task.index);
+            if running.stopping {
+                job.add_preempted(task.index);
             }
         }
         self.enqueue(at);
@@ -285,7 +280,9 @@
         if let Some(job) = self.jobs.get_mut(at)
             && let Some((key, entry)) = job.entry.take()
         {
-            self.teams.items[job.team].queue.remove(&key, &entry);
+            self.teams.items[job.team]
+                .queue
+                .remove(&key, &entry, &mut self.fleet.shapes);
         }
     }
 
@@ -298,18 +295,9 @@
             let entry = (job.start_by, job.sequence, at);
             let key = job.class();
             job.entry = Some((key, entry));
-            self.teams.items[job.team].queue.insert(key, entry);
-        }
-    }
-
-    /// Returns what the next task of the job needs.
-    pub(super) fn need(&self, at: usize, job: &Job, now: Time) -> Need {
-        Need {
-            amount: job.amount(),
-            keep: self.keep,
-            end: job.ends().map(|ms| now + ms),
-            job: at,
-            urgent: job.spec.urgent,
+            self.teams.items[job.team]
+                .queue
+                .insert(key, entry, &mut self.fleet.shapes);
         }
     }
 
@@ -331,10 +319,8 @@
         } else {
             self.settings.run_ms
         };
-        let yields = spec.policy == Policy::Batch
-            && spec.repeat == Repeat::Idempotent
-            && !spec.urgent
-            && job.preempted.binary_search(&index).is_err();
+        let yields =
+            spec.policy == Policy::Batch && spec.repeat == Repeat::Idempotent && !spec.urgent;
         let running = Running {
             task: TaskId { job: job.id, index },
             job: at,
@@ -342,6 +328,7 @@
             team: job.team,
             amount: spec.resources,
             start: now,
+            preempted: job.preempted(index),
             end: (spec.policy != Policy::Service).then(|| now + assumed),
             yields,
             checkpoint: spec.checkpoint,
