Give jobs one stream and tasks a stream for each zone, and serve jobs cell-wide

Cause: with one stream of jobs for each zone, a submission that was repeated through another instance could get another home and run twice, jobs could not move between zones, and services were not split over zones. Change: records of jobs share the stream jobs, whose order decides names and homes; the more numerous records of tasks go to tasks-ZONE. Tasks are applied after their jobs, and the opening of a term is applied after the tasks were read again. Submissions are checked against the name, the team's limit and the workers' size, answered again if repeated, recorded by any instance when the coordinator does not answer, and split by zone for services. Reads, lists and cancellations work from every instance.

--- a/crates/primrosebay_coordination/src/zone/jobs.rs
+++ b/crates/primrosebay_coordination/src/zone/jobs.rs
@@ -128,6 +128,16 @@
         self.tasks.iter().all(Task::is_ended)
     }
 
+    /// Notes that this coordinator accepted the job itself, so that no other has started its tasks.
+    pub fn claim(&mut self) {
+        self.own = true;
+        for task in &mut self.tasks {
+            if task.state == State::Inherited {
+                task.state = State::Waiting;
+            }
+        }
+    }
+
     pub fn is_once(&self) -> bool {
         self.spec.repeat == Repeat::Once
     }
@@ -208,9 +218,13 @@
         *self.names.or_insert(key, id) == id
     }
 
+    /// Returns the identifier of the job of `team` with `name` in the log.
+    pub fn id_of(&self, team: &Name, name: &Name) -> Option<JobId> {
+        self.names.get(&(team.clone(), name.clone())).copied()
+    }
+
     /// Returns the job of `team` with `name` in the log.
     pub fn named(&self, team: &Name, name: &Name) -> Option<&Job> {
-        let id = self.names.get(&(team.clone(), name.clone()))?;
-        self.all.get(id)
+        self.all.get(&self.id_of(team, name)?)
     }
 }
--- a/crates/primrosebay_coordination/src/zone/tasks.rs
+++ b/crates/primrosebay_coordination/src/zone/tasks.rs
@@ -44,13 +44,16 @@
         durable: bool,
         own: bool,
     ) {
+        // Without authority the job may start elsewhere before this instance gets the zone.
+        let own = own && self.has_authority(now);
         if let Some(job) = self.jobs.all.get_mut(&id) {
             job.logged |= durable;
+            if own && job.home == self.zone {
+                job.claim();
+            }
             self.submit(now, id);
             return;
         }
-        // Without authority the job may start elsewhere before this instance gets the zone.
-        let own = own && self.has_authority(now);
         let state = if own {
             State::Waiting
         } else {
--- a/crates/primrosebay_coordination/src/zone/view.rs
+++ b/crates/primrosebay_coordination/src/zone/view.rs
@@ -105,6 +105,13 @@
         self.jobs.all.get(&id).map(|job| job.view(id))
     }
 
+    /// Returns the job of `team` that has `name` in the log, whatever its home.
+    #[must_use]
+    pub fn named(&self, team: &Name, name: &Name) -> Option<JobView> {
+        let id = self.jobs.id_of(team, name)?;
+        self.job(id)
+    }
+
     /// Returns the jobs whose home is this zone, by id.
     pub fn jobs(&self) -> impl Iterator<Item = JobView> {
         self.jobs
--- a/crates/primrosebay_entry/src/api/explain.rs
+++ b/crates/primrosebay_entry/src/api/explain.rs
@@ -9,12 +9,12 @@
 
 /// Handles `GET /v1/jobs/{id}/explain`.
 pub(super) async fn explain(request: ApiRequest) -> tide::Result {
-    answer(explain_job(&request))
+    answer(explain_job(&request).await)
 }
 
-fn explain_job(request: &ApiRequest) -> Result<tide::Response, Failure> {
+async fn explain_job(request: &ApiRequest) -> Result<tide::Response, Failure> {
     let team = auth::reader(request).map_err(Failure::new)?;
-    let job = jobs::find(request, team.as_ref()).map_err(Failure::new)?;
+    let job = jobs::read(request, team).await?;
     let zone = request
         .state()
         .zone(&job.zone)
--- a/crates/primrosebay_entry/src/api/mod.rs
+++ b/crates/primrosebay_entry/src/api/mod.rs
@@ -14,7 +14,6 @@
 
 use primrosebay_protocol::api::Failure;
 use primrosebay_protocol::code::Code;
-use primrosebay_state::job::Problem;
 use serde::Serialize;
 use tide::{Body, Request, Response, StatusCode};
 
@@ -105,8 +104,3 @@
 pub(crate) fn fail(code: Code) -> tide::Result {
     json(code.status(), &Failure::new(code))
 }
-
-/// Answers with the fields that are wrong.
-pub(crate) fn fail_with(code: Code, problems: Vec<Problem>) -> tide::Result {
-    json(code.status(), &Failure::with_problems(code, problems))
-}
--- /dev/null
+++ b/crates/primrosebay_entry/src/jobs/answer.rs
@@ -0,0 +1,79 @@
+//! Answers to calls that peers forward.
+
+use primrosebay_protocol::api::{Failure, JobView};
+use primrosebay_protocol::code::Code;
+use primrosebay_protocol::peer::{Caller, Document, Response};
+use primrosebay_state::Name;
+use primrosebay_state::id::JobId;
+use primrosebay_state::job::JobSpec;
+
+use super::PAGE;
+use crate::shared::Shared;
+
+impl Shared {
+    /// Accepts a job for a zone that this instance coordinates.
+    pub(crate) async fn answer_submit(
+        &self,
+        id: JobId,
+        zone: Name,
+        caller: &Caller,
+        spec: JobSpec,
+    ) -> Response {
+        if spec.team != caller.team {
+            return Response::Refused(Code::OTHER_TEAM);
+        }
+        let coordinates = self.zone(&zone).is_some_and(|zone| zone.epoch().is_some());
+        if !coordinates {
+            return Response::Refused(Code::NO_COORDINATOR);
+        }
+        match self.accept(id, zone, spec).await {
+            Ok(submitted) => Document::new(&submitted)
+                .map_or_else(|_| Response::Refused(Code::INTERNAL), Response::Submitted),
+            Err(failure) => failed(&failure),
+        }
+    }
+
+    /// Reads a job.
+    pub(crate) fn answer_read(&self, id: JobId, caller: &Caller) -> Response {
+        self.find(id, caller)
+            .map_or_else(Response::Refused, |job| document(&job))
+    }
+
+    /// Cancels a job.
+    pub(crate) async fn answer_cancel(&self, id: JobId, caller: &Caller) -> Response {
+        match self.cancel_job(id, caller).await {
+            Ok(job) => document(&job),
+            Err(failure) => failed(&failure),
+        }
+    }
+
+    /// Lists jobs of one zone, or of all zones that this instance coordinates.
+    pub(crate) fn answer_list(
+        &self,
+        caller: &Caller,
+        zone: &str,
+        after: Option<JobId>,
+        limit: u32,
+    ) -> Response {
+        let mut jobs = self.jobs_here(caller, zone);
+        jobs.retain(|job| after.is_none_or(|after| job.id > after));
+        jobs.sort_by_key(|job| job.id);
+        jobs.truncate(limit.min(PAGE) as usize);
+        // A page that exceeds a frame is cut, and the caller asks for the rest.
+        loop {
+            match Document::new(&jobs) {
+                Ok(document) => return Response::Jobs(document),
+                Err(_) if jobs.len() > 1 => jobs.truncate(jobs.len() / 2),
+                Err(_) => return Response::Refused(Code::BODY_TOO_LARGE),
+            }
+        }
+    }
+}
+
+fn failed(failure: &Failure) -> Response {
+    Document::new(failure).map_or(Response::Refused(failure.code), Response::Failed)
+}
+
+fn document(job: &JobView) -> Response {
+    Document::new(job).map_or(Response::Refused(Code::BODY_TOO_LARGE), Response::Job)
+}
--- a/crates/primrosebay_entry/src/log_reader.rs
+++ b/crates/primrosebay_entry/src/log_reader.rs
@@ -1,68 +1,93 @@
 //! Follows streams of the log.
 
-use std::sync::Weak;
 use std::time::Duration;
 
-use async_std::task;
-
 use primrosebay_coordination::publisher::Seen;
-use primrosebay_protocol::log::Page;
+use primrosebay_protocol::log::{Page, Placed};
 use primrosebay_transport::log::Log;
 
 use crate::shared::Shared;
 
-/// How long a read waits for new records.
-const WAIT: Duration = Duration::from_secs(1);
-/// Pause after a failed read.
-const RETRY: Duration = Duration::from_millis(200);
-
-/// Reads `stream` from its start and hands every page to `apply`, or nothing after a failed read.
+/// Reads one stream from its start.
+///
 /// A record that the log has twice is handed over once. Records that the log no longer keeps are
-/// passed over; snapshots that follow stand for them. Ends with the instance, or when `apply`
-/// returns that it does not want to go on.
-pub async fn follow(
-    shared: Weak<Shared>,
-    stream: &str,
-    mut apply: impl FnMut(Option<Page>) -> bool,
-) {
-    let mut from = 0;
-    let mut seen = Seen::new();
-    while let Some(shared) = shared.upgrade() {
-        let page = read(&shared, stream, &mut from).await;
-        let failed = page.is_none();
-        let page = page.map(|mut page| {
-            page.records
-                .retain(|placed| seen.insert(placed.offset, placed.record.id));
-            seen.expire(page.oldest);
-            page
-        });
-        if !apply(page) {
-            return;
+/// passed over; snapshots that follow stand for them.
+#[derive(Debug)]
+pub struct Follower {
+    stream: String,
+    next: u64,
+    seen: Seen,
+    unread: Vec<Placed>,
+}
+
+impl Follower {
+    /// Creates a reader that stands at the start of `stream`.
+    #[must_use]
+    pub fn new(stream: &str) -> Self {
+        Self {
+            stream: stream.to_owned(),
+            next: 0,
+            seen: Seen::new(),
+            unread: Vec::new(),
         }
-        drop(shared);
-        if failed {
-            task::sleep(RETRY).await;
+    }
+
+    /// Returns the offset after the last record that was read.
+    #[must_use]
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Reads up to the end of the stream and returns whether it was reached. Waits up to `wait` for
+    /// the first new record. What was read before a failure is kept for [`Follower::take`].
+    pub async fn read_to_end(&mut self, shared: &Shared, mut wait: Duration) -> bool {
+        loop {
+            let Some(page) = self.read(shared, wait).await else {
+                return false;
+            };
+            if self.next >= page.end {
+                return true;
+            }
+            wait = Duration::ZERO;
         }
     }
-}
 
-async fn read(shared: &Shared, stream: &str, from: &mut u64) -> Option<Page> {
-    match shared.log.read(stream, *from, WAIT).await {
-        Ok(page) => {
-            if page.oldest > *from {
-                log::warn!("log: Stream {stream} is kept from {} on only.", page.oldest);
+    /// Returns the records that were read since the last call, in their order.
+    pub fn take(&mut self) -> Vec<Placed> {
+        std::mem::take(&mut self.unread)
+    }
+
+    /// Reads one page and returns it without its records.
+    async fn read(&mut self, shared: &Shared, wait: Duration) -> Option<Page> {
+        match shared.log.read(&self.stream, self.next, wait).await {
+            Ok(mut page) => {
+                self.add(shared, &mut page);
+                Some(page)
             }
-            for placed in &page.records {
-                let id = placed.record.id;
-                shared.publisher.observed(stream, placed.offset, id);
+            Err(error) => {
+                log::warn!("log: Stream {} cannot be read: {error}.", self.stream);
+                None
             }
-            let next = page.records.last().map(|last| last.offset + 1);
-            *from = next.unwrap_or_else(|| (*from).max(page.oldest));
-            Some(page)
         }
-        Err(error) => {
-            log::warn!("log: Stream {stream} cannot be read: {error}.");
-            None
+    }
+
+    fn add(&mut self, shared: &Shared, page: &mut Page) {
+        if page.oldest > self.next {
+            log::warn!(
+                "log: Stream {} is kept from {} on only.",
+                self.stream,
+                page.oldest
+            );
+        }
+        self.next = self.next.max(page.oldest);
+        for placed in std::mem::take(&mut page.records) {
+            let id = placed.record.id;
+            shared.publisher.observed(&self.stream, placed.offset, id);
+            self.next = placed.offset + 1;
+            if self.seen.insert(placed.offset, id) {
+                self.unread.push(placed);
+            }
         }
+        self.seen.expire(page.oldest);
     }
 }
--- a/crates/primrosebay_entry/src/snapshots.rs
+++ b/crates/primrosebay_entry/src/snapshots.rs
@@ -6,14 +6,14 @@
 use async_std::task;
 
 use primrosebay_coordination::publisher::{Plan, pieces};
-use primrosebay_protocol::log::CONFIG_STREAM;
+use primrosebay_protocol::log::{CONFIG_STREAM, JOBS_STREAM};
 use primrosebay_state::Name;
 use primrosebay_state::record::Body;
 use primrosebay_state::time::Time;
 use primrosebay_transport::log::Log;
 
 use crate::shared::Shared;
-use crate::zones::{Zone, stream_of};
+use crate::zones::Zone;
 
 /// How often a snapshot may become due.
 const PERIOD: Duration = Duration::from_secs(5);
@@ -22,7 +22,6 @@
 
 /// Publishes snapshots of one zone's jobs while this instance coordinates it.
 pub async fn publish_jobs(shared: Weak<Shared>, zone: Arc<Zone>) {
-    let stream = stream_of(&zone.name);
     let mut plan = Plan::new(Time(0));
     while let Some(shared) = shared.upgrade() {
         let make = |_| {
@@ -37,7 +36,7 @@
             let pieces = pieces(&zone.name, items.collect(), PIECE_BYTES);
             Some(pieces.into_iter().map(Body::Snapshot).collect())
         };
-        step(&shared, &stream, &mut plan, make).await;
+        step(&shared, JOBS_STREAM, &mut plan, make).await;
         drop(shared);
         task::sleep(PERIOD).await;
     }
--- a/crates/primrosebay_entry/src/zones.rs
+++ b/crates/primrosebay_entry/src/zones.rs
@@ -1,6 +1,6 @@
 //! Runs the coordinator of a zone: feeds it events and carries out its commands.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
@@ -8,28 +8,40 @@
 use primrosebay_coordination::freshness::Work;
 use primrosebay_coordination::zone::{Command, Coordinator, Event, Settings};
 use primrosebay_protocol::list::Role;
-use primrosebay_protocol::log::{JOBS_STREAM, Page};
+use primrosebay_protocol::log::JOBS_STREAM;
 use primrosebay_protocol::worker;
 use primrosebay_state::Name;
 use primrosebay_state::config::Resource;
+use primrosebay_state::id::JobId;
+use primrosebay_state::job::JobSpec;
 use primrosebay_state::record::Body;
 use primrosebay_transport::worker::WorkerLink;
 
-use crate::log_reader;
 use crate::shared::Shared;
 use crate::snapshots;
+use crate::zone_reader;
 
 /// How often a coordinator looks at its timers.
 const TICK: Duration = Duration::from_millis(20);
 /// Pause before a record that was not appended is sent again.
 const APPEND_RETRY: Duration = Duration::from_millis(200);
 
-/// Returns the log stream of the jobs whose home is `zone`.
+/// Returns the log stream of the tasks whose home is `zone`.
 ///
-/// Each zone has a stream of its own, so that an entry instance reads no other zones' records.
+/// Jobs share one stream, whose order decides who gets a name and where a job has its home. The far
+/// more numerous records of tasks have a stream for each zone, so that an entry instance reads only
+/// those of the zones that it may come to coordinate.
 #[must_use]
-pub fn stream_of(zone: &str) -> String {
-    format!("{JOBS_STREAM}-{zone}")
+pub fn tasks_stream(zone: &str) -> String {
+    format!("tasks-{zone}")
+}
+
+/// Returns the stream that a record of a coordinator belongs to.
+fn stream_for(zone: &str, body: &Body) -> String {
+    match body {
+        Body::Starting { .. } | Body::Finished { .. } => tasks_stream(zone),
+        _ => JOBS_STREAM.to_owned(),
+    }
 }
 
 /// A zone that this instance coordinates or may come to coordinate.
@@ -38,6 +50,8 @@
     /// The zone.
     pub name: Name,
     coordinator: Mutex<Coordinator>,
+    /// The offset after the last record of the jobs' stream that the coordinator was given.
+    jobs_read: AtomicU64,
     stopped: AtomicBool,
     shared: Weak<Shared>,
 }
@@ -51,12 +65,13 @@
         let zone = Arc::new(Self {
             name: name.clone(),
             coordinator: Mutex::new(coordinator),
+            jobs_read: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
             shared: Arc::downgrade(shared),
         });
         shared.add_zone(Arc::clone(&zone));
         task::spawn(tick(Arc::clone(&zone)));
-        task::spawn(follow_jobs(Arc::clone(&zone)));
+        task::spawn(zone_reader::follow(Arc::clone(&zone)));
         task::spawn(snapshots::publish_jobs(
             Arc::downgrade(shared),
             Arc::clone(&zone),
@@ -64,6 +79,48 @@
         zone
     }
 
+    /// Returns the state of the instance while it exists.
+    pub(crate) fn shared(&self) -> Option<Arc<Shared>> {
+        self.shared.upgrade()
+    }
+
+    /// Notes that the coordinator was given all records of jobs before the offset `next`.
+    pub(crate) fn note_jobs_read(&self, next: u64) {
+        self.jobs_read.store(next, Ordering::SeqCst);
+    }
+
+    /// Returns the offset before which the coordinator was given all records of jobs.
+    #[must_use]
+    pub fn jobs_read(&self) -> u64 {
+        self.jobs_read.load(Ordering::SeqCst)
+    }
+
+    /// Hands over a job that this instance has accepted under the term `epoch`. If the term has
+    /// changed since, another coordinator may have read the record and started the job.
+    pub(crate) fn accepted(
+        self: &Arc<Self>,
+        job: JobId,
+        spec: JobSpec,
+        durable: bool,
+        epoch: Option<u64>,
+    ) {
+        let own = epoch.is_some() && epoch == self.epoch();
+        self.handle(Event::Accepted {
+            job,
+            spec,
+            durable,
+            own,
+        });
+    }
+
+    /// Returns the epoch of the term in which this instance has authority over the zone.
+    #[must_use]
+    pub fn epoch(&self) -> Option<u64> {
+        let now = self.shared.upgrade()?.now();
+        let authority = self.read(|coordinator| coordinator.authority(now));
+        authority.held.then_some(authority.epoch)
+    }
+
     /// Reads from the coordinator.
     pub fn read<T>(&self, f: impl FnOnce(&Coordinator) -> T) -> T {
         f(&self.lock())
@@ -182,30 +239,6 @@
     }
 }
 
-async fn follow_jobs(zone: Arc<Zone>) {
-    let apply = |page: Option<Page>| {
-        zone.handle_all(page.map_or_else(|| vec![Event::LogDown], events_of));
-        zone.shared.strong_count() > 0
-    };
-    log_reader::follow(zone.shared.clone(), &stream_of(&zone.name), apply).await;
-}
-
-fn events_of(page: Page) -> Vec<Event> {
-    let next = page.records.last().map_or(page.end, |r| r.offset + 1);
-    let mut events: Vec<Event> = page
-        .records
-        .into_iter()
-        .map(|placed| Event::Record {
-            offset: placed.offset,
-            record: placed.record,
-        })
-        .collect();
-    if next >= page.end {
-        events.push(Event::LogEnd { offset: page.end });
-    }
-    events
-}
-
 async fn exchange(zone: Arc<Zone>, shared: Arc<Shared>, name: Name, request: worker::Request) {
     let sent = shared.now();
     let reply = match shared.address_of(&name) {
@@ -223,7 +256,7 @@
 }
 
 async fn append(zone: Arc<Zone>, shared: Arc<Shared>, token: u64, body: Body) {
-    let stream = stream_of(&zone.name);
+    let stream = stream_for(&zone.name, &body);
     while shared
         .publisher
         .record(&stream, body.clone())
--- a/crates/primrosebay_protocol/src/api.rs
+++ b/crates/primrosebay_protocol/src/api.rs
@@ -53,6 +53,9 @@
     pub id: JobId,
     /// The home zone.
     pub zone: Name,
+    /// The other parts of a service that runs in several zones.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<Self>,
 }
 
 /// The state of one task.
--- a/crates/primrosebay_protocol/src/code.rs
+++ b/crates/primrosebay_protocol/src/code.rs
@@ -137,6 +137,13 @@
             .map(|i| &TABLE[i])
     }
 
+    /// Returns whether the same call may succeed later or elsewhere.
+    #[must_use]
+    pub fn is_retried(self) -> bool {
+        self.entry()
+            .is_some_and(|entry| entry.retry != Retry::Never)
+    }
+
     /// Returns the HTTP status that carries the code.
     #[must_use]
     pub fn status(self) -> u16 {
