Choose the home zone by load, with the jobs on their way

Change: zones report what pending tasks ask for, and an instance adds what it has sent to a zone within the last 800 ms.

--- a/crates/primrosebay_entry/src/jobs.rs
+++ b/crates/primrosebay_entry/src/jobs.rs
@@ -2,7 +2,7 @@
 //! home zone wherever it is.
 
 mod answer;
-mod home;
+pub mod home;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,6 +61,7 @@
         caller: Caller,
         spec: JobSpec,
     ) -> Result<Submitted, Failure> {
+        self.recent.add(self.now(), zone, &spec);
         let Some(coordinator) = self.elsewhere(zone) else {
             return self.accept(id, zone.clone(), spec).await;
         };
--- a/crates/primrosebay_entry/src/jobs/home.rs
+++ b/crates/primrosebay_entry/src/jobs/home.rs
@@ -1,5 +1,7 @@
 //! The choice of a job's home zone.
 
+use std::sync::{Mutex, PoisonError};
+
 use primrosebay_protocol::api::Failure;
 use primrosebay_protocol::code::Code;
 use primrosebay_protocol::peer::ZoneFree;
@@ -7,8 +9,15 @@
 use primrosebay_state::config::{Resource, ZoneState};
 use primrosebay_state::job::{JobSpec, Policy, Problem, is_name};
 
+use primrosebay_state::resources::Resources;
+use primrosebay_state::time::Time;
+
 use crate::shared::Shared;
 
+/// How long a sent job counts on its own: two heartbeats, so that no burst sees the load that it
+/// makes as nothing.
+const RECENT_MS: u64 = 800;
+
 impl Shared {
     /// Returns the names of all zones, from the configuration and of this instance.
     pub(super) fn zone_names(&self) -> Vec<Name> {
@@ -55,9 +64,9 @@
         split(&spec, &zones)
     }
 
-    /// Returns the zones that may run the job, the one with the most free resources first.
+    /// Returns the zones that may run the job, the one with the least load first.
     fn candidates(&self, spec: &JobSpec) -> Vec<Name> {
-        let config = self.config();
+        let (config, now) = (self.config(), self.now());
         let free = self.free_by_zone();
         let mut zones = self.zone_names();
         zones.retain(|zone| spec.zones.is_empty() || spec.zones.contains(zone));
@@ -67,40 +76,54 @@
         {
             zones.retain(|zone| config.zone_state(zone) == ZoneState::In);
         }
-        let room = |zone: &Name| {
+        let load = |zone: &Name| {
             let found = free.iter().find(|free| free.zone == *zone);
-            found.map_or(0, |found| found.free.cores_milli)
+            found.map_or(f64::MAX, |found| self.recent.load(found, now))
         };
-        zones.sort_by_key(|zone| std::cmp::Reverse((room(zone), *zone == self.setup.zone)));
+        let own = |zone: &Name| *zone != self.setup.zone;
+        zones.sort_by(|a, b| load(a).total_cmp(&load(b)).then(own(a).cmp(&own(b))));
         zones
     }
 
-    /// Returns what is free in each zone, as heard from its coordinator or known here, less what
-    /// this instance has sent there since.
+    /// Returns the load of each zone, as heard from its coordinator or known here.
     fn free_by_zone(&self) -> Vec<ZoneFree> {
         let mut free = self.peers().map_or_else(Vec::new, |peers| peers.free());
         for zone in self.zones() {
-            if zone.epoch().is_none() {
-                continue;
+            if zone.epoch().is_some() {
+                free.retain(|known| known.zone != zone.name);
+                free.push(zone.load());
             }
-            free.retain(|known| known.zone != zone.name);
-            free.push(zone.read(|coordinator| {
-                let scheduler = coordinator.scheduler();
-                let waiting = scheduler.usage().iter().fold(
-                    primrosebay_state::resources::Resources::ZERO,
-                    |sum, team| sum.plus(&team.wanted),
-                );
-                ZoneFree {
-                    zone: zone.name.clone(),
-                    free: scheduler.free().minus(&waiting),
-                    total: scheduler.total(),
-                }
-            }));
         }
         free
     }
 }
 
+/// What this instance has sent to zones so recently that heartbeats may not show it yet.
+#[derive(Debug, Default)]
+pub struct Recent {
+    sent: Mutex<Vec<(Time, Name, Resources)>>,
+}
+
+impl Recent {
+    /// Notes that a job was sent to `zone`.
+    pub fn add(&self, now: Time, zone: &Name, spec: &JobSpec) {
+        let amount = spec.resources.times(u64::from(spec.tasks));
+        let mut sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        sent.retain(|(at, ..)| now.since(*at) < RECENT_MS);
+        sent.push((now, zone.clone(), amount));
+    }
+
+    /// Returns what a zone has to do, as a multiple of what it can run at a time.
+    fn load(&self, free: &ZoneFree, now: Time) -> f64 {
+        let sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        let used = free.total.minus(&free.free).plus(&free.wanted);
+        sent.iter()
+            .filter(|(at, zone, _)| *zone == free.zone && now.since(*at) < RECENT_MS)
+            .fold(used, |sum, (_, _, amount)| sum.plus(amount))
+            .dominant(&free.total)
+    }
+}
+
 /// Splits a service evenly over `zones`, as one job for each, so that each zone goes on alone.
 fn split(spec: &JobSpec, zones: &[Name]) -> Result<Vec<(Name, JobSpec)>, Failure> {
     let count = u32::try_from(zones.len()).unwrap_or(u32::MAX);
--- a/crates/primrosebay_entry/src/peers/local.rs
+++ b/crates/primrosebay_entry/src/peers/local.rs
@@ -12,7 +12,7 @@
 use primrosebay_protocol::code::Code;
 use primrosebay_protocol::list::{Instance, Liveness, Role};
 use primrosebay_protocol::log::{Page, Placed};
-use primrosebay_protocol::peer::{Request, Response, Summary, ZoneFree, ZoneTerm};
+use primrosebay_protocol::peer::{Request, Response, Summary, ZoneTerm};
 use primrosebay_state::Name;
 use primrosebay_state::time::Time;
 
@@ -175,19 +175,11 @@
             if !authority.held {
                 continue;
             }
-            let (free, total) = zone.read(|coordinator| {
-                let scheduler = coordinator.scheduler();
-                (scheduler.free(), scheduler.total())
-            });
             summary.zones.push(ZoneTerm {
                 zone: zone.name.clone(),
                 epoch: authority.epoch,
             });
-            summary.free.push(ZoneFree {
-                zone: zone.name.clone(),
-                free,
-                total,
-            });
+            summary.free.push(zone.load());
         }
         summary
     }
--- a/crates/primrosebay_entry/src/shared.rs
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::api::watch::Watchers;
 use crate::clock::Clock;
 use crate::configuration::Configuration;
+use crate::jobs::home::Recent;
 use crate::peers::Peers;
 use crate::publisher::Publisher;
 use crate::requests::{RequestSettings, Requests};
@@ -87,6 +88,8 @@
     pub workers: HttpWorkers,
     /// The configuration and its freshness.
     pub configuration: Configuration,
+    /// Jobs on their way to other zones.
+    pub recent: Recent,
     /// Open watches of the configuration.
     pub watchers: Watchers,
     /// Figures about the API.
@@ -127,6 +130,7 @@
             incarnation,
             log,
             setup,
+            recent: Recent::default(),
             watchers: Watchers::default(),
             metrics,
             peers: OnceLock::new(),
--- a/crates/primrosebay_entry/src/zones.rs
+++ b/crates/primrosebay_entry/src/zones.rs
@@ -9,12 +9,14 @@
 use primrosebay_coordination::zone::{Command, Coordinator, Event, Settings};
 use primrosebay_protocol::list::Role;
 use primrosebay_protocol::log::JOBS_STREAM;
+use primrosebay_protocol::peer::ZoneFree;
 use primrosebay_protocol::worker;
 use primrosebay_state::Name;
 use primrosebay_state::config::Resource;
 use primrosebay_state::id::JobId;
 use primrosebay_state::job::JobSpec;
 use primrosebay_state::record::Body;
+use primrosebay_state::resources::Resources;
 use primrosebay_transport::worker::WorkerLink;
 
 use crate::shared::Shared;
@@ -121,6 +123,22 @@
         authority.held.then_some(authority.epoch)
     }
 
+    /// Returns what the workers of the zone have free and what waits for them.
+    #[must_use]
+    pub fn load(&self) -> ZoneFree {
+        self.read(|coordinator| {
+            let scheduler = coordinator.scheduler();
+            let usage = scheduler.usage();
+            let wanted = usage.iter().map(|team| team.wanted);
+            ZoneFree {
+                zone: self.name.clone(),
+                free: scheduler.free(),
+                total: scheduler.total(),
+                wanted: wanted.fold(Resources::ZERO, |sum, wanted| sum.plus(&wanted)),
+            }
+        })
+    }
+
     /// Reads from the coordinator.
     pub fn read<T>(&self, f: impl FnOnce(&Coordinator) -> T) -> T {
         f(&self.lock())
--- a/crates/primrosebay_protocol/src/peer.rs
+++ b/crates/primrosebay_protocol/src/peer.rs
@@ -98,6 +98,8 @@
     pub free: Resources,
     /// What the workers have in total.
     pub total: Resources,
+    /// What pending tasks ask for.
+    pub wanted: Resources,
 }
 
 /// Allowance that a zone asks for.
