Transfer unused allowance between zones and stand by for zones with one instance

Cause: a zone could use only the even part of a team's limit, and a zone whose only entry instance died had no coordinator. Change: zones state their demand in heartbeats; a zone lowers its own allowance under the coordinator's lock, records the transfer, and counts it as given until it is in the configuration. The two best ranked instances are candidates for each zone.

--- a/crates/primrosebay_entry/src/instance.rs
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use async_std::task;
+use primrosebay_protocol::list::Role;
+use primrosebay_state::Name;
 use primrosebay_state::id::Incarnation;
 use primrosebay_transport::http_server::{Limits, Server};
 use primrosebay_transport::list::{HttpList, LiveList};
@@ -20,6 +22,9 @@
 
 /// How often the platform's list is fetched.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// Candidates for coordinating a zone that follow its streams. Further ones take over only after the
+/// list has dropped the first ones.
+const CANDIDATES: usize = 2;
 /// How often waiting requests are looked at. Ejections and slow starts end within this time.
 const REQUEST_PERIOD: Duration = Duration::from_millis(20);
 /// Longest wait for workers to take their leases back at a planned stop.
@@ -54,11 +59,11 @@
         }
         let app = api::app(Arc::clone(&shared));
         let server = Server::start(shared.setup.address, app, Limits::default()).await?;
-        let zone = Zone::start(&shared, &shared.setup.zone);
+        Zone::start(&shared, &shared.setup.zone);
         task::spawn(configuration::follow(Arc::downgrade(&shared)));
         task::spawn(configuration::watch_status(Arc::downgrade(&shared)));
         task::spawn(snapshots::publish_config(Arc::downgrade(&shared)));
-        task::spawn(follow_list(Arc::clone(&shared), zone));
+        task::spawn(follow_list(Arc::clone(&shared)));
         task::spawn(tick_requests(Arc::clone(&shared)));
         log::info!("entry: serving on {}", server.address());
         Ok(Self { shared, server })
@@ -99,7 +104,7 @@
     }
 }
 
-async fn follow_list(shared: Arc<Shared>, zone: Arc<Zone>) {
+async fn follow_list(shared: Arc<Shared>) {
     let list = HttpList::new(shared.setup.list, shared.setup.call_timeout);
     loop {
         match list.fetch().await {
@@ -107,7 +112,10 @@
                 shared.update_peers(&fetched.instances);
                 shared.requests.update(&fetched.instances);
                 shared.set_directory(fetched.instances);
-                zone.update_directory(&shared);
+                stand_by(&shared);
+                for zone in shared.zones() {
+                    zone.update_directory(&shared);
+                }
             }
             Err(e) => log::warn!("list: cannot fetch the instances: {e}"),
         }
@@ -115,6 +123,24 @@
     }
 }
 
+/// Becomes a candidate for the zones that have few entry instances of their own.
+fn stand_by(shared: &Arc<Shared>) {
+    let Some(peers) = shared.peers() else {
+        return;
+    };
+    let directory = shared.directory();
+    let workers = directory.iter().filter(|i| i.role == Role::Worker);
+    let mut zones: Vec<Name> = workers.map(|i| i.zone.clone()).collect();
+    zones.sort();
+    zones.dedup();
+    for name in zones {
+        if shared.zone(&name).is_none() && peers.rank(&name) < CANDIDATES {
+            let zone = Zone::start(shared, &name);
+            zone.update_config(shared);
+        }
+    }
+}
+
 async fn tick_requests(shared: Arc<Shared>) {
     loop {
         shared.requests.tick();
--- a/crates/primrosebay_entry/src/lib.rs
+++ b/crates/primrosebay_entry/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod requests;
 pub mod shared;
 pub mod snapshots;
+mod transfers;
 mod zone_reader;
 pub mod zones;
--- a/crates/primrosebay_entry/src/peers/local.rs
+++ b/crates/primrosebay_entry/src/peers/local.rs
@@ -21,6 +21,7 @@
 use super::{Heard, Local, PeerSetup, Peers, Report};
 use crate::clock::Clock;
 use crate::shared::Shared;
+use crate::transfers;
 
 /// How often the certificate files are looked at.
 const RELOAD_PERIOD: Duration = Duration::from_secs(10);
@@ -180,6 +181,7 @@
                 epoch: authority.epoch,
             });
             summary.free.push(zone.load());
+            summary.demand.extend(transfers::asked(&zone));
         }
         summary
     }
--- /dev/null
+++ b/crates/primrosebay_entry/src/transfers.rs
@@ -0,0 +1,136 @@
+//! Moves unused allowance to the zones that ask for it.
+
+use std::sync::{Arc, Mutex, PoisonError, Weak};
+use std::time::Duration;
+
+use async_std::task;
+use primrosebay_coordination::escrow::{Demand, Gift, demands, gifts};
+use primrosebay_coordination::freshness::Status;
+use primrosebay_protocol::log::CONFIG_STREAM;
+use primrosebay_protocol::peer;
+use primrosebay_state::Name;
+use primrosebay_state::record::Body;
+use primrosebay_state::resources::Resources;
+
+use crate::shared::Shared;
+use crate::zones::Zone;
+
+/// How often a zone looks whether it can give.
+const PERIOD: Duration = Duration::from_millis(500);
+/// How often a recorded transfer is looked for in the configuration.
+const READ_POLL: Duration = Duration::from_millis(10);
+
+/// Transfers that a zone has made and that are not yet in its configuration.
+#[derive(Debug, Default)]
+pub struct Pending {
+    amounts: Mutex<Vec<(Name, Resources)>>,
+}
+
+impl Pending {
+    /// Returns what of the allowance of `team` has been given away already.
+    pub fn of(&self, team: &str) -> Resources {
+        let amounts = self.amounts.lock().unwrap_or_else(PoisonError::into_inner);
+        amounts
+            .iter()
+            .filter(|(name, _)| **name == *team)
+            .fold(Resources::ZERO, |sum, (_, amount)| sum.plus(amount))
+    }
+
+    pub(crate) fn add(&self, team: &Name, amount: Resources) {
+        let mut amounts = self.amounts.lock().unwrap_or_else(PoisonError::into_inner);
+        amounts.push((team.clone(), amount));
+    }
+
+    fn remove(&self, team: &Name, amount: &Resources) {
+        let mut amounts = self.amounts.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = amounts
+            .iter()
+            .position(|(name, known)| name == team && known == amount);
+        if let Some(at) = found {
+            amounts.swap_remove(at);
+        }
+    }
+}
+
+/// Returns what the zone asks its peers for.
+pub(crate) fn asked(zone: &Zone) -> Vec<peer::Demand> {
+    let found = zone.read(|coordinator| {
+        let scheduler = coordinator.scheduler();
+        demands(&zone.name, &scheduler.usage(), &scheduler.free())
+    });
+    found
+        .into_iter()
+        .map(|demand| peer::Demand {
+            team: demand.team,
+            zone: demand.zone,
+            amount: demand.amount,
+        })
+        .collect()
+}
+
+/// Gives what is spare to other zones for as long as the instance exists.
+pub(crate) async fn give(shared: Weak<Shared>, zone: Arc<Zone>) {
+    while let Some(shared) = shared.upgrade() {
+        // Without the log no transfer can be recorded, so none is begun.
+        if let Some(epoch) = zone.epoch()
+            && shared.status() == Status::Fresh
+        {
+            for gift in choose(&shared, &zone) {
+                task::spawn(record(Arc::clone(&shared), Arc::clone(&zone), gift, epoch));
+            }
+        }
+        drop(shared);
+        task::sleep(PERIOD).await;
+    }
+}
+
+/// Takes the allowances that can be given from the coordinator.
+fn choose(shared: &Shared, zone: &Arc<Zone>) -> Vec<Gift> {
+    let asked = asked_by_peers(shared, &zone.name);
+    if asked.is_empty() {
+        return Vec::new();
+    }
+    let config = shared.config();
+    let allowances = config.allowances();
+    zone.take_gifts(shared, |usage| {
+        gifts(usage, |team| allowances.floor(team, &zone.name), &asked)
+    })
+}
+
+fn asked_by_peers(shared: &Shared, own: &str) -> Vec<Demand> {
+    let view = shared.peers().map_or_else(Vec::new, |peers| peers.view());
+    let demands = view
+        .into_iter()
+        .flat_map(|peer| peer.heartbeat.summary.demand);
+    demands
+        .filter(|demand| *demand.zone != *own)
+        .map(|demand| Demand {
+            team: demand.team,
+            zone: demand.zone,
+            amount: demand.amount,
+        })
+        .collect()
+}
+
+/// Records a transfer, with as many tries as it takes, because it counts as made from the moment
+/// when the coordinator gave the allowance up.
+async fn record(shared: Arc<Shared>, zone: Arc<Zone>, gift: Gift, epoch: u64) {
+    let body = Body::Allowance {
+        team: gift.team.clone(),
+        from: zone.name.clone(),
+        to: gift.to,
+        amount: gift.amount,
+        epoch,
+    };
+    let offset = loop {
+        match shared.publisher.record(CONFIG_STREAM, body.clone()).await {
+            Ok(offset) => break offset,
+            Err(_) => task::sleep(PERIOD).await,
+        }
+    };
+    while shared.config().next <= offset {
+        task::sleep(READ_POLL).await;
+    }
+    zone.pending.remove(&gift.team, &gift.amount);
+    zone.update_config(&shared);
+}
--- a/crates/primrosebay_entry/src/zones.rs
+++ b/crates/primrosebay_entry/src/zones.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 
 use async_std::task;
+use primrosebay_coordination::escrow::Gift;
 use primrosebay_coordination::freshness::Work;
+use primrosebay_coordination::schedule::TeamUsage;
 use primrosebay_coordination::zone::{Command, Coordinator, Event, Settings};
 use primrosebay_protocol::list::Role;
 use primrosebay_protocol::log::JOBS_STREAM;
 use primrosebay_protocol::peer::ZoneFree;
 use primrosebay_protocol::worker;
 use primrosebay_state::Name;
-use primrosebay_state::config::Resource;
+use primrosebay_state::config::{Config, Resource};
 use primrosebay_state::id::JobId;
 use primrosebay_state::job::JobSpec;
 use primrosebay_state::record::Body;
@@ -21,6 +23,7 @@
 
 use crate::shared::Shared;
 use crate::snapshots;
+use crate::transfers::{self, Pending};
 use crate::zone_reader;
 
 /// How often a coordinator looks at its timers.
@@ -55,6 +58,8 @@
     /// The offset after the last record of the jobs' stream that the coordinator was given.
     jobs_read: AtomicU64,
     stopped: AtomicBool,
+    /// Allowance that was given away and is not yet in the configuration.
+    pub(crate) pending: Pending,
     shared: Weak<Shared>,
 }
 
@@ -69,11 +74,13 @@
             coordinator: Mutex::new(coordinator),
             jobs_read: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
+            pending: Pending::default(),
             shared: Arc::downgrade(shared),
         });
         shared.add_zone(Arc::clone(&zone));
         task::spawn(tick(Arc::clone(&zone)));
         task::spawn(zone_reader::follow(Arc::clone(&zone)));
+        task::spawn(transfers::give(Arc::downgrade(shared), Arc::clone(&zone)));
         task::spawn(snapshots::publish_jobs(
             Arc::downgrade(shared),
             Arc::clone(&zone),
@@ -161,6 +168,13 @@
                 commands.extend(coordinator.handle(shared.now(), event));
             }
         }
+        self.run(commands);
+    }
+
+    fn run(self: &Arc<Self>, commands: Vec<Command>) {
+        let Some(shared) = self.shared.upgrade() else {
+            return;
+        };
         for command in commands {
             match command {
                 Command::Send { worker, request } => {
@@ -194,19 +208,67 @@
     }
 
     /// Tells the coordinator about the teams and the state of its zone.
+    ///
+    /// The configuration and the pending transfers are read under the coordinator's lock, so that an
+    /// allowance that [`Zone::take_gifts`] has lowered is not raised again by an older reading.
     pub fn update_config(self: &Arc<Self>, shared: &Shared) {
-        let config = shared.config();
-        let teams = config.list("team").filter_map(|item| match &item.spec {
+        let may = shared.may(Work::Start);
+        let commands: Vec<Command> = {
+            let mut coordinator = self.lock();
+            let config = shared.config();
+            let teams = config
+                .list("team")
+                .filter_map(|item| self.team_event(&config, &item.name));
+            let state = Event::ZoneState(config.zone_state(&self.name));
+            teams
+                .chain([state, Event::MayStart(may)])
+                .flat_map(|event| coordinator.handle(shared.now(), event))
+                .collect()
+        };
+        self.run(commands);
+    }
+
+    /// Returns what `team` may use here, less what was given away.
+    fn allowance(&self, config: &Config, team: &str) -> Resources {
+        let allowance = config.allowances().get(team, &self.name);
+        allowance.minus(&self.pending.of(team))
+    }
+
+    /// Lets `choose` pick transfers from what the teams use, and lowers their allowances before any
+    /// further task can start.
+    pub(crate) fn take_gifts(
+        self: &Arc<Self>,
+        shared: &Shared,
+        choose: impl FnOnce(&[TeamUsage]) -> Vec<Gift>,
+    ) -> Vec<Gift> {
+        let (gifts, commands) = {
+            let mut coordinator = self.lock();
+            let gifts = choose(&coordinator.scheduler().usage());
+            for gift in &gifts {
+                self.pending.add(&gift.team, gift.amount);
+            }
+            let config = shared.config();
+            let events = gifts
+                .iter()
+                .filter_map(|gift| self.team_event(&config, &gift.team));
+            let commands: Vec<_> = events
+                .flat_map(|event| coordinator.handle(shared.now(), event))
+                .collect();
+            (gifts, commands)
+        };
+        self.run(commands);
+        gifts
+    }
+
+    fn team_event(&self, config: &Config, team: &Name) -> Option<Event> {
+        match &config.get("team", team)?.spec {
             Resource::Team { share, .. } => Some(Event::Team {
-                team: item.name.clone(),
+                team: team.clone(),
                 share: *share,
-                allowance: config.allowances().get(&item.name, &self.name),
+                allowance: self.allowance(config, team),
             }),
             _ => None,
-        });
-        let state = Event::ZoneState(config.zone_state(&self.name));
-        let may = Event::MayStart(shared.may(Work::Start));
-        self.handle_all(teams.chain([state, may]));
+        }
     }
 
     /// Gives the leases of the zone back and waits until that is done or `grace` has passed.
