--- a/crates/primrosebay_coordination/tests/zone/random.rs
+++ b/crates/primrosebay_coordination/tests/zone/random.rs
@@ -40,6 +40,7 @@
     StartWorker(usize),
     Cut(usize, usize),
     Stall(usize, usize),
+    CutLog(usize),
     Join,
     Failing(usize, bool),
     Network {
@@ -74,6 +75,7 @@
         1 => worker.clone().prop_map(Step::KillWorker),
         1 => worker.clone().prop_map(Step::StartWorker),
         2 => (node.clone(), worker.clone()).prop_map(|(node, worker)| Step::Stall(node, worker)),
+        1 => node.clone().prop_map(Step::CutLog),
         3 => (node, worker.clone()).prop_map(|(node, worker)| Step::Cut(node, worker)),
         1 => Just(Step::Join),
         1 => (worker, any::<bool>()).prop_map(|(worker, on)| Step::Failing(worker, on)),
@@ -153,6 +155,10 @@
         Step::Join => {
             world.cut.clear();
             world.release();
+            world.faults.log_cut.clear();
+        }
+        Step::CutLog(node) => {
+            world.faults.log_cut.insert(*node);
         }
         Step::Failing(worker, on) => world.workers[*worker].failing = *on,
         Step::Network {
--- a/crates/primrosebay_coordination/tests/zone/script.rs
+++ b/crates/primrosebay_coordination/tests/zone/script.rs
@@ -100,15 +100,25 @@
             let pair = (node(name), worker(world, task));
             world.cut.insert(pair);
         }
+        ["cut", name, "off", "from", other] => {
+            let pair = (node(name), worker(world, other));
+            world.cut.insert(pair);
+        }
         ["stall", name, "towards", other] => world.stall(node(name), worker(world, other)),
         ["release", "everything"] => world.release(),
         ["kill", name] => world.kill_worker(worker(world, name)),
         ["start", name] => world.start_worker(worker(world, name)),
-        ["join", "everything"] => world.cut.clear(),
+        ["join", "everything"] => {
+            world.cut.clear();
+            world.faults.log_cut.clear();
+        }
         ["make", name, "fail", "everything"] => {
             let worker = worker(world, name);
             world.workers[worker].failing = true;
         }
+        ["cut", name, "off", "from", "the", "log"] => {
+            world.faults.log_cut.insert(node(name));
+        }
         ["the", "log", "goes", "down"] => world.faults.log_down = true,
         ["the", "log", "comes", "back"] => world.faults.log_down = false,
         ["the", "network", "delays", "by", time, "ms"] => world.faults.delay = number(time) as u64,
--- a/crates/primrosebay_coordination/tests/zone/world.rs
+++ b/crates/primrosebay_coordination/tests/zone/world.rs
@@ -117,6 +117,8 @@
     pub duplicates: u32,
     pub lost_acks: u32,
     pub log_down: bool,
+    /// Candidates that cannot reach the log.
+    pub log_cut: BTreeSet<usize>,
 }
 
 #[derive(Debug)]
@@ -288,7 +290,7 @@
                 self.at_worker(node, run, worker, sent, &request);
             }
             Message::Append(node, run, batch, records) => {
-                if self.faults.log_down {
+                if self.log_is_down(node) {
                     return;
                 }
                 let count = records.len();
@@ -298,7 +300,7 @@
                 }
             }
             Message::Read(node, run, cursor) => {
-                let page = (!self.faults.log_down)
+                let page = (!self.log_is_down(node))
                     .then(|| (cursor, self.log[cursor.min(self.log.len())..].to_vec()));
                 let delay = self.rng.random_range(1..=self.faults.delay);
                 self.post(delay, Message::Page(node, run, page));
@@ -627,6 +629,10 @@
         self.handle(node, Event::Rank(rank));
     }
 
+    fn log_is_down(&self, node: usize) -> bool {
+        self.faults.log_down || self.faults.log_cut.contains(&node)
+    }
+
     fn zone_state(&self, node: usize) -> ZoneState {
         if self.out.contains_key(&self.nodes[node].zone) {
             ZoneState::Out
