Throttle and then stop tasks that use more than they were given

Change: a worker reports usage above what was given; the coordinator throttles the task and stops it after 5 s if that does not help, with a checkpoint if the job has one. The stop counts as a failure. Tasks that may run once are only throttled.

--- a/crates/primrosebay_coordination/src/worker.rs
+++ b/crates/primrosebay_coordination/src/worker.rs
@@ -67,6 +67,22 @@
         }
     }
 
+    /// Notes what a running attempt uses. It is reported again when it uses more than it was given
+    /// or no longer does.
+    pub fn note_usage(&mut self, attempt: AttemptId, usage: Resources) {
+        let Ok(at) = self.position(attempt) else {
+            return;
+        };
+        let report = &mut self.attempts[at];
+        let exceeds = |usage: &Resources| !usage.fits(&report.resources);
+        let changed = exceeds(&usage) || exceeds(&report.usage);
+        report.usage = usage;
+        if changed && report.state == AttemptState::Running {
+            self.last_report += 1;
+            report.sequence = self.last_report;
+        }
+    }
+
     /// Returns the running attempts.
     pub fn running(&self) -> impl Iterator<Item = &Report> {
         self.attempts
--- a/crates/primrosebay_coordination/src/zone/advance.rs
+++ b/crates/primrosebay_coordination/src/zone/advance.rs
@@ -24,6 +24,7 @@
             }
             self.limit_teams(now);
             self.end_backoff(now);
+            self.evict(now);
             self.advance_moves(now);
             self.schedule(now);
         }
--- a/crates/primrosebay_coordination/src/zone/jobs.rs
+++ b/crates/primrosebay_coordination/src/zone/jobs.rs
@@ -4,6 +4,7 @@
 use primrosebay_state::id::{AttemptId, JobId, TaskId};
 use primrosebay_state::job::{JobSpec, Policy, Repeat};
 use primrosebay_state::record::Outcome;
+use primrosebay_state::time::Time;
 
 use crate::table::Table;
 
@@ -42,6 +43,19 @@
     pub running: bool,
     /// Whether the attempt is to be stopped, and with a checkpoint.
     pub stop: Option<bool>,
+    pub excess: Excess,
+}
+
+/// Whether an attempt uses more than it was given.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(super) enum Excess {
+    /// It does not.
+    #[default]
+    None,
+    /// It does and is throttled; it is stopped at the time if that does not help.
+    Throttled(Time),
+    /// It is stopped for that reason.
+    Evicted,
 }
 
 /// One task.
--- a/crates/primrosebay_coordination/src/zone/mod.rs
+++ b/crates/primrosebay_coordination/src/zone/mod.rs
@@ -13,6 +13,7 @@
 mod settings;
 mod tasks;
 mod term;
+mod usage;
 mod view;
 
 use rand::SeedableRng;
@@ -178,6 +179,8 @@
     token: u64,
     appends: Table<u64, Pending>,
     backoff: Vec<(Time, TaskId)>,
+    /// Tasks that use more than they were given, with the time until which they are throttled.
+    throttled: Vec<(Time, TaskId)>,
     /// Jobs that wait for another job to end.
     dependents: Vec<JobId>,
     /// Jobs that are being given to another zone.
@@ -215,6 +218,7 @@
             token: 0,
             appends: Table::default(),
             backoff: Vec::new(),
+            throttled: Vec::new(),
             dependents: Vec::new(),
             moves: Vec::new(),
             opened: Table::default(),
--- a/crates/primrosebay_coordination/src/zone/recovery.rs
+++ b/crates/primrosebay_coordination/src/zone/recovery.rs
@@ -184,6 +184,7 @@
     pub(super) fn forget_term(&mut self, _now: Time) {
         self.scheduler = Scheduler::new(crate::schedule::Settings::default(), self.seed);
         self.backoff.clear();
+        self.throttled.clear();
         self.dependents.clear();
         self.recovery = Recovery {
             teams_changed: true,
--- a/crates/primrosebay_coordination/src/zone/reports.rs
+++ b/crates/primrosebay_coordination/src/zone/reports.rs
@@ -6,7 +6,7 @@
 use primrosebay_state::time::Time;
 
 use super::Coordinator;
-use super::jobs::{Active, State};
+use super::jobs::{Active, Excess, State};
 use super::lease::Reading;
 use super::tasks::Over;
 use super::term::Phase;
@@ -101,7 +101,10 @@
         let current =
             matches!(&task.state, State::Active(active) if active.worker == *worker) && latest;
         match (Over::from_report(report.state), &mut task.state) {
-            (None, State::Active(active)) if current => active.running = true,
+            (None, State::Active(active)) if current => {
+                active.running = true;
+                self.note_usage(now, report);
+            }
             (None, State::Inherited) => self.adopt(now, worker, id),
             (None, _) => self.note_stray(worker, report),
             (Some(over), _) if current => self.attempt_over(now, id, over),
@@ -128,6 +131,7 @@
             request: 0,
             running: true,
             stop: None,
+            excess: Excess::None,
         };
         self.set_state(id, State::Active(active));
     }
--- a/crates/primrosebay_coordination/src/zone/send.rs
+++ b/crates/primrosebay_coordination/src/zone/send.rs
@@ -7,7 +7,7 @@
 
 use rand::Rng;
 
-use super::jobs::{Active, State};
+use super::jobs::{Active, Excess, State};
 use super::member::Member;
 use super::term::Phase;
 use super::{Command, Coordinator};
@@ -171,6 +171,14 @@
                     attempt: self.jobs.attempt(*id),
                     checkpoint,
                 });
+            } else if let State::Active(Active {
+                excess: Excess::Throttled(_),
+                ..
+            }) = task.state
+            {
+                request.commands.push(Order::Throttle {
+                    attempt: self.jobs.attempt(*id),
+                });
             }
         }
         for attempt in &member.strays {
@@ -198,6 +206,7 @@
                 request: request.sequence,
                 running: false,
                 stop: None,
+                excess: Excess::None,
             });
             let attempt = self.jobs.attempt(id);
             if let Some((job, _)) = self.jobs.task(id) {
--- a/crates/primrosebay_coordination/src/zone/settings.rs
+++ b/crates/primrosebay_coordination/src/zone/settings.rs
@@ -19,6 +19,8 @@
     pub retry_base: u64,
     /// Longest wait before another attempt.
     pub retry_max: u64,
+    /// Time for which a task that uses more than it was given is throttled before it is stopped.
+    pub throttle: u64,
     /// Time without new tasks after a worker failed different jobs in a row. Their retries, which
     /// come within this time at first, go to other workers.
     pub rest: u64,
@@ -41,6 +43,7 @@
             decisions: 1_000,
             retry_base: 500,
             retry_max: 30_000,
+            throttle: 5_000,
             rest: 2_000,
             quarantine_after: 5,
             quarantine_base: 10_000,
--- a/crates/primrosebay_coordination/src/zone/tasks.rs
+++ b/crates/primrosebay_coordination/src/zone/tasks.rs
@@ -7,7 +7,7 @@
 use primrosebay_state::record::{Body, Outcome};
 use primrosebay_state::time::Time;
 
-use super::jobs::{Job, State};
+use super::jobs::{Excess, Job, State};
 use super::{Coordinator, Pending};
 
 /// How an attempt came to its end.
@@ -136,6 +136,8 @@
             return;
         };
         let (closing, once) = (job.is_closing(), job.is_once());
+        let evicted =
+            matches!(&task.state, State::Active(active) if active.excess == Excess::Evicted);
         let service = job.spec.policy == Policy::Service;
         let keep = job.moving.is_some() || job.is_gang();
         self.detach(now, id, &worker);
@@ -159,6 +161,8 @@
             Over::Done if !service => self.end_task(now, id, Outcome::Done),
             Over::Stopped | Over::Lost if once => self.end_task(now, id, Outcome::Unknown),
             Over::Failed if once => self.end_task(now, id, Outcome::Failed),
+            // Counts as a failure, because the next attempt is likely to need as much.
+            Over::Stopped if evicted => self.retry_failed(now, id, &worker, Over::Failed),
             Over::Done | Over::Failed => self.retry_failed(now, id, &worker, over),
             _ if keep => self.hold_back(now, id),
             Over::NotRun => self.retry_later(now, id, self.settings.heartbeat),
--- a/crates/primrosebay_coordination/tests/zone/script.rs
+++ b/crates/primrosebay_coordination/tests/zone/script.rs
@@ -112,6 +112,12 @@
             world.cut.clear();
             world.faults.log_cut.clear();
         }
+        ["let", task, "use", size, "cores"] => {
+            let place = worker(world, task);
+            let table = &mut world.workers[place].table;
+            let attempt = table.running().next().expect("a running task").attempt;
+            table.note_usage(attempt, cores(number(size) as u64));
+        }
         ["make", name, "fail", "everything"] => {
             let worker = worker(world, name);
             world.workers[worker].failing = true;
