Look only at the worker that answered in a settled term

Cause: each answer made the coordinator look at all workers and voters, and each request and answer carried the names of all voters. Change: in a settled term an answer concerns its worker only; the rest is done with the next tick. Voters are sent until the worker has confirmed them. Ends of attempts that are durable are dropped, and attempts to stop are searched for only if there are any.

--- a/crates/primrosebay_coordination/src/worker.rs
+++ b/crates/primrosebay_coordination/src/worker.rs
@@ -124,7 +124,10 @@
         if !request.term.voters.is_empty() {
             self.opened = Some(request.term.clone());
         }
-        self.term = Some(request.term.clone());
+        self.term = Some(Term {
+            voters: Vec::new(),
+            ..request.term.clone()
+        });
         self.last_request = request.sequence;
         self.lease_until = clock + request.lease_ms;
         // A request without a deadline may be arbitrarily old, so it moves nothing but the lease.
@@ -198,6 +201,11 @@
     }
 
     fn reply(&self, clock: WorkerTime, request: &Request, granted: bool) -> Reply {
+        // A coordinator that sends no voters for the term that it opened knows of it.
+        let known = request.term.voters.is_empty()
+            && self.opened.as_ref().is_some_and(|opened| {
+                opened.epoch == request.term.epoch && opened.holder == request.term.holder
+            });
         let held = self.lease_until.0.saturating_sub(clock.0);
         let mut reports: Vec<_> = self
             .attempts
@@ -212,7 +220,7 @@
             sequence: request.sequence,
             granted,
             term: self.term.clone(),
-            opened: self.opened.clone(),
+            opened: self.opened.clone().filter(|_| !known),
             held_ms: if granted { 0 } else { held },
             free_ms: clock.0.saturating_sub(self.lease_until.0),
             resources: self.total,
--- a/crates/primrosebay_coordination/src/zone/advance.rs
+++ b/crates/primrosebay_coordination/src/zone/advance.rs
@@ -11,17 +11,24 @@
 use crate::schedule::Decision;
 
 impl Coordinator {
-    /// Does what the event made possible. `answered` is the worker that it came from; only this
-    /// one is looked at then, because a busy coordinator handles thousands of answers a second.
+    /// Does what the event made possible. `answered` is the worker that it came from. In a settled
+    /// term only this one is looked at then, because a busy coordinator handles thousands of
+    /// answers a second; the rest is left to the next tick.
     pub(super) fn advance(&mut self, now: Time, answered: Option<&Name>) {
-        let epoch = self.terms.voters.epoch;
+        let settled = self.terms.voters.own && self.terms.proposal.is_none() && self.recovery.done;
+        if let Some(worker) = answered
+            && self.terms.phase == Phase::Claiming
+            && settled
+        {
+            self.check_member(now, worker);
+            self.schedule(now);
+            self.send_all(now);
+            return;
+        }
         self.advance_term(now);
         if self.terms.phase == Phase::Claiming {
             self.advance_recovery(now);
-            match answered {
-                Some(worker) if epoch == self.terms.voters.epoch => self.check_member(now, worker),
-                _ => self.check_members(now),
-            }
+            self.check_members(now);
             self.limit_teams(now);
             self.end_backoff(now);
             self.evict(now);
--- a/crates/primrosebay_coordination/src/zone/log.rs
+++ b/crates/primrosebay_coordination/src/zone/log.rs
@@ -85,6 +85,7 @@
                 let attempt = self.jobs.attempt(id);
                 if let Some(member) = self.members.get_mut(&worker) {
                     member.strays.push(attempt);
+                    member.stops = true;
                 }
             }
             self.detach(now, id, &worker);
--- a/crates/primrosebay_coordination/src/zone/member.rs
+++ b/crates/primrosebay_coordination/src/zone/member.rs
@@ -51,6 +51,8 @@
     pub strays: Vec<AttemptId>,
     /// Whether there are new attempts to stop.
     pub stops: bool,
+    /// Whether the last request had attempts to stop.
+    pub stopping: bool,
     /// When the lease was last seen by a candidate, and for how long it had been free; nothing if
     /// it was held.
     pub seen: Option<(Time, Option<u64>)>,
@@ -100,6 +102,7 @@
             tasks: Vec::new(),
             strays: Vec::new(),
             stops: false,
+            stopping: false,
             seen: None,
             failed: Vec::new(),
             rest: Time(0),
--- a/crates/primrosebay_coordination/src/zone/reports.rs
+++ b/crates/primrosebay_coordination/src/zone/reports.rs
@@ -142,6 +142,7 @@
             && !member.strays.contains(&report.attempt)
         {
             member.strays.push(report.attempt);
+            member.stops = true;
         }
     }
 
--- a/crates/primrosebay_coordination/src/zone/send.rs
+++ b/crates/primrosebay_coordination/src/zone/send.rs
@@ -63,7 +63,8 @@
 
     fn renew(&mut self, now: Time) {
         let heartbeat = self.settings.heartbeat;
-        let starts = self.may_send_starts(now);
+        let placed = self.members.iter().any(|(_, m)| !m.placed.is_empty());
+        let starts = placed && self.may_send_starts(now);
         let ttl = self.settings.control_ttl;
         let wanted = |member: &Member| {
             member.is_due(now, heartbeat)
@@ -75,12 +76,15 @@
         let names: Vec<_> = self
             .members
             .iter()
+            .filter(|(_, member)| wanted(member))
             .filter(|(name, member)| {
                 (member.listed || voters.binary_search(name).is_ok()) && !self.lost.contains(name)
             })
-            .filter(|(_, member)| wanted(member))
             .map(|(name, _)| name.clone())
             .collect();
+        if names.is_empty() {
+            return;
+        }
         let basis = self.basis(now);
         for name in names {
             let mut request = self.request(now, &name, &basis, true);
@@ -127,6 +131,9 @@
         let Some(member) = self.members.get::<Name>(worker) else {
             return request;
         };
+        if member.told >= request.term.epoch {
+            request.term.voters.clear();
+        }
         request.acknowledged = self.acknowledged(member);
         if claim
             && member.is_held(now, self.settings.control_ttl)
@@ -157,7 +164,9 @@
         let Some(member) = self.members.get_mut(worker) else {
             return;
         };
-        member.stops = false;
+        if !std::mem::take(&mut member.stops) && !member.stopping {
+            return;
+        }
         for id in &member.tasks {
             let Some((_, task)) = self.jobs.task(*id) else {
                 continue;
@@ -187,6 +196,7 @@
                 checkpoint: false,
             });
         }
+        member.stopping = !request.commands.is_empty();
     }
 
     fn add_starts(&mut self, worker: &Name, request: &mut Request) {
@@ -226,6 +236,7 @@
             member.asked = (request.sequence, now);
             member.waiting = true;
             member.hurried = false;
+            member.ended.retain(|entry| entry.0 > request.acknowledged);
             if request.tasks_until > WorkerTime(0) {
                 member.renewed = Some(now);
             }
