--- a/crates/primrosebay_bench/examples/figures.rs
+++ b/crates/primrosebay_bench/examples/figures.rs
@@ -3,7 +3,7 @@
 use primrosebay_bench::cell::{thistlewood, tugtog};
 use primrosebay_bench::figure::HEAD;
 use primrosebay_bench::figures::{
-    all, deadlines, decision_rate, growth, latency, packing, share, urgent,
+    Night, all, deadlines, decision_rate, growth, latency, packing, share, urgent,
 };
 
 fn main() {
@@ -19,9 +19,17 @@
             "latency" => figures.push(latency()),
             "growth" => figures.extend(growth()),
             "packing" => figures.extend(cells.iter().map(packing)),
-            "share" => figures.extend(cells.iter().map(share)),
+            "share" => {
+                for due in [false, true] {
+                    figures.extend(cells.iter().map(|cell| share(cell, due)));
+                }
+            }
             "urgent" => figures.extend(cells.iter().map(urgent)),
-            "deadlines" => figures.extend(cells.iter().map(deadlines)),
+            "deadlines" => {
+                for night in [Night::Overnight, Night::Tight] {
+                    figures.extend(cells.iter().map(|cell| deadlines(cell, night)));
+                }
+            }
             other => eprintln!("there is no figure {other}"),
         }
     }
--- a/crates/primrosebay_bench/src/figures/deadlines.rs
+++ b/crates/primrosebay_bench/src/figures/deadlines.rs
@@ -1,5 +1,6 @@
 //! Batch that ends before its deadline at 95% load.
 
+use primrosebay_state::job::JobSpec;
 use primrosebay_state::time::Time;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -10,37 +11,81 @@
 use crate::placer::Placer;
 use crate::simulation::{Record, Simulation};
 
-/// Simulated milliseconds in which jobs arrive.
-const NIGHT_MS: u64 = 8 * 3_600_000;
+const HOUR_MS: u64 = 3_600_000;
+/// Simulated milliseconds of the night, whose capacity the load is a part of.
+const NIGHT_MS: u64 = 8 * HOUR_MS;
+
+/// When jobs arrive and are due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Night {
+    /// Half of the jobs arrive in the first hour, the rest until two hours before the shops open.
+    /// Most must have finished by then, a quarter earlier, and a quarter has no deadline.
+    Overnight,
+    /// Jobs arrive all the time and are due 2 to 8 run times later; a third has no deadline.
+    Tight,
+}
 
 /// Measures the part of the jobs that end before their deadline among those for which a bound says
 /// that it is possible.
 #[must_use]
-pub fn deadlines(cell: &Cell) -> Figure {
+pub fn deadlines(cell: &Cell, night: Night) -> Figure {
+    let kind = match night {
+        Night::Overnight => "overnight",
+        Night::Tight => "due 2 to 8 run times after arrival",
+    };
     Figure::new(
-        format!("batch before its deadline at 95% load, {}", cell.name),
-        met(cell, empty()),
+        format!(
+            "batch before its deadline at 95% load, {kind}, {}",
+            cell.name
+        ),
+        met(cell, night, empty()),
         "of the possible",
         Target::AtLeast(0.999),
     )
-    .against("first fit", met(cell, Baseline::new(Rule::FirstFit)))
-    .against("full scan", met(cell, Baseline::new(Rule::ShapeScan)))
+    .against("first fit", met(cell, night, Baseline::new(Rule::FirstFit)))
+    .against(
+        "full scan",
+        met(cell, night, Baseline::new(Rule::ShapeScan)),
+    )
+}
+
+/// Draws when a job arrives and sets its deadline.
+fn draw(rng: &mut SmallRng, night: Night, spec: &mut JobSpec) -> u64 {
+    match night {
+        Night::Overnight => {
+            let last = if rng.random_bool(0.5) {
+                HOUR_MS
+            } else {
+                NIGHT_MS - 2 * HOUR_MS
+            };
+            let at = rng.random_range(0..last);
+            let due = match rng.random_range(0..4_u32) {
+                0 => at,
+                1 => rng.random_range(at + HOUR_MS..NIGHT_MS),
+                _ => NIGHT_MS,
+            };
+            spec.deadline_ms = due - at;
+            at
+        }
+        Night::Tight => {
+            if rng.random_ratio(2, 3) {
+                spec.deadline_ms = spec.run_ms * rng.random_range(20..80) / 10;
+            }
+            rng.random_range(0..NIGHT_MS)
+        }
+    }
 }
 
-fn met<P: Placer>(cell: &Cell, mut placer: P) -> f64 {
+fn met<P: Placer>(cell: &Cell, night: Night, mut placer: P) -> f64 {
     cell.fill(&mut placer);
     let mut simulation = Simulation::new(placer, 5);
     let mut rng = SmallRng::seed_from_u64(37);
     let load = cell.total().cores_milli * 95 / 100 * NIGHT_MS;
     let mut work = 0;
     while work < load {
-        let at = rng.random_range(0..NIGHT_MS);
         let number = cell.draw(&mut rng);
         let mut spec = batch(&mut rng, number, 30);
-        // Deadlines lie 2 to 8 run times after arrival; a third of the jobs have none.
-        if rng.random_ratio(2, 3) {
-            spec.deadline_ms = spec.run_ms * rng.random_range(20..80) / 10;
-        }
+        let at = draw(&mut rng, night, &mut spec);
         let takes = spec.run_ms * rng.random_range(80..110) / 100;
         work += spec.resources.cores_milli * u64::from(spec.tasks) * takes;
         simulation.add(Time(at), spec, takes);
--- a/crates/primrosebay_bench/src/figures/mod.rs
+++ b/crates/primrosebay_bench/src/figures/mod.rs
@@ -6,7 +6,7 @@
 mod share;
 mod urgent;
 
-pub use deadlines::deadlines;
+pub use deadlines::{Night, deadlines};
 pub use decisions::{Churn, decision_rate, growth, latency};
 pub use packing::packing;
 pub use share::share;
@@ -23,14 +23,18 @@
     for cell in [thistlewood(), tugtog()] {
         figures.push(packing(&cell));
     }
-    for cell in [thistlewood(), tugtog()] {
-        figures.push(share(&cell));
+    for due in [false, true] {
+        for cell in [thistlewood(), tugtog()] {
+            figures.push(share(&cell, due));
+        }
     }
     for cell in [thistlewood(), tugtog()] {
         figures.push(urgent(&cell));
     }
-    for cell in [thistlewood(), tugtog()] {
-        figures.push(deadlines(&cell));
+    for night in [Night::Overnight, Night::Tight] {
+        for cell in [thistlewood(), tugtog()] {
+            figures.push(deadlines(&cell, night));
+        }
     }
     figures
 }
--- a/crates/primrosebay_bench/src/figures/share.rs
+++ b/crates/primrosebay_bench/src/figures/share.rs
@@ -1,8 +1,8 @@
 //! Distance of teams from their share of a full cell.
 
 use primrosebay_state::time::Time;
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 use crate::baseline::{Baseline, Rule, ratio};
 use crate::cell::{Cell, batch, empty, team};
@@ -18,20 +18,34 @@
 const STEP_MS: u64 = 10_000;
 
 /// Measures the 99th percentile over time of the distance of the worst team from its share, in
-/// parts of the cell.
+/// parts of the cell. With `due`, every second team has jobs with near deadlines.
 #[must_use]
-pub fn share(cell: &Cell) -> Figure {
+pub fn share(cell: &Cell, due: bool) -> Figure {
+    let kind = if due {
+        ", deadlines in every second team"
+    } else {
+        ""
+    };
     Figure::new(
-        format!("distance from share, p99 of the worst team, {}", cell.name),
-        distance(cell, empty()),
+        format!(
+            "distance from share, p99 of the worst team{kind}, {}",
+            cell.name
+        ),
+        distance(cell, due, empty()),
         "of the cell",
         Target::AtMost(0.02),
     )
-    .against("first fit", distance(cell, Baseline::new(Rule::FirstFit)))
-    .against("full scan", distance(cell, Baseline::new(Rule::ShapeScan)))
+    .against(
+        "first fit",
+        distance(cell, due, Baseline::new(Rule::FirstFit)),
+    )
+    .against(
+        "full scan",
+        distance(cell, due, Baseline::new(Rule::ShapeScan)),
+    )
 }
 
-fn distance<P: Placer>(cell: &Cell, mut placer: P) -> f64 {
+fn distance<P: Placer>(cell: &Cell, due: bool, mut placer: P) -> f64 {
     cell.fill(&mut placer);
     let mut simulation = Simulation::new(placer, 5);
     let mut rng = SmallRng::seed_from_u64(29);
@@ -40,7 +54,10 @@
     for number in 0..cell.shares.len() {
         let mut queued = 0;
         while queued < cell.total().cores_milli * (end / 60_000) * 6 / 5 {
-            let spec = batch(&mut rng, number, 30);
+            let mut spec = batch(&mut rng, number, 30);
+            if due && number % 2 == 0 {
+                spec.deadline_ms = rng.random_range(1..end);
+            }
             let takes = spec.run_ms;
             queued += spec.resources.cores_milli * u64::from(spec.tasks) * (takes / 60_000);
             simulation.add(Time(0), spec, takes);
--- a/crates/primrosebay_coordination/src/schedule/scheduler.rs
+++ b/crates/primrosebay_coordination/src/schedule/scheduler.rs
@@ -233,10 +233,11 @@
         }
         let team = self.teams.intern(&spec.team);
         let run_ms = self.estimates.run_ms(&spec.team, &spec.name, spec.run_ms);
-        let start_by = if spec.deadline_ms > 0 {
-            now + spec.deadline_ms.saturating_sub(run_ms)
-        } else {
-            now + self.settings.ageing_ms
+        let start_by = match spec.policy {
+            // A service should run at all times.
+            Policy::Service => now,
+            _ if spec.deadline_ms > 0 => now + spec.deadline_ms.saturating_sub(run_ms),
+            _ => now + self.settings.ageing_ms,
         };
         self.sequence += 1;
         let racks = self.fleet.racks.len().max(1);
--- a/crates/primrosebay_coordination/src/schedule/settings.rs
+++ b/crates/primrosebay_coordination/src/schedule/settings.rs
@@ -32,7 +32,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            ageing_ms: 3_600_000,
+            ageing_ms: 86_400_000,
             window_ms: 600_000,
             // Deadlines and ageing together stay below the 2% that a team may deviate from its share.
             deadline_permille: 10,
