Hold resources only for a first job that has stayed in place

Cause: the first job of the team furthest below its share got a reservation as soon as it was a minute old, which in a full cell is always; what is held is then given out without regard to rank. Change: the minute counts from the time at which the job was first passed over in that position.

--- a/crates/primrosebay_coordination/src/schedule/job.rs
+++ b/crates/primrosebay_coordination/src/schedule/job.rs
@@ -17,7 +17,6 @@
     pub(super) team: usize,
     /// Expected run time of a task in milliseconds; 0 if unknown.
     pub(super) run_ms: u64,
-    pub(super) submitted: Time,
     /// When the job should have started.
     pub(super) start_by: Time,
     /// Counts submissions, so that equal jobs start in their order.
--- a/crates/primrosebay_coordination/src/schedule/round.rs
+++ b/crates/primrosebay_coordination/src/schedule/round.rs
@@ -309,18 +309,26 @@
     }
 
     /// Holds resources for the first job of the team that is furthest below its share, if that job
-    /// has waited for long and other jobs keep taking what is freed. No other team gets this, as
+    /// has stayed there for long because other jobs take what is freed. No other team gets this, as
     /// what is held is given out without regard to rank.
     fn hold_first(&mut self, now: Time, order: &[usize]) {
         let first = order.iter().find_map(|&team| {
-            let team = &self.teams.items[team];
-            let (_, _, at) = team.queue.head?;
+            let (_, _, at) = self.teams.items[team].queue.head?;
             let job = self.jobs.get(at)?;
-            let late = now.since(job.submitted) >= self.settings.patience_ms;
-            team.allows(&job.amount()).then_some((at, late))
+            let allowed = self.teams.items[team].allows(&job.amount());
+            allowed.then_some((team, at, job.sequence))
         });
-        if let Some((at, true)) = first {
-            self.hold(now, at);
+        let Some((team, at, sequence)) = first else {
+            return;
+        };
+        let stalled = &mut self.teams.items[team].stalled;
+        match *stalled {
+            Some((job, since)) if job == sequence => {
+                if now.since(since) >= self.settings.patience_ms {
+                    self.hold(now, at);
+                }
+            }
+            _ => *stalled = Some((sequence, now)),
         }
     }
 
--- a/crates/primrosebay_coordination/src/schedule/scheduler.rs
+++ b/crates/primrosebay_coordination/src/schedule/scheduler.rs
@@ -246,7 +246,6 @@
             spec: spec.clone(),
             team,
             run_ms,
-            submitted: now,
             start_by,
             sequence: self.sequence,
             pending: Vec::new(),
--- a/crates/primrosebay_coordination/src/schedule/settings.rs
+++ b/crates/primrosebay_coordination/src/schedule/settings.rs
@@ -17,7 +17,8 @@
     pub victims: usize,
     /// Most jobs that resources are held for at a time.
     pub reservations: usize,
-    /// Milliseconds after which a task that fits nowhere gets resources held for it.
+    /// Milliseconds after which the first job of the team that is furthest below its share gets
+    /// resources held for it.
     pub patience_ms: u64,
     /// Milliseconds after which a reservation is computed again.
     pub refresh_ms: u64,
--- a/crates/primrosebay_coordination/src/schedule/share.rs
+++ b/crates/primrosebay_coordination/src/schedule/share.rs
@@ -2,6 +2,7 @@
 
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
+use primrosebay_state::time::Time;
 
 use super::queue::Queue;
 
@@ -22,6 +23,9 @@
     pub(super) claimed: Resources,
     /// What tasks that are being preempted use.
     pub(super) stopping: Resources,
+    /// The sequence number of the first job, and since when it has waited while the team was the
+    /// furthest below its share.
+    pub(super) stalled: Option<(u64, Time)>,
     /// Tasks that are being preempted.
     pub(super) victims: usize,
     pub(super) queue: Queue,
@@ -95,6 +99,7 @@
                     urgent: Resources::ZERO,
                     claimed: Resources::ZERO,
                     stopping: Resources::ZERO,
+                    stalled: None,
                     victims: 0,
                     queue: Queue::default(),
                 });
