--- /dev/null
+++ b/crates/primrosebay/src/dev/cell.rs
@@ -0,0 +1,189 @@
+//! Starts a cell of stand-ins and entry instances in one process.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::{WrapErr, eyre};
+use http_types::Method;
+use primrosebay_entry::auth;
+use primrosebay_entry::instance::Instance;
+use primrosebay_entry::peers::PeerSetup;
+use primrosebay_entry::shared::Setup;
+use primrosebay_protocol::list::{self, Liveness, Role};
+use primrosebay_standin::list::ListService;
+use primrosebay_standin::log::{LogService, Settings};
+use primrosebay_standin::minion::{self, Minion};
+use primrosebay_standin::worker::{Status, WorkerService};
+use primrosebay_state::Name;
+use primrosebay_state::resources::Resources;
+use primrosebay_transport::http_client::Client;
+use primrosebay_transport::http_server::{Limits, Server};
+use primrosebay_transport::peer::DevAuthority;
+
+use super::plan::Plan;
+
+/// The operators' key of a development cell.
+pub const OPERATOR_KEY: &str = "operator-key";
+
+/// Time-out of a call to the list.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A running development cell.
+#[derive(Debug)]
+pub struct Cell {
+    platform: Vec<Server>,
+    workers: Vec<(Arc<WorkerService>, Server)>,
+    minions: Vec<Minion>,
+    entries: Vec<Instance>,
+}
+
+impl Cell {
+    /// Starts the platform's stand-ins, the workers and an entry instance for each zone.
+    pub async fn start(plan: &Plan) -> eyre::Result<Self> {
+        let mut instances = Vec::new();
+        let mut workers = Vec::new();
+        for i in 0..plan.workers.count {
+            let run = rand::random::<u64>().max(1);
+            let service = Arc::new(WorkerService::new(run, plan.workers.resources));
+            let server = listen(service.app()).await?;
+            instances.push(worker(plan, i, server.address()));
+            workers.push((service, server));
+        }
+        let mut minions = Vec::new();
+        for i in 0..plan.minions.count {
+            let settings = minion::Settings {
+                slots: plan.minions.slots,
+                connections: plan.minions.connections,
+                service: Duration::from_millis(plan.minions.service_ms),
+            };
+            let minion = Minion::start(loopback(), settings)
+                .await
+                .wrap_err("cannot listen on loopback")?;
+            instances.push(minion_entry(plan, i, minion.address()));
+            minions.push(minion);
+        }
+        let log = listen(LogService::new(Settings::default()).app()).await?;
+        let list = listen(ListService::new(instances).app()).await?;
+        let authority = DevAuthority::new()?;
+        let mut entries = Vec::new();
+        for zone in &plan.zones {
+            let setup = setup(zone, &plan.region, log.address(), list.address());
+            let peers = PeerSetup {
+                address: loopback(),
+                identity: authority.issue(&setup.name)?,
+                files: None,
+            };
+            let entry = Instance::start_with(setup, Some(peers))
+                .await
+                .wrap_err("cannot start")?;
+            enlist(list.address(), zone, &entry).await?;
+            entries.push(entry);
+        }
+        Ok(Self {
+            platform: vec![log, list],
+            workers,
+            minions,
+            entries,
+        })
+    }
+
+    /// Returns the addresses of the entry instances' APIs.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(Instance::address).collect()
+    }
+
+    /// Returns what each worker holds and has run.
+    pub fn statuses(&self) -> Vec<Status> {
+        self.workers.iter().map(|(w, _)| w.status()).collect()
+    }
+
+    /// Stops the entry instances first, then the stand-ins.
+    pub async fn close(self) {
+        for entry in self.entries {
+            entry.close().await;
+        }
+        for minion in self.minions {
+            minion.close().await;
+        }
+        let workers = self.workers.into_iter().map(|(_, server)| server);
+        for server in workers.chain(self.platform) {
+            server.close().await;
+        }
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+async fn listen<S: Clone + Send + Sync + 'static>(app: tide::Server<S>) -> eyre::Result<Server> {
+    Server::start(loopback(), app, Limits::default())
+        .await
+        .wrap_err("cannot listen on loopback")
+}
+
+fn worker(plan: &Plan, i: usize, address: SocketAddr) -> list::Instance {
+    let zone = &plan.zones[i % plan.zones.len()];
+    let rack = i / plan.zones.len() / plan.workers.per_rack;
+    list::Instance {
+        name: format!("worker-{i:03}").into(),
+        role: Role::Worker,
+        zone: zone.clone(),
+        rack: format!("{zone}-rack-{rack}").into(),
+        service: Name::from(""),
+        address: address.to_string().into(),
+        state: Liveness::Live,
+        resources: plan.workers.resources,
+    }
+}
+
+fn minion_entry(plan: &Plan, i: usize, address: SocketAddr) -> list::Instance {
+    let services = &plan.minions.services;
+    list::Instance {
+        name: format!("minion-{i:03}").into(),
+        role: Role::Minion,
+        zone: plan.zones[i % plan.zones.len()].clone(),
+        rack: Name::from(""),
+        service: services[i % services.len()].clone(),
+        address: address.to_string().into(),
+        state: Liveness::Live,
+        resources: Resources::ZERO,
+    }
+}
+
+/// Writes an entry instance with its peer address to the list.
+async fn enlist(list: SocketAddr, zone: &Name, entry: &Instance) -> eyre::Result<()> {
+    let address = entry
+        .peer_address()
+        .ok_or_else(|| eyre!("no peer address"))?;
+    let name: Name = format!("entry-{zone}").into();
+    let path = format!("/instances/{name}");
+    let instance = list::Instance {
+        name,
+        role: Role::Entry,
+        zone: zone.clone(),
+        rack: Name::from(""),
+        service: Name::from(""),
+        address: address.to_string().into(),
+        state: Liveness::Live,
+        resources: Resources::ZERO,
+    };
+    let body = serde_json::to_vec(&instance)?;
+    Client::new()
+        .bytes(list, Method::Put, &path, &[], Some(body), TIMEOUT)
+        .await?;
+    Ok(())
+}
+
+fn setup(zone: &Name, region: &Name, log: SocketAddr, list: SocketAddr) -> Setup {
+    Setup {
+        name: format!("entry-{zone}").into(),
+        zone: zone.clone(),
+        region: region.clone(),
+        log,
+        list,
+        operators: vec![auth::hash(OPERATOR_KEY).into()],
+        ..Setup::default()
+    }
+}
