--- a/crates/primrosebay_coordination/tests/worker.rs
+++ b/crates/primrosebay_coordination/tests/worker.rs
@@ -53,6 +53,7 @@
         repeat: Repeat::Idempotent,
         run_ms: 0,
         team: "t".into(),
+        trace: "".into(),
     })
 }
 
