Learn sizes of tasks per job family, switched off by default

Cause: declared sizes can be far off, and only run times were learned. Change: the coordinator can report what tasks use; with learn_sizes, later jobs of the family are given the largest recent use and a quarter, within a quarter and four times of the declared size, and never so much that a job that was accepted could not run. It is off by default because the coordinator must start tasks with what the scheduler grants.

--- a/crates/primrosebay_coordination/src/schedule/job.rs
+++ b/crates/primrosebay_coordination/src/schedule/job.rs
@@ -15,6 +15,8 @@
     pub(super) id: JobId,
     pub(super) spec: JobSpec,
     pub(super) team: usize,
+    /// What each task is given.
+    pub(super) amount: Resources,
     /// Expected run time of a task in milliseconds; 0 if unknown.
     pub(super) run_ms: u64,
     /// When the job should have started.
@@ -40,10 +42,6 @@
 }
 
 impl Job {
-    pub(super) fn amount(&self) -> Resources {
-        self.spec.resources
-    }
-
     pub(super) fn is_gang(&self) -> bool {
         self.spec.policy == Policy::Gang
     }
@@ -56,7 +54,7 @@
     /// Returns what the next task of the job needs; `at` is where the job is among the jobs.
     pub(super) fn need(&self, at: usize, now: Time) -> Need {
         Need {
-            amount: self.amount(),
+            amount: self.amount,
             end: self.ends().map(|ms| now + ms),
             job: at,
             urgent: self.spec.urgent,
@@ -114,9 +112,9 @@
                 0
             },
             shape: Shape {
-                cores_milli: self.spec.resources.cores_milli,
-                memory_mib: self.spec.resources.memory_mib,
-                accelerators: self.spec.resources.accelerators,
+                cores_milli: self.amount.cores_milli,
+                memory_mib: self.amount.memory_mib,
+                accelerators: self.amount.accelerators,
                 span: self.ends().map_or(u32::MAX, u64::ilog2),
             },
             own: self.is_limited().then_some(self.id),
--- a/crates/primrosebay_coordination/src/schedule/ledger.rs
+++ b/crates/primrosebay_coordination/src/schedule/ledger.rs
@@ -7,6 +7,7 @@
 use primrosebay_state::time::Time;
 
 use super::blocks::Blocks;
+use super::fleet::larger;
 
 #[derive(Debug, Clone, Copy)]
 #[expect(
@@ -19,6 +20,8 @@
     pub(super) worker: usize,
     pub(super) team: usize,
     pub(super) amount: Resources,
+    /// The largest use that was reported.
+    pub(super) peak: Resources,
     pub(super) start: Time,
     /// How often the task was preempted before.
     pub(super) preempted: u32,
@@ -82,6 +85,13 @@
         Some(running)
     }
 
+    /// Records a report of what a task uses.
+    pub(super) fn observe(&mut self, at: usize, usage: &Resources) {
+        if let Some(Some(running)) = self.items.get_mut(at) {
+            running.peak = larger(&running.peak, usage);
+        }
+    }
+
     /// Moves the expected ends of tasks that run longer than expected: each is expected to take a
     /// quarter of its time so far in addition.
     pub(super) fn postpone(&mut self, now: Time) {
--- a/crates/primrosebay_coordination/src/schedule/round.rs
+++ b/crates/primrosebay_coordination/src/schedule/round.rs
@@ -174,7 +174,7 @@
         let Some(job) = self.jobs.get(at).filter(may_claim) else {
             return false;
         };
-        let (id, team, amount) = (job.id, job.team, job.amount());
+        let (id, team, amount) = (job.id, job.team, job.amount);
         let search = Search {
             fleet: &self.fleet,
             ledger: &self.ledger,
@@ -315,7 +315,7 @@
         let first = order.iter().find_map(|&team| {
             let (_, _, at) = self.teams.items[team].queue.head?;
             let job = self.jobs.get(at)?;
-            let allowed = self.teams.items[team].allows(&job.amount());
+            let allowed = self.teams.items[team].allows(&job.amount);
             allowed.then_some((team, at, job.sequence))
         });
         let Some((team, at, sequence)) = first else {
--- a/crates/primrosebay_coordination/src/schedule/scheduler.rs
+++ b/crates/primrosebay_coordination/src/schedule/scheduler.rs
@@ -12,7 +12,7 @@
 use super::Settings;
 use super::counts::Counts;
 use super::estimate::Estimates;
-use super::fleet::Fleet;
+use super::fleet::{Fleet, smaller};
 use super::gang::Reservation;
 use super::job::{Job, Jobs};
 use super::ledger::{Ledger, Running};
@@ -168,7 +168,8 @@
             && job.spec.policy != Policy::Service
         {
             let took = now.since(running.start);
-            self.estimates.learn(&job.spec.team, &job.spec.name, took);
+            let (team, name) = (&job.spec.team, &job.spec.name);
+            self.estimates.learn(team, name, took, &running.peak);
         }
         self.forget(at);
     }
@@ -208,6 +209,21 @@
         self.forget(at);
     }
 
+    /// Records what a running task uses, from which the sizes of later jobs of its family are
+    /// learned.
+    pub fn observe(&mut self, task: TaskId, usage: &Resources) {
+        if let Some((_, slot)) = self.slot(task) {
+            self.ledger.observe(slot, usage);
+        }
+    }
+
+    /// Returns what a running task is given; nothing if it does not run.
+    #[must_use]
+    pub fn granted(&self, task: TaskId) -> Option<Resources> {
+        let (_, slot) = self.slot(task)?;
+        Some(self.ledger.get(slot)?.amount)
+    }
+
     /// Returns what new work may use on usable workers.
     #[must_use]
     pub fn free(&self) -> Resources {
@@ -233,6 +249,7 @@
         }
         let team = self.teams.intern(&spec.team);
         let run_ms = self.estimates.run_ms(&spec.team, &spec.name, spec.run_ms);
+        let amount = self.amount(team, spec);
         let start_by = match spec.policy {
             // A service should run at all times.
             Policy::Service => now,
@@ -245,6 +262,7 @@
             id,
             spec: spec.clone(),
             team,
+            amount,
             run_ms,
             start_by,
             sequence: self.sequence,
@@ -260,6 +278,25 @@
         })
     }
 
+    /// Returns what each task of a new job is given.
+    fn amount(&self, team: usize, spec: &JobSpec) -> Resources {
+        let declared = &spec.resources;
+        if !self.settings.learn_sizes {
+            return *declared;
+        }
+        let learned = self.estimates.size(&spec.team, &spec.name, declared);
+        // A job that was accepted with its declared size must not be kept from running by a larger
+        // one.
+        let possible = spec.policy != Policy::Gang
+            && learned.fits(&self.teams.items[team].allowance)
+            && self.fleet.live().any(|(_, w)| learned.fits(&w.total));
+        if possible {
+            learned
+        } else {
+            smaller(&learned, declared)
+        }
+    }
+
     fn slot(&self, task: TaskId) -> Option<(usize, usize)> {
         let at = self.jobs.find(task.job)?;
         let running = &self.jobs.get(at)?.running;
@@ -326,7 +363,12 @@
             job: at,
             worker,
             team: job.team,
-            amount: spec.resources,
+            amount: if recovered {
+                spec.resources
+            } else {
+                job.amount
+            },
+            peak: Resources::ZERO,
             start: now,
             preempted: job.preempted(index),
             end: (spec.policy != Policy::Service).then(|| now + assumed),
--- a/crates/primrosebay_coordination/src/schedule/settings.rs
+++ b/crates/primrosebay_coordination/src/schedule/settings.rs
@@ -26,6 +26,10 @@
     pub gang_ms: u64,
     /// Milliseconds for which accelerator workers are kept after accelerator jobs have waited.
     pub keep_ms: u64,
+    /// Whether tasks are granted what earlier tasks of their family used instead of what they
+    /// declare. The coordinator must then start tasks with [`super::Scheduler::granted`] and pass
+    /// what a recovered task was given to [`super::Scheduler::occupy`].
+    pub learn_sizes: bool,
     /// Run time in milliseconds that is assumed for a batch or gang task that declares none.
     pub run_ms: u64,
 }
@@ -45,6 +49,7 @@
             refresh_ms: 1_000,
             gang_ms: 50,
             keep_ms: 600_000,
+            learn_sizes: false,
             run_ms: 3_600_000,
         }
     }
--- a/crates/primrosebay_coordination/src/schedule/usage.rs
+++ b/crates/primrosebay_coordination/src/schedule/usage.rs
@@ -24,7 +24,7 @@
     pub fn usage(&self) -> Vec<TeamUsage> {
         let mut wanted = vec![Resources::ZERO; self.teams.items.len()];
         for job in self.jobs.items.iter().flatten() {
-            let amount = job.spec.resources.times(job.pending.len() as u64);
+            let amount = job.amount.times(job.pending.len() as u64);
             wanted[job.team] = wanted[job.team].plus(&amount);
         }
         self.teams
--- a/crates/primrosebay_coordination/tests/schedule.rs
+++ b/crates/primrosebay_coordination/tests/schedule.rs
@@ -3,9 +3,10 @@
 mod common;
 
 use common::{amount, job, placed, preempted, spec, submit, task, team, zone};
-use primrosebay_coordination::schedule::{Kind, Reason};
+use primrosebay_coordination::schedule::{Kind, Reason, Scheduler, Settings};
 use primrosebay_state::Name;
 use primrosebay_state::job::{JobSpec, Policy, Repeat};
+use primrosebay_state::resources::Resources;
 use primrosebay_state::time::Time;
 use rstest::rstest;
 
@@ -281,6 +282,38 @@
     assert_eq!(s.explain(job(92)), [Reason::Held { workers: 1 }]);
 }
 
+/// Guards against declared sizes that are far off: with learning switched on, a family is given
+/// what it used, within a quarter and four times of what it declares.
+#[rstest]
+#[case::too_large(amount(8, 8, 0), amount(4, 4, 0), amount(5, 5, 0))]
+#[case::far_too_large(amount(8, 8, 0), amount(0, 1, 0), amount(2, 2, 0))]
+#[case::too_small(amount(2, 2, 0), amount(4, 4, 0), amount(5, 5, 0))]
+#[case::larger_than_a_worker(amount(4, 4, 0), amount(8, 8, 0), amount(4, 4, 0))]
+fn sizes_are_learned_for_a_family(
+    #[case] declared: Resources,
+    #[case] used: Resources,
+    #[case] granted: Resources,
+) {
+    let settings = Settings {
+        learn_sizes: true,
+        ..Settings::default()
+    };
+    let mut s = Scheduler::new(settings, 1);
+    s.set_worker("w0".into(), "r0".into(), amount(8, 8, 0));
+    team(&mut s, "a", 1);
+    for number in 0..4 {
+        submit(&mut s, number, number, &spec("a", 1, declared));
+        s.schedule(Time(number), 9);
+        assert_eq!(s.granted(task(number, 0)), Some(declared));
+        s.observe(task(number, 0), &used);
+        s.release(Time(number), task(number, 0));
+    }
+    submit(&mut s, 9, 9, &spec("a", 1, declared));
+    s.schedule(Time(9), 9);
+    assert_eq!(s.granted(task(9, 0)), Some(granted));
+    assert_eq!(s.free(), amount(8, 8, 0).minus(&granted));
+}
+
 /// Guards against work on quarantined and removed workers.
 #[test]
 fn unusable_workers_get_nothing() {
@@ -307,7 +340,7 @@
 #[case(amount(3, 1, 0), 4, Some(Reason::GangTooLarge { tasks: 4, room: 3 }))]
 #[case(amount(3, 1, 0), 3, None)]
 fn impossible_jobs_are_named(
-    #[case] each: primrosebay_state::resources::Resources,
+    #[case] each: Resources,
     #[case] tasks: u32,
     #[case] expected: Option<Reason>,
 ) {
