Read a job's tasks from the coordinator of its home

Cause: an instance that is a candidate for two zones showed a job as pending, because it read the job from the coordinator of the other zone. Found by the new test of transfers, which waited for a job that had ended long before. Change: the view of the home zone's coordinator is preferred. Transfers are at least one core, so that they do not end in fractions that run no task: with halves alone the zone came to 11 of 12 tasks within the job's 3 s.

--- a/crates/primrosebay/tests/processes.rs
+++ b/crates/primrosebay/tests/processes.rs
@@ -6,8 +6,10 @@
 
 use async_std::task::{block_on, sleep};
 use primrosebay_protocol::api::TaskState;
+use primrosebay_state::config::Resource;
 use primrosebay_state::job::Policy;
 use primrosebay_state::record::Outcome;
+use primrosebay_state::resources::Resources;
 
 use support::{Cell, batch};
 
@@ -143,3 +145,54 @@
         }
     });
 }
+
+/// Guards against a limit that only its even part can be used of in one zone, and against transfers
+/// that together exceed it.
+#[test]
+fn zone_uses_the_allowance_of_an_idle_one() {
+    block_on(async {
+        let cell = Cell::start_in(&["a", "b"], 2, 1).await;
+        let limit = Resources {
+            cores_milli: 16_000,
+            memory_mib: 1_000_000,
+            accelerators: 0,
+        };
+        cell.put("shops", &Resource::Team { share: 1, limit }).await;
+        let mut spec = batch("rebuild", 16, 3000);
+        spec.zones = vec!["a".into()];
+        let job = cell.submit(1, &spec).await.unwrap();
+        // The even part is 8 tasks, and zone b keeps half of its own as its floor.
+        cell.wait(0, job.id, |j| {
+            let running = j.tasks.iter().filter(|t| t.state == TaskState::Running);
+            running.count() == 12
+        })
+        .await;
+        spec.name = "other".into();
+        spec.zones = vec!["b".into()];
+        let other = cell.submit(0, &spec).await.unwrap();
+        for id in [job.id, other.id] {
+            cell.wait(1, id, |j| j.outcome == Some(Outcome::Done)).await;
+        }
+        assert!(cell.most_at_once().await <= 16);
+        cell.check_single().await;
+    });
+}
+
+/// Guards against a zone without a coordinator after its only entry instance died.
+#[test]
+fn instance_of_another_zone_takes_over() {
+    block_on(async {
+        let mut cell = Cell::start_in(&["a", "b"], 1, 1).await;
+        let mut spec = batch("rebuild", 12, 1000);
+        spec.zones = vec!["a".into()];
+        let job = cell.submit(1, &spec).await.unwrap();
+        cell.wait(1, job.id, |j| {
+            j.tasks.iter().any(|t| t.state == TaskState::Running)
+        })
+        .await;
+        cell.entries.remove(0).kill();
+        cell.wait(0, job.id, |j| j.outcome == Some(Outcome::Done))
+            .await;
+        cell.check_single().await;
+    });
+}
--- a/crates/primrosebay/tests/support/mod.rs
+++ b/crates/primrosebay/tests/support/mod.rs
@@ -28,7 +28,7 @@
 /// Time-out of a call. It only has to be longer than a healthy answer takes.
 const TIMEOUT: Duration = Duration::from_secs(10);
 /// Tries of a condition, 50 ms apart, before a test gives up.
-const TRIES: u32 = 1200;
+const TRIES: u32 = 600;
 
 /// A child process that is killed when the test ends.
 pub struct Process {
@@ -120,6 +120,11 @@
 impl Cell {
     /// Starts a cell and sets up its team.
     pub async fn start(workers: usize, entries: usize) -> Self {
+        Self::start_in(&["a"], workers, entries).await
+    }
+
+    /// Starts a cell with as many workers and entry instances in each zone.
+    pub async fn start_in(zones: &[&str], workers: usize, entries: usize) -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let folder = format!("primrosebay-{}-{number}", std::process::id());
@@ -135,20 +140,22 @@
             entries: Vec::new(),
             http: Client::new(),
         };
-        for _ in 0..workers {
-            cell.add_worker().await;
-        }
-        for _ in 0..entries {
-            cell.add_entry().await;
+        for zone in zones {
+            for _ in 0..workers {
+                cell.add_worker(zone).await;
+            }
+            for _ in 0..entries {
+                cell.add_entry(zone).await;
+            }
         }
-        cell.set_up().await;
+        cell.set_up(zones).await;
         cell
     }
 
-    async fn add_worker(&mut self) {
+    async fn add_worker(&mut self, zone: &str) {
         let process = Process::start(&["stand-in", "worker", "--cores", "8"]);
         let name = format!("worker-{}", self.workers.len());
-        self.enlist(&name, Role::Worker, process.address, Liveness::Live)
+        self.enlist(&name, zone, Role::Worker, process.address)
             .await;
         self.workers.push(process);
     }
@@ -156,18 +163,17 @@
     pub async fn add_minion(&mut self) {
         let process = Process::start(&["stand-in", "minion"]);
         let name = format!("minion-{}", self.minions.len());
-        self.enlist(&name, Role::Minion, process.address, Liveness::Live)
-            .await;
+        self.enlist(&name, "a", Role::Minion, process.address).await;
         self.minions.push(process);
     }
 
     /// Starts an entry instance.
-    pub async fn add_entry(&mut self) {
+    pub async fn add_entry(&mut self, zone: &str) {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let name = format!("entry-{}", NEXT.fetch_add(1, Ordering::Relaxed));
         let [certificate, key, authorities] = self.certificates(&name);
         let settings = format!(
-            "instance: {{name: {name}, zone: a, region: r}}\n\
+            "instance: {{name: {name}, zone: {zone}, region: r}}\n\
              addresses: {{http: '127.0.0.1:0', peers: '127.0.0.1:0', log: '{}', list: '{}'}}\n\
              operators: {{keys: [{}]}}\n\
              tls: {{certificate: '{certificate}', key: '{key}', authorities: '{authorities}'}}\n\
@@ -179,7 +185,7 @@
         let path = self.write(&format!("{name}.yaml"), &settings);
         let mut process = Process::start(&["serve", "--settings", &path]);
         let peers = process.next_address();
-        self.enlist(&name, Role::Entry, peers, Liveness::Live).await;
+        self.enlist(&name, zone, Role::Entry, peers).await;
         self.entries.push(process);
     }
 
@@ -203,15 +209,15 @@
     }
 
     /// Writes an instance to the live list.
-    pub async fn enlist(&self, name: &str, role: Role, address: SocketAddr, state: Liveness) {
+    async fn enlist(&self, name: &str, zone: &str, role: Role, address: SocketAddr) {
         let instance = Instance {
             name: name.into(),
             role,
-            zone: "a".into(),
+            zone: zone.into(),
             rack: "rack".into(),
             service: if role == Role::Minion { "prices" } else { "" }.into(),
             address: address.to_string().into(),
-            state,
+            state: Liveness::Live,
             resources: Resources {
                 cores_milli: 8000,
                 memory_mib: 131_072,
@@ -233,20 +239,22 @@
             .unwrap();
     }
 
-    async fn set_up(&self) {
+    async fn set_up(&self, zones: &[&str]) {
         let limit = Resources {
             cores_milli: 1_000_000,
             memory_mib: 1_000_000,
             accelerators: 0,
         };
-        self.put(
-            "a",
-            &Resource::Zone {
-                state: ZoneState::In,
-                region: "r".into(),
-            },
-        )
-        .await;
+        for zone in zones {
+            self.put(
+                zone,
+                &Resource::Zone {
+                    state: ZoneState::In,
+                    region: "r".into(),
+                },
+            )
+            .await;
+        }
         self.put("shops", &Resource::Team { share: 1, limit }).await;
         let hash = primrosebay_entry::auth::hash(TEAM).into();
         let team = "shops".into();
@@ -330,7 +338,11 @@
             }
             task::sleep(Duration::from_millis(50)).await;
         }
-        panic!("the job did not get there: {last:?}");
+        let path = format!("/v1/jobs/{id}/explain");
+        let why: Result<serde_json::Value, _> = self.get(entry, OPERATOR, &path).await;
+        let usage: Result<serde_json::Value, _> = self.get(entry, OPERATOR, "/v1/usage").await;
+        let ready: Result<serde_json::Value, _> = self.get(entry, OPERATOR, "/readyz").await;
+        panic!("the job did not get there: {why:?} {usage:?} {ready:?} {last:?}");
     }
 
     /// Sends an idempotent request to the service of the minions.
@@ -377,6 +389,25 @@
             .unwrap()
     }
 
+    /// Returns the largest number of tasks that ran at the same time.
+    pub async fn most_at_once(&self) -> i64 {
+        let mut changes = Vec::new();
+        for worker in 0..self.workers.len() {
+            for start in self.status(worker).await.history {
+                changes.push((start.at, 1));
+                changes.extend(start.ended.map(|end| (end, -1)));
+            }
+        }
+        // Ends come first within a millisecond.
+        changes.sort_unstable();
+        let mut running = 0;
+        let counts = changes.iter().map(|(_, change)| {
+            running += change;
+            running
+        });
+        counts.max().unwrap_or(0)
+    }
+
     /// Checks that no task of the reachable workers ran in two places at once.
     pub async fn check_single(&self) {
         let mut starts = Vec::new();
--- a/crates/primrosebay_coordination/src/escrow.rs
+++ b/crates/primrosebay_coordination/src/escrow.rs
@@ -9,6 +9,14 @@
 
 use crate::schedule::TeamUsage;
 
+/// The least that is given at a time if there is as much. Halves alone end in fractions of a core,
+/// which run no task.
+const GRAIN: Resources = Resources {
+    cores_milli: 1_000,
+    memory_mib: 1_024,
+    accelerators: 1,
+};
+
 /// What a zone asks for on behalf of a team.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Demand {
@@ -52,8 +60,8 @@
 /// Returns the transfers that the zone can make to the zones that ask, without going below what
 /// it uses or below `floor`.
 ///
-/// Half of what is spare is given at a time, so that two zones that ask in turn do not pass the
-/// whole allowance to and fro. Pending work of the giver counts as use.
+/// Half of what is spare is given at a time, but not less than [`GRAIN`], so that several givers do
+/// not meet the same demand many times over. Pending work of the giver counts as use.
 #[must_use]
 pub fn gifts(
     usage: &[TeamUsage],
@@ -65,7 +73,8 @@
         let keep = team.used.plus(&team.wanted).maximum(&floor(&team.team));
         let mut spare = team.allowance.minus(&keep);
         for demand in demands.iter().filter(|d| d.team == team.team) {
-            let amount = demand.amount.minimum(&half(&spare));
+            let part = half(&spare).maximum(&GRAIN).minimum(&spare);
+            let amount = demand.amount.minimum(&part);
             if amount.is_zero() {
                 continue;
             }
--- a/crates/primrosebay_coordination/tests/escrow.rs
+++ b/crates/primrosebay_coordination/tests/escrow.rs
@@ -44,8 +44,16 @@
     let floor = |_: &str| cores(40);
     assert!(gifts(&[usage(100, 60, 40)], floor, &[demand("b", 10)]).is_empty());
     assert!(gifts(&[usage(40, 0, 0)], floor, &[demand("b", 10)]).is_empty());
-    let given = gifts(&[usage(100, 10, 0)], floor, &[demand("b", 500)]);
-    assert_eq!(given[0].amount, cores(30));
+    let given = gifts(&[usage(10_000, 10, 0)], floor, &[demand("b", 50_000)]);
+    assert_eq!(given[0].amount, cores(4_980));
+}
+
+/// Guards against transfers that shrink to fractions of a core and leave the rest unused for long.
+#[test]
+fn small_amounts_are_given_whole() {
+    let floor = |_: &str| cores(40);
+    let given = gifts(&[usage(1_000, 10, 0)], floor, &[demand("b", 5_000)]);
+    assert_eq!(given[0].amount, cores(960));
 }
 
 proptest! {
--- a/crates/primrosebay_entry/src/jobs.rs
+++ b/crates/primrosebay_entry/src/jobs.rs
@@ -199,18 +199,18 @@
     /// Finds a job among those that this instance knows from the log.
     fn find(&self, id: JobId, caller: &Caller) -> Result<JobView, Code> {
         let zones = self.zones();
-        let mut views: Vec<JobView> = zones
-            .iter()
-            .filter_map(|zone| zone.read(|coordinator| coordinator.job(id)))
-            .collect();
-        // The coordinator of the home knows how far the tasks are.
-        let home = views
-            .iter()
-            .position(|job| zones.iter().any(|zone| zone.name == job.zone));
-        let view = match home {
-            Some(at) => Some(views.swap_remove(at)),
-            None => views.pop(),
-        };
+        let mut view = None;
+        for zone in &zones {
+            let found = zone.read(|coordinator| coordinator.job(id));
+            // Only the coordinator of the home knows how far the tasks are.
+            let home = found.as_ref().is_some_and(|job| job.zone == zone.name);
+            if home || view.is_none() {
+                view = found;
+            }
+            if home {
+                break;
+            }
+        }
         view.filter(|job| caller.operator || job.spec.team == caller.team)
             .ok_or(Code::NOT_FOUND)
     }
