Keep the number of the running attempt with the task's state

Change: the state of a task holds the number of its attempt. What a worker reported about a job before its record was read no longer counts for the team after that.

--- a/crates/primrosebay_coordination/src/zone/jobs.rs
+++ b/crates/primrosebay_coordination/src/zone/jobs.rs
@@ -37,6 +37,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct Active {
     pub worker: Name,
+    /// The number of the attempt. Another worker may report a higher one that has ended.
+    pub attempt: u32,
     /// The request that carried the start; 0 if a worker reported the attempt.
     pub request: u64,
     /// Whether the worker reported that the attempt runs.
@@ -208,12 +210,13 @@
         job.tasks.get_mut(id.index as usize)
     }
 
-    /// Returns the attempt that the task's worker was given last.
+    /// Returns the attempt that may be running.
     pub fn attempt(&self, id: TaskId) -> AttemptId {
-        AttemptId {
-            task: id,
-            attempt: self.task(id).map_or(0, |(_, task)| task.attempts),
-        }
+        let attempt = match self.task(id).map(|(_, task)| &task.state) {
+            Some(State::Active(active)) => active.attempt,
+            _ => 0,
+        };
+        AttemptId { task: id, attempt }
     }
 
     /// Notes the name of a job in the log, and returns whether it is the first with that name.
--- a/crates/primrosebay_coordination/src/zone/recovery.rs
+++ b/crates/primrosebay_coordination/src/zone/recovery.rs
@@ -118,6 +118,8 @@
             .collect();
         for (worker, report) in found {
             self.recovery.orphans.remove(&report.attempt);
+            // If the task is not taken over, nothing may count for its team any more.
+            self.scheduler.release(now, report.attempt.task);
             self.on_report(now, &worker, &report);
         }
     }
--- a/crates/primrosebay_coordination/src/zone/reports.rs
+++ b/crates/primrosebay_coordination/src/zone/reports.rs
@@ -2,7 +2,7 @@
 
 use primrosebay_protocol::worker::{AttemptState, Reply, Report};
 use primrosebay_state::Name;
-use primrosebay_state::id::TaskId;
+use primrosebay_state::id::{AttemptId, TaskId};
 use primrosebay_state::time::Time;
 
 use super::Coordinator;
@@ -95,22 +95,21 @@
             self.note_orphan(now, worker, report);
             return;
         };
-        let latest = report.attempt.attempt >= task.attempts;
         task.attempts = task.attempts.max(report.attempt.attempt);
         let inherited = task.state == State::Inherited;
-        let current =
-            matches!(&task.state, State::Active(active) if active.worker == *worker) && latest;
+        let current = matches!(&task.state, State::Active(active)
+            if active.worker == *worker && active.attempt == report.attempt.attempt);
         match (Over::from_report(report.state), &mut task.state) {
             (None, State::Active(active)) if current => {
                 active.running = true;
                 self.note_usage(now, report);
             }
-            (None, State::Inherited) => self.adopt(now, worker, id),
+            (None, State::Inherited) => self.adopt(now, worker, report.attempt),
             (None, _) => self.note_stray(worker, report),
             (Some(over), _) if current => self.attempt_over(now, id, over),
             (Some(Over::NotRun), _) if inherited => {}
             (Some(over), _) if inherited => {
-                self.adopt(now, worker, id);
+                self.adopt(now, worker, report.attempt);
                 self.attempt_over(now, id, over);
             }
             (Some(_), _) => self.forget_stray(worker, report),
@@ -118,7 +117,7 @@
     }
 
     /// Takes over a task that a worker reports.
-    fn adopt(&mut self, now: Time, worker: &Name, id: TaskId) {
+    fn adopt(&mut self, now: Time, worker: &Name, AttemptId { task: id, attempt }: AttemptId) {
         let Some((job, _)) = self.jobs.task(id) else {
             return;
         };
@@ -128,6 +127,7 @@
         }
         let active = Active {
             worker: worker.clone(),
+            attempt,
             request: 0,
             running: true,
             stop: None,
--- a/crates/primrosebay_coordination/src/zone/send.rs
+++ b/crates/primrosebay_coordination/src/zone/send.rs
@@ -213,6 +213,7 @@
             task.attempts += 1;
             task.state = State::Active(Active {
                 worker: worker.clone(),
+                attempt: task.attempts,
                 request: request.sequence,
                 running: false,
                 stop: None,
