--- a/crates/primrosebay_coordination/src/schedule/mod.rs
+++ b/crates/primrosebay_coordination/src/schedule/mod.rs
@@ -19,8 +19,10 @@
 mod settings;
 mod shapes;
 mod share;
+mod usage;
 
 pub use decision::Decision;
 pub use reason::{Kind, Reason};
 pub use scheduler::Scheduler;
 pub use settings::Settings;
+pub use usage::TeamUsage;
--- /dev/null
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -0,0 +1,149 @@
+//! Starts and stops an entry instance.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use primrosebay_protocol::list::Role;
+use primrosebay_state::Name;
+use primrosebay_state::id::Incarnation;
+use primrosebay_transport::http_server::{Limits, Server};
+use primrosebay_transport::list::{HttpList, LiveList};
+use primrosebay_transport::log::HttpLog;
+
+use crate::api;
+use crate::configuration;
+use crate::peers::{PeerSetup, Peers};
+use crate::shared::{Setup, Shared};
+use crate::snapshots;
+use crate::zones::Zone;
+
+/// How often the platform's list is fetched.
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// Candidates for coordinating a zone that follow its streams. Further ones take over only after the
+/// list has dropped the first ones.
+const CANDIDATES: usize = 2;
+/// How often waiting requests are looked at. Ejections and slow starts end within this time.
+const REQUEST_PERIOD: Duration = Duration::from_millis(20);
+/// Longest wait for workers to take their leases back at a planned stop.
+const STOP_GRACE: Duration = Duration::from_secs(5);
+
+/// A running entry instance.
+#[derive(Debug)]
+pub struct Instance {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+impl Instance {
+    /// Starts the API and the coordinator of the instance's zone, without peers.
+    ///
+    /// # Errors
+    /// Returns the error of binding the API's address.
+    pub async fn start(setup: Setup) -> io::Result<Self> {
+        Self::start_with(setup, None).await
+    }
+
+    /// Starts the API, the coordinator of the instance's zone and the exchange with peers.
+    ///
+    /// # Errors
+    /// Returns the error of binding the API's address or the peer address.
+    pub async fn start_with(setup: Setup, peers: Option<PeerSetup>) -> io::Result<Self> {
+        let incarnation = Incarnation(rand::random());
+        let log = Arc::new(HttpLog::new(setup.log, setup.call_timeout));
+        let shared = Arc::new(Shared::new(setup, incarnation, log));
+        if let Some(peers) = peers {
+            Peers::join(&shared, peers).map_err(io::Error::other)?;
+        }
+        let app = api::app(Arc::clone(&shared));
+        let server = Server::start(shared.setup.address, app, Limits::default()).await?;
+        Zone::start(&shared, &shared.setup.zone);
+        task::spawn(configuration::follow(Arc::downgrade(&shared)));
+        task::spawn(configuration::watch_status(Arc::downgrade(&shared)));
+        task::spawn(snapshots::publish_config(Arc::downgrade(&shared)));
+        task::spawn(follow_list(Arc::clone(&shared)));
+        task::spawn(tick_requests(Arc::clone(&shared)));
+        log::info!("entry: serving on {}", server.address());
+        Ok(Self { shared, server })
+    }
+
+    /// Returns the address of the API.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns what the parts of the instance share.
+    #[must_use]
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Returns the address of the peer interface, if there is one.
+    #[must_use]
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.shared.peers()?.net().address().ok()
+    }
+
+    /// Stops the instance after the requests in flight.
+    pub async fn close(self) {
+        log::info!("entry: stopping");
+        self.shared.stop();
+        self.server.close().await;
+        for zone in self.shared.zones() {
+            zone.stop(STOP_GRACE).await;
+        }
+        if !self.shared.publisher.clone().close(STOP_GRACE).await {
+            log::warn!("log: Records were still queued at the stop.");
+        }
+        if let Some(peers) = self.shared.peers() {
+            Arc::clone(peers).close().await;
+        }
+    }
+}
+
+async fn follow_list(shared: Arc<Shared>) {
+    let list = HttpList::new(shared.setup.list, shared.setup.call_timeout);
+    loop {
+        match list.fetch().await {
+            Ok(fetched) => {
+                shared.update_peers(&fetched.instances);
+                shared.requests.update(&fetched.instances);
+                shared.set_directory(fetched.instances);
+                stand_by(&shared);
+                for zone in shared.zones() {
+                    zone.update_directory(&shared);
+                }
+            }
+            Err(e) => log::warn!("list: cannot fetch the instances: {e}"),
+        }
+        task::sleep(LIST_PERIOD).await;
+    }
+}
+
+/// Becomes a candidate for the zones that have few entry instances of their own.
+fn stand_by(shared: &Arc<Shared>) {
+    let Some(peers) = shared.peers() else {
+        return;
+    };
+    let directory = shared.directory();
+    let workers = directory.iter().filter(|i| i.role == Role::Worker);
+    let mut zones: Vec<Name> = workers.map(|i| i.zone.clone()).collect();
+    zones.sort();
+    zones.dedup();
+    for name in zones {
+        if shared.zone(&name).is_none() && peers.rank(&name) < CANDIDATES {
+            let zone = Zone::start(shared, &name);
+            zone.update_config(shared);
+        }
+    }
+}
+
+async fn tick_requests(shared: Arc<Shared>) {
+    loop {
+        shared.requests.tick();
+        task::sleep(REQUEST_PERIOD).await;
+    }
+}
--- /dev/null
+++ b/crates/primrosebay_entry/src/peers/local.rs
@@ -0,0 +1,188 @@
+//! What peers get to know of this instance, and its answers to their calls.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use primrosebay_coordination::freshness::Beat;
+use primrosebay_coordination::membership::{Listed, Membership};
+use primrosebay_coordination::publisher::{Copies, CopyLimits};
+
+use primrosebay_protocol::code::Code;
+use primrosebay_protocol::list::{Instance, Liveness, Role};
+use primrosebay_protocol::log::{Page, Placed};
+use primrosebay_protocol::peer::{Request, Response, Summary, ZoneTerm};
+use primrosebay_state::Name;
+use primrosebay_state::time::Time;
+
+use primrosebay_transport::peer::{LinkError, Settings};
+
+use super::{Heard, Local, PeerSetup, Peers, Report};
+use crate::clock::Clock;
+use crate::shared::Shared;
+use crate::transfers;
+
+/// How often the certificate files are looked at.
+const RELOAD_PERIOD: Duration = Duration::from_secs(10);
+
+/// Answers for an entry instance for as long as it exists.
+struct Host {
+    shared: Weak<Shared>,
+    clock: Clock,
+}
+
+impl Local for Host {
+    fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    fn report(&self) -> Option<Report> {
+        let shared = self.shared.upgrade()?;
+        let now = shared.now();
+        let beat = shared
+            .configuration
+            .with_freshness(|freshness| freshness.beat(now));
+        Some(Report {
+            config: beat.next,
+            log_age: beat.age,
+            current: beat.current,
+            summary: shared.summary(),
+        })
+    }
+
+    fn heard(&self, heard: Heard<'_>) {
+        let Some(shared) = self.shared.upgrade() else {
+            return;
+        };
+        let config = shared.config();
+        let mut zones = config.zones();
+        let region = zones.find(|(zone, _)| *zone == heard.zone);
+        let heartbeat = heard.heartbeat;
+        let beat = Beat {
+            name: heard.name.clone(),
+            zone: heard.zone.clone(),
+            region: region.map_or_else(|| Name::from(""), |(_, region)| region.clone()),
+            next: heartbeat.config,
+            age: heartbeat.log_age,
+            current: heartbeat.current,
+        };
+        let now = shared.now();
+        shared
+            .configuration
+            .with_freshness(|freshness| freshness.heard(now, heard.sent, beat));
+    }
+
+    fn records(&self, from: u64) -> Page {
+        let shared = self.shared.upgrade();
+        shared.map_or_else(Page::default, |shared| shared.configuration.page(from))
+    }
+
+    fn apply(&self, records: Vec<Placed>) {
+        if let Some(shared) = self.shared.upgrade() {
+            shared.apply_pushed(&records);
+        }
+    }
+
+    fn answer<'a>(
+        &'a self,
+        _: &'a Name,
+        request: Request,
+    ) -> Pin<Box<dyn Future<Output = Response> + Send + 'a>> {
+        Box::pin(async move {
+            let Some(shared) = self.shared.upgrade() else {
+                return Response::Refused(Code::STOPPING);
+            };
+            match request {
+                Request::Submit {
+                    id,
+                    zone,
+                    caller,
+                    spec,
+                } => match spec.read() {
+                    Ok(spec) => shared.answer_submit(id, zone, &caller, spec).await,
+                    Err(_) => Response::Refused(Code::MALFORMED),
+                },
+                Request::Read { id, caller } => shared.answer_read(id, &caller),
+                Request::Cancel { id, caller } => shared.answer_cancel(id, &caller).await,
+                Request::List {
+                    caller,
+                    zone,
+                    after,
+                    limit,
+                } => shared.answer_list(&caller, &zone, after, limit),
+                _ => Response::Refused(Code::MALFORMED),
+            }
+        })
+    }
+}
+
+impl Peers {
+    /// Starts the exchange of an entry instance.
+    ///
+    /// # Errors
+    /// Returns an error if the socket cannot be opened or the identity cannot be used.
+    pub fn join(shared: &Arc<Shared>, setup: PeerSetup) -> Result<(), LinkError> {
+        let settings = Settings {
+            name: shared.setup.name.clone(),
+            incarnation: shared.incarnation,
+            address: setup.address,
+            ..Settings::default()
+        };
+        let membership = Membership::new(settings.name.clone(), shared.setup.zone.clone());
+        let copies = Copies::new(CopyLimits::default());
+        let host = Arc::new(Host {
+            shared: Arc::downgrade(shared),
+            clock: shared.setup.clock.clone(),
+        });
+        let peers = Self::start(settings, setup.identity, membership, copies, host)?;
+        if let Some(files) = setup.files {
+            peers.net().watch(files, RELOAD_PERIOD);
+        }
+        shared.use_peers(peers);
+        Ok(())
+    }
+}
+
+impl Shared {
+    /// Tells the exchange with peers which entry instances the list has.
+    pub fn update_peers(&self, instances: &[Instance]) {
+        let Some(peers) = self.peers() else {
+            return;
+        };
+        let config = self.config();
+        let regions = config
+            .zones()
+            .map(|(zone, region)| (zone.clone(), region.clone()));
+        peers.set_regions(regions.collect());
+        let entries = instances.iter().filter(|i| i.role == Role::Entry);
+        let listed: Vec<_> = entries
+            .map(|instance| Listed {
+                name: instance.name.clone(),
+                zone: instance.zone.clone(),
+                address: instance.address.clone(),
+                leaving: instance.state == Liveness::Leaving,
+            })
+            .collect();
+        peers.listed(&listed);
+        self.publisher.set_instances(peers.instances());
+    }
+
+    fn summary(&self) -> Summary {
+        let mut summary = Summary::default();
+        for zone in self.zones() {
+            let now = self.now();
+            let authority = zone.read(|coordinator| coordinator.authority(now));
+            if !authority.held {
+                continue;
+            }
+            summary.zones.push(ZoneTerm {
+                zone: zone.name.clone(),
+                epoch: authority.epoch,
+            });
+            summary.free.push(zone.load());
+            summary.demand.extend(transfers::asked(&zone));
+        }
+        summary
+    }
+}
