Carry the ended tasks of a job in its Moved record

Cause: the records of tasks have a stream for each zone, so the new home of a job did not learn which of its tasks had ended, and would run them again, even those that may run once.

--- a/crates/primrosebay_coordination/src/zone/jobs.rs
+++ b/crates/primrosebay_coordination/src/zone/jobs.rs
@@ -154,6 +154,18 @@
         }
     }
 
+    /// Returns the tasks that have ended, by index.
+    pub fn ended(&self) -> Vec<(u32, Outcome)> {
+        let outcome = |task: &Task| match task.state {
+            State::Ended { outcome, .. } => Some(outcome),
+            _ => None,
+        };
+        let tasks = (0..).zip(&self.tasks);
+        tasks
+            .filter_map(|(index, task)| Some((index, outcome(task)?)))
+            .collect()
+    }
+
     pub fn is_once(&self) -> bool {
         self.spec.repeat == Repeat::Once
     }
--- a/crates/primrosebay_coordination/src/zone/log.rs
+++ b/crates/primrosebay_coordination/src/zone/log.rs
@@ -30,7 +30,12 @@
                 from,
                 epoch,
                 zone,
-            } => self.read_moved(now, *job, from, *epoch, zone),
+                ended,
+            } => {
+                if self.read_moved(*job, from, *epoch, zone) {
+                    self.take_moved(now, *job, ended);
+                }
+            }
             Body::Opened {
                 zone,
                 epoch,
@@ -120,21 +125,43 @@
 
     /// Gives a job its new home, unless a later term of the giving zone has been recorded: the
     /// new coordinator there has gone on with the job.
-    fn read_moved(&mut self, now: Time, id: JobId, from: &Name, epoch: u64, zone: &Name) {
+    fn read_moved(&mut self, id: JobId, from: &Name, epoch: u64, zone: &Name) -> bool {
         let latest = self.opened.get::<Name>(from).copied().unwrap_or(0);
         let Some(job) = self.jobs.all.get_mut(&id) else {
-            return;
+            return false;
         };
         if job.home != *from || epoch < latest {
-            return;
+            return false;
         }
         job.home = zone.clone();
         job.moving = None;
         job.regroup = false;
         self.moves.retain(|moving| *moving != id);
-        if *zone == self.zone {
+        true
+    }
+
+    /// Takes over what the giver of a job knows of its tasks. The records of its tasks may be in a
+    /// stream that this zone does not read.
+    fn take_moved(&mut self, now: Time, id: JobId, ended: &[(u32, Outcome)]) {
+        let Some(job) = self.jobs.all.get_mut(&id) else {
+            return;
+        };
+        for task in &mut job.tasks {
+            task.started = false;
+        }
+        let here = job.home == self.zone;
+        if here {
             job.make_inherited();
             self.recovery.inherited.push(id);
+        }
+        for (index, outcome) in ended {
+            let task = TaskId {
+                job: id,
+                index: *index,
+            };
+            self.read_finished(now, task, *outcome);
+        }
+        if here {
             self.adopt_orphans(now, id);
         }
     }
@@ -216,6 +243,7 @@
                     from: self.zone.clone(),
                     epoch,
                     zone,
+                    ended: job.ended(),
                 };
                 self.append(Pending::Moved, body);
             } else {
--- a/crates/primrosebay_coordination/src/zone/snapshot.rs
+++ b/crates/primrosebay_coordination/src/zone/snapshot.rs
@@ -25,6 +25,8 @@
             for (index, task) in (0..).zip(&job.tasks) {
                 match &task.state {
                     State::Ended { outcome, .. } => ended.push((index, *outcome)),
+                    // The record may be before the snapshot although its answer is not here yet.
+                    State::Recording(_) => starting.push(index),
                     _ if task.started => starting.push(index),
                     _ => {}
                 }
--- a/crates/primrosebay_state/src/record.rs
+++ b/crates/primrosebay_state/src/record.rs
@@ -73,6 +73,10 @@
         epoch: u64,
         /// The new home zone.
         zone: Name,
+        /// The tasks that have ended, by index. The others do not run, and what may run once has
+        /// not run.
+        #[serde(default)]
+        ended: Vec<(u32, Outcome)>,
     },
     /// A coordinator took a zone over. Records that its predecessors append later are void.
     Opened {
