Keep tasks that run when the record of their job's move is read

Cause: a successor took a running task over from its worker, read the Moved record of the job afterwards, and forgot that the task ran. Change: tasks that were taken over stay so.

--- a/crates/primrosebay_coordination/src/zone/log.rs
+++ b/crates/primrosebay_coordination/src/zone/log.rs
@@ -5,7 +5,7 @@
 use primrosebay_state::record::{Body, Outcome, Record};
 use primrosebay_state::time::Time;
 
-use super::jobs::{Job, State};
+use super::jobs::{Job, State, Task};
 use super::term::Phase;
 use super::{Coordinator, Pending};
 
@@ -151,7 +151,13 @@
         }
         let here = job.home == self.zone;
         if here {
-            job.make_inherited();
+            job.own = false;
+            // A predecessor may have started tasks here before this record was read; those that
+            // were taken over from the worker are in order.
+            let taken = |task: &Task| task.is_ended() || matches!(task.state, State::Active(_));
+            for task in job.tasks.iter_mut().filter(|task| !taken(task)) {
+                task.state = State::Inherited;
+            }
             self.recovery.inherited.push(id);
         }
         for (index, outcome) in ended {
