Count the width of a job when it has to start for its deadline

Change: the latest start is the deadline less the run time for each time that the job fills its team's share.

--- a/crates/primrosebay_coordination/src/schedule/scheduler.rs
+++ b/crates/primrosebay_coordination/src/schedule/scheduler.rs
@@ -253,7 +253,10 @@
         let start_by = match spec.policy {
             // A service should run at all times.
             Policy::Service => now,
-            _ if spec.deadline_ms > 0 => now + spec.deadline_ms.saturating_sub(run_ms),
+            _ if spec.deadline_ms > 0 => {
+                let length = run_ms.saturating_mul(self.waves(team, spec.tasks, &amount));
+                now + spec.deadline_ms.saturating_sub(length)
+            }
             _ => now + self.settings.ageing_ms,
         };
         self.sequence += 1;
@@ -297,6 +300,23 @@
         }
     }
 
+    /// Returns how many times in a row a job fills the share of its team, if it uses nothing else.
+    fn waves(&self, team: usize, tasks: u32, amount: &Resources) -> u64 {
+        let shares: u64 = self
+            .teams
+            .items
+            .iter()
+            .filter(|t| t.known)
+            .map(|t| u64::from(t.share))
+            .sum();
+        let own = u64::from(self.teams.items[team].share);
+        let part = self.fleet.total.cores_milli.saturating_mul(own) / shares.max(1);
+        let wanted = amount.cores_milli.saturating_mul(u64::from(tasks));
+        wanted
+            .div_ceil(part.max(1))
+            .clamp(1, u64::from(tasks.max(1)))
+    }
+
     fn slot(&self, task: TaskId) -> Option<(usize, usize)> {
         let at = self.jobs.find(task.job)?;
         let running = &self.jobs.get(at)?.running;
