--- a/crates/primrosebay_coordination/src/schedule/settings.rs
+++ b/crates/primrosebay_coordination/src/schedule/settings.rs
@@ -40,7 +40,7 @@
             ageing_ms: 86_400_000,
             window_ms: 600_000,
             // Deadlines and ageing together stay below the 2% that a team may deviate from its share.
-            deadline_permille: 8,
+            deadline_permille: 3,
             ageing_permille: 2,
             urgent_permille: 250,
             victims: 64,
