Look for the workers of a gang in the index

Cause: with gangs among the waiting work of the benchmark, which it did not have before, each try of a gang went over all workers. Change: a gang is planned on the workers that the index finds and on those that are held.

--- a/crates/primrosebay_bench/src/figures/decisions.rs
+++ b/crates/primrosebay_bench/src/figures/decisions.rs
@@ -36,7 +36,7 @@
 
 impl<P: Placer> Churn<P> {
     /// Fills the cell: a fifth of the tasks are services, the rest batch, with accelerator jobs
-    /// among them.
+    /// and gangs among them.
     pub fn new(mut placer: P, cell: Cell) -> Self {
         cell.fill(&mut placer);
         let mut churn = Self {
@@ -84,6 +84,9 @@
             if self.cell.accelerated > 0 && self.rng.random_ratio(1, 12) {
                 spec.resources = amount(4_000, 8, 1);
             }
+            if self.rng.random_ratio(1, 20) {
+                spec.policy = Policy::Gang;
+            }
             self.submit(&spec);
         }
     }
--- a/crates/primrosebay_coordination/src/schedule/fleet.rs
+++ b/crates/primrosebay_coordination/src/schedule/fleet.rs
@@ -147,7 +147,7 @@
     pub(super) racks: Vec<Rack>,
     index: Index,
     /// Workers that are held for a waiting job; they are not in the index.
-    held: Vec<usize>,
+    pub(super) held: Vec<usize>,
     pub(super) shapes: Shapes,
     /// What work without accelerators leaves for each free accelerator.
     pub(super) keep: Resources,
--- a/crates/primrosebay_coordination/src/schedule/gang.rs
+++ b/crates/primrosebay_coordination/src/schedule/gang.rs
@@ -26,9 +26,10 @@
 
 /// Returns how many tasks go to which worker so that `tasks` fit now, or how many would fit.
 pub(super) fn plan(fleet: &Fleet, job: &Job, need: &Need, tasks: u64) -> Result<Vec<Part>, u64> {
-    let candidates: Vec<_> = fleet
-        .live()
-        .filter(|(_, w)| need.amount.fits(&w.free))
+    let fitting = fleet.fitting(&need.amount).into_iter().map(|w| w.0);
+    let candidates: Vec<_> = fitting
+        .chain(fleet.held.iter().copied())
+        .map(|id| (id, &fleet.workers[id]))
         .map(|(id, w)| (id, need.room(w), score(&w.total, &w.free, &need.amount)))
         .filter(|&(_, room, _)| room > 0)
         .collect();
