Try gangs that did not fit again after 200 ms

Cause: planning gangs took 23% of the time of a decision in a full cell with gangs. They tolerate delay.

--- a/crates/primrosebay_coordination/src/schedule/settings.rs
+++ b/crates/primrosebay_coordination/src/schedule/settings.rs
@@ -47,7 +47,7 @@
             reservations: 4,
             patience_ms: 60_000,
             refresh_ms: 1_000,
-            gang_ms: 50,
+            gang_ms: 200,
             keep_ms: 600_000,
             learn_sizes: false,
             run_ms: 3_600_000,
