--- a/crates/primrosebay_coordination/src/zone/jobs.rs
+++ b/crates/primrosebay_coordination/src/zone/jobs.rs
@@ -4,6 +4,7 @@
 use primrosebay_state::id::{AttemptId, JobId, TaskId};
 use primrosebay_state::job::{JobSpec, Policy, Repeat};
 use primrosebay_state::record::Outcome;
+use primrosebay_state::time::Time;
 
 use crate::table::Table;
 
@@ -42,6 +43,19 @@
     pub running: bool,
     /// Whether the attempt is to be stopped, and with a checkpoint.
     pub stop: Option<bool>,
+    pub excess: Excess,
+}
+
+/// Whether an attempt uses more than it was given.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(super) enum Excess {
+    /// It does not.
+    #[default]
+    None,
+    /// It does and is throttled; it is stopped at the time if that does not help.
+    Throttled(Time),
+    /// It is stopped for that reason.
+    Evicted,
 }
 
 /// One task.
@@ -128,6 +142,16 @@
         self.tasks.iter().all(Task::is_ended)
     }
 
+    /// Notes that this coordinator accepted the job itself, so that no other has started its tasks.
+    pub fn claim(&mut self) {
+        self.own = true;
+        for task in &mut self.tasks {
+            if task.state == State::Inherited {
+                task.state = State::Waiting;
+            }
+        }
+    }
+
     pub fn is_once(&self) -> bool {
         self.spec.repeat == Repeat::Once
     }
@@ -208,9 +232,13 @@
         *self.names.or_insert(key, id) == id
     }
 
+    /// Returns the identifier of the job of `team` with `name` in the log.
+    pub fn id_of(&self, team: &Name, name: &Name) -> Option<JobId> {
+        self.names.get(&(team.clone(), name.clone())).copied()
+    }
+
     /// Returns the job of `team` with `name` in the log.
     pub fn named(&self, team: &Name, name: &Name) -> Option<&Job> {
-        let id = self.names.get(&(team.clone(), name.clone()))?;
-        self.all.get(id)
+        self.all.get(&self.id_of(team, name)?)
     }
 }
--- /dev/null
+++ b/crates/primrosebay_entry/src/jobs/home.rs
@@ -0,0 +1,151 @@
+//! The choice of a job's home zone.
+
+use std::sync::{Mutex, PoisonError};
+
+use primrosebay_protocol::api::Failure;
+use primrosebay_protocol::code::Code;
+use primrosebay_protocol::peer::ZoneFree;
+use primrosebay_state::Name;
+use primrosebay_state::config::{Resource, ZoneState};
+use primrosebay_state::job::{JobSpec, Policy, Problem, is_name};
+
+use primrosebay_state::resources::Resources;
+use primrosebay_state::time::Time;
+
+use crate::shared::Shared;
+
+/// How long a sent job counts on its own: two heartbeats, so that no burst sees the load that it
+/// makes as nothing.
+const RECENT_MS: u64 = 800;
+
+impl Shared {
+    /// Returns the names of all zones, from the configuration and of this instance.
+    pub(super) fn zone_names(&self) -> Vec<Name> {
+        let config = self.config();
+        let mut names: Vec<Name> = config.zones().map(|(zone, _)| zone.clone()).collect();
+        names.push(self.setup.zone.clone());
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    /// Refuses a job that can never run within the upper limit of its team.
+    pub(super) fn check_limit(&self, spec: &JobSpec) -> Result<(), Failure> {
+        let config = self.config();
+        let limit = match config.get("team", &spec.team).map(|item| &item.spec) {
+            Some(Resource::Team { limit, .. }) => *limit,
+            _ => return Ok(()),
+        };
+        let together = match spec.policy {
+            Policy::Batch => 1,
+            Policy::Service | Policy::Gang => u64::from(spec.tasks),
+        };
+        if spec.resources.times(together).fits(&limit) {
+            return Ok(());
+        }
+        Err(Failure::with_problems(
+            Code::OVER_LIMIT,
+            vec![Problem::new(
+                "resources",
+                format!("{together} tasks at a time within the team's upper limit"),
+            )],
+        ))
+    }
+
+    /// Returns the job with its home zone, or the parts of a service with theirs.
+    pub(super) fn parts(&self, spec: JobSpec) -> Result<Vec<(Name, JobSpec)>, Failure> {
+        let zones = self.candidates(&spec);
+        if zones.is_empty() {
+            return Err(Failure::new(Code::NO_COORDINATOR));
+        }
+        if spec.policy != Policy::Service || spec.tasks == 1 || zones.len() == 1 {
+            return Ok(vec![(zones[0].clone(), spec)]);
+        }
+        split(&spec, &zones)
+    }
+
+    /// Returns the zones that may run the job, the one with the least load first.
+    fn candidates(&self, spec: &JobSpec) -> Vec<Name> {
+        let (config, now) = (self.config(), self.now());
+        let free = self.free_by_zone();
+        let mut zones = self.zone_names();
+        zones.retain(|zone| spec.zones.is_empty() || spec.zones.contains(zone));
+        if zones
+            .iter()
+            .any(|zone| config.zone_state(zone) == ZoneState::In)
+        {
+            zones.retain(|zone| config.zone_state(zone) == ZoneState::In);
+        }
+        let load = |zone: &Name| {
+            let found = free.iter().find(|free| free.zone == *zone);
+            found.map_or(f64::MAX, |found| self.recent.load(found, now))
+        };
+        let own = |zone: &Name| *zone != self.setup.zone;
+        zones.sort_by(|a, b| load(a).total_cmp(&load(b)).then(own(a).cmp(&own(b))));
+        zones
+    }
+
+    /// Returns the load of each zone, as heard from its coordinator or known here.
+    fn free_by_zone(&self) -> Vec<ZoneFree> {
+        let mut free = self.peers().map_or_else(Vec::new, |peers| peers.free());
+        for zone in self.zones() {
+            if zone.epoch().is_some() {
+                free.retain(|known| known.zone != zone.name);
+                free.push(zone.load());
+            }
+        }
+        free
+    }
+}
+
+/// What this instance has sent to zones so recently that heartbeats may not show it yet.
+#[derive(Debug, Default)]
+pub struct Recent {
+    sent: Mutex<Vec<(Time, Name, Resources)>>,
+}
+
+impl Recent {
+    /// Notes that a job was sent to `zone`.
+    pub fn add(&self, now: Time, zone: &Name, spec: &JobSpec) {
+        let amount = spec.resources.times(u64::from(spec.tasks));
+        let mut sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        sent.retain(|(at, ..)| now.since(*at) < RECENT_MS);
+        sent.push((now, zone.clone(), amount));
+    }
+
+    /// Returns what a zone has to do, as a multiple of what it can run at a time.
+    fn load(&self, free: &ZoneFree, now: Time) -> f64 {
+        let sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        let used = free.total.minus(&free.free).plus(&free.wanted);
+        sent.iter()
+            .filter(|(at, zone, _)| *zone == free.zone && now.since(*at) < RECENT_MS)
+            .fold(used, |sum, (_, _, amount)| sum.plus(amount))
+            .dominant(&free.total)
+    }
+}
+
+/// Splits a service evenly over `zones`, as one job for each, so that each zone goes on alone.
+fn split(spec: &JobSpec, zones: &[Name]) -> Result<Vec<(Name, JobSpec)>, Failure> {
+    let count = u32::try_from(zones.len()).unwrap_or(u32::MAX);
+    let mut parts = Vec::new();
+    for (i, zone) in (0..count).zip(zones) {
+        let tasks = spec.tasks / count + u32::from(i < spec.tasks % count);
+        if tasks == 0 {
+            continue;
+        }
+        let name: Name = format!("{}-{zone}", spec.name).into();
+        if !is_name(&name) {
+            let expected = format!("a name that is short enough to be followed by -{zone}");
+            let problem = Problem::new("name", expected);
+            return Err(Failure::with_problems(Code::INVALID, vec![problem]));
+        }
+        let part = JobSpec {
+            name,
+            tasks,
+            zones: vec![zone.clone()],
+            ..spec.clone()
+        };
+        parts.push((zone.clone(), part));
+    }
+    Ok(parts)
+}
