Send the summary with one of four heartbeats

Cause: zones, free resources and demand make up most of a coordinator's heartbeat, and only guide the choice of a home zone. Change: the summary travels with every fourth heartbeat, and with the next two after a change of the coordinated zones; receivers keep the latest one of the same process.

--- a/crates/primrosebay_coordination/src/membership.rs
+++ b/crates/primrosebay_coordination/src/membership.rs
@@ -60,6 +60,8 @@
     pub sequence: u64,
     /// The highest sequence received from the addressee.
     pub echo: u64,
+    /// Milliseconds until the next heartbeat to the addressee.
+    pub interval: u64,
 }
 
 /// What a received heartbeat says about its sender.
@@ -181,6 +183,7 @@
                 peer: peer.listed.name.clone(),
                 sequence: peer.sequence,
                 echo: peer.heard.as_ref().map_or(0, |heard| heard.sequence),
+                interval,
             });
         }
         due
--- a/crates/primrosebay_entry/src/peers.rs
+++ b/crates/primrosebay_entry/src/peers.rs
@@ -27,6 +27,10 @@
 const HOLDERS: usize = 2;
 /// Shortest pause of the heartbeat loop, so that a wrong clock does not make it spin.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(5);
+/// Heartbeats of which one carries the summary. Free resources only guide the choice of a home
+/// zone, for which a few seconds of age do no harm; a heartbeat that is lost is made up for by the
+/// next summary.
+const SUMMARY_EVERY: u64 = 4;
 /// How long a peer must have lagged at the same offset before it is helped. The push that follows
 /// each change, and the heartbeat that confirms it, arrive earlier in general.
 const HELP_AFTER_MS: u64 = 3 * HEARTBEAT_MS;
@@ -111,6 +115,8 @@
     pub age: Option<u64>,
     /// The heartbeat.
     pub heartbeat: Heartbeat,
+    /// The latest summary of the same process.
+    pub summary: Summary,
 }
 
 struct Core {
@@ -236,6 +242,7 @@
                 health: membership.health(now, &listed.name),
                 age: membership.age(now, &listed.name),
                 heartbeat: beats[at].1.clone(),
+                summary: beats[at].1.summary.clone().unwrap_or_default(),
             })
         });
         view.collect()
@@ -245,7 +252,7 @@
     #[must_use]
     pub fn coordinator(&self, zone: &str) -> Option<Name> {
         let claims = self.view().into_iter().filter_map(|peer| {
-            let terms = &peer.heartbeat.summary.zones;
+            let terms = &peer.summary.zones;
             let term = terms.iter().find(|term| *term.zone == *zone)?;
             (peer.health != Health::Dropped).then_some((term.epoch, peer.name))
         });
@@ -261,7 +268,7 @@
             if peer.health == Health::Dropped {
                 continue;
             }
-            let summary = peer.heartbeat.summary;
+            let summary = peer.summary;
             for free in summary.free {
                 let term = summary.zones.iter().find(|term| term.zone == free.zone);
                 let epoch = term.map_or(0, |term| term.epoch);
@@ -440,6 +447,7 @@
 
     async fn beat(&self) {
         let mut lagging = Vec::new();
+        let mut terms = (Vec::new(), Time(0));
         loop {
             let now = self.core.local.now();
             let due = lock(&self.core.membership).due(now);
@@ -447,7 +455,14 @@
                 let Some(report) = self.core.local.report() else {
                     return self.net.clone().close().await;
                 };
+                if terms.0 != report.summary.zones {
+                    terms = (report.summary.zones.clone(), now);
+                }
                 for due in due {
+                    // A new term is told with the next two heartbeats to each peer, so that calls go
+                    // to the new coordinator even if one is lost.
+                    let changed = now.since(terms.1) < 2 * due.interval;
+                    let full = changed || due.sequence % SUMMARY_EVERY == 1;
                     let heartbeat = Heartbeat {
                         incarnation: self.incarnation,
                         sequence: due.sequence,
@@ -455,7 +470,7 @@
                         config: report.config,
                         log_age: report.log_age,
                         current: report.current,
-                        summary: report.summary.clone(),
+                        summary: full.then(|| report.summary.clone()),
                     };
                     self.net.heartbeat(&due.peer, heartbeat);
                 }
@@ -545,7 +560,15 @@
         }
         let mut beats = lock(&self.beats);
         match beats.binary_search_by(|(name, _)| name.cmp(peer)) {
-            Ok(at) => beats[at].1 = heartbeat,
+            Ok(at) => {
+                let known = &mut beats[at].1;
+                let same = known.incarnation == heartbeat.incarnation;
+                let kept = known.summary.take().filter(|_| same);
+                *known = Heartbeat {
+                    summary: heartbeat.summary.or(kept),
+                    ..heartbeat
+                };
+            }
             Err(at) => beats.insert(at, (peer.clone(), heartbeat)),
         }
     }
--- a/crates/primrosebay_protocol/src/peer.rs
+++ b/crates/primrosebay_protocol/src/peer.rs
@@ -138,8 +138,8 @@
     pub log_age: Option<u64>,
     /// Whether the sender counts towards the quorum for going on without the log.
     pub current: bool,
-    /// Zones, free resources and demand.
-    pub summary: Summary,
+    /// Zones, free resources and demand; nothing if the latest summary of the same process stands.
+    pub summary: Option<Summary>,
 }
 
 /// Who makes a forwarded call, as the entry instance that took it has authenticated.
--- a/crates/primrosebay_protocol/tests/peer.rs
+++ b/crates/primrosebay_protocol/tests/peer.rs
@@ -26,13 +26,13 @@
         config: 12,
         log_age: Some(40),
         current: true,
-        summary: Summary {
+        summary: Some(Summary {
             zones: vec![ZoneTerm {
                 zone: "a".into(),
                 epoch: 4,
             }],
             ..Summary::default()
-        },
+        }),
     }
 }
 
--- a/crates/primrosebay_transport/tests/peer.rs
+++ b/crates/primrosebay_transport/tests/peer.rs
@@ -137,10 +137,10 @@
             epoch,
         });
         let sent = Heartbeat {
-            summary: Summary {
+            summary: Some(Summary {
                 zones: terms.collect(),
                 ..Summary::default()
-            },
+            }),
             ..Heartbeat::default()
         };
         a.heartbeat("entry-b", sent.clone());
