--- a/crates/primrosebay_coordination/src/zone/view.rs
+++ b/crates/primrosebay_coordination/src/zone/view.rs
@@ -135,6 +135,12 @@
         })
     }
 
+    /// Returns whether the configuration is fresh enough to start tasks, as last told.
+    #[must_use]
+    pub fn may_start(&self) -> bool {
+        self.may_start
+    }
+
     /// Returns whether this instance coordinates the zone.
     #[must_use]
     pub fn authority(&self, now: Time) -> Authority {
--- a/crates/primrosebay_entry/tests/cell/mod.rs
+++ b/crates/primrosebay_entry/tests/cell/mod.rs
@@ -12,9 +12,11 @@
 use primrosebay_entry::instance::Instance;
 use primrosebay_entry::shared::{Setup, Shared};
 use primrosebay_protocol::list::{self, Liveness, Role};
+use primrosebay_protocol::log::CONFIG_STREAM;
 use primrosebay_settings::{Limits, Timeouts};
 use primrosebay_standin::list::ListService;
 use primrosebay_standin::log::{LogService, Settings};
+use primrosebay_standin::worker::WorkerService;
 use primrosebay_state::resources::Resources;
 use primrosebay_state::time::Time;
 use primrosebay_transport::http_client::Client;
@@ -31,15 +33,18 @@
     Down,
     /// Appends take effect and are answered with an error.
     Lost,
-    /// Reads are refused.
+    /// Reads of the configuration are refused.
     Deaf,
-    /// Appends take effect and are answered with an error, and reads are refused.
+    /// Appends take effect and are answered with an error, and reads of the configuration are
+    /// refused.
     LostDeaf,
 }
 
 pub struct Node {
     pub instance: Instance,
     fault: Arc<AtomicU8>,
+    /// Calls to the log that were refused since the fault was set.
+    refused: Arc<AtomicU64>,
     pub linked: bool,
 }
 
@@ -50,6 +55,7 @@
 
     pub fn fault(&self, fault: Fault) {
         self.fault.store(fault as u8, Ordering::SeqCst);
+        self.refused.store(0, Ordering::SeqCst);
     }
 }
 
@@ -60,6 +66,7 @@
     log: tide::Server<Arc<LogService>>,
     list: SocketAddr,
     options: (Limits, Timeouts),
+    real: bool,
     servers: Vec<Server>,
 }
 
@@ -75,13 +82,20 @@
 }
 
 /// Stands between an instance and the log.
-fn path_to(log: tide::Server<Arc<LogService>>, fault: Arc<AtomicU8>) -> tide::Server<()> {
+fn path_to(
+    log: tide::Server<Arc<LogService>>,
+    fault: Arc<AtomicU8>,
+    refused: Arc<AtomicU64>,
+) -> tide::Server<()> {
     let answer = move |request: tide::Request<()>| {
         let (log, fault) = (log.clone(), fault.load(Ordering::SeqCst));
+        let refused = Arc::clone(&refused);
         async move {
             let append = request.method() == Method::Post;
             let deaf = fault == Fault::Deaf as u8 || fault == Fault::LostDeaf as u8;
-            if fault == Fault::Down as u8 || deaf && !append {
+            let config = request.url().path().contains(CONFIG_STREAM);
+            if fault == Fault::Down as u8 || deaf && config && !append {
+                refused.fetch_add(1, Ordering::SeqCst);
                 return Ok(tide::Response::new(503));
             }
             let inner: tide::http::Request = request.into();
@@ -141,8 +155,35 @@
     }
 
     pub async fn with(zones: &[&str], limits: Limits, timeouts: Timeouts, log: Settings) -> Self {
+        Self::build(zones, (limits, timeouts), log, None).await
+    }
+
+    /// Starts a cell with a worker that runs tasks in zone `a`, on the machine's clock.
+    pub async fn with_worker(zones: &[&str]) -> Self {
+        let service = Arc::new(WorkerService::new(1, worker().resources));
+        let server = listen(service.app()).await;
+        let timeouts = Timeouts {
+            poll_ms: 50,
+            ..Timeouts::default()
+        };
+        let options = (Limits::default(), timeouts);
+        Self::build(zones, options, Settings::default(), Some(server)).await
+    }
+
+    async fn build(
+        zones: &[&str],
+        options: (Limits, Timeouts),
+        log: Settings,
+        server: Option<Server>,
+    ) -> Self {
         let mut listed: Vec<_> = zones.iter().map(|zone| entry(zone)).collect();
-        listed.push(worker());
+        let address = server
+            .as_ref()
+            .map(|server| server.address().to_string().into());
+        listed.push(list::Instance {
+            address: address.unwrap_or(worker().address),
+            ..worker()
+        });
         let list = ListService::new(listed);
         let list = listen(list.app()).await;
         let mut cell = Self {
@@ -152,8 +193,9 @@
             client: Client::new(),
             log: LogService::new(log).app(),
             list: list.address(),
-            options: (limits, timeouts),
-            servers: vec![list],
+            options,
+            real: server.is_some(),
+            servers: std::iter::once(list).chain(server).collect(),
         };
         for zone in zones {
             cell.add(zone).await;
@@ -163,9 +205,19 @@
 
     /// Starts an instance and waits until it has read the log and the list.
     pub async fn add(&mut self, zone: &str) {
-        let fault = Arc::new(AtomicU8::new(0));
-        let log = listen(path_to(self.log.clone(), Arc::clone(&fault))).await;
+        let (fault, refused) = (Arc::new(AtomicU8::new(0)), Arc::default());
+        let log = listen(path_to(
+            self.log.clone(),
+            Arc::clone(&fault),
+            Arc::clone(&refused),
+        ))
+        .await;
         let clock = Arc::clone(&self.clock);
+        let clock = if self.real {
+            Clock::default()
+        } else {
+            Clock::new(move || Time(clock.load(Ordering::SeqCst)))
+        };
         let instance = Instance::start(Setup {
             name: format!("entry-{zone}").into(),
             zone: zone.into(),
@@ -177,7 +229,7 @@
             call_timeout: Duration::from_secs(5),
             limits: self.options.0.clone(),
             timeouts: self.options.1.clone(),
-            clock: Clock::new(move || Time(clock.load(Ordering::SeqCst))),
+            clock,
         });
         let instance = instance.await.expect("port 0");
         self.servers.push(log);
@@ -185,6 +237,7 @@
         self.nodes.push(Node {
             instance,
             fault,
+            refused,
             linked: true,
         });
         let listed = || !shared.directory().is_empty();
@@ -198,16 +251,18 @@
 
     /// Exchanges heartbeats between linked instances.
     pub fn exchange(&self) {
-        let now = Time(self.clock.load(Ordering::SeqCst));
-        let linked = || self.nodes.iter().filter(|node| node.linked);
+        let linked = || self.nodes.iter().map(Node::shared).zip(&self.nodes);
+        let linked = || {
+            linked()
+                .filter(|(_, node)| node.linked)
+                .map(|(shared, _)| shared)
+        };
         for from in linked() {
-            let beat = from.shared().configuration.with_freshness(|f| f.beat(now));
-            for to in linked().filter(|to| !std::ptr::eq(*to, from)) {
-                let beat = beat.clone();
-                let hear = |f: &mut primrosebay_coordination::freshness::Freshness| {
-                    f.heard(now, now, beat);
-                };
-                to.shared().configuration.with_freshness(hear);
+            let now = from.now();
+            let beat = from.configuration.with_freshness(|f| f.beat(now));
+            for to in linked().filter(|to| !Arc::ptr_eq(to, from)) {
+                let (now, beat) = (to.now(), beat.clone());
+                to.configuration.with_freshness(|f| f.heard(now, now, beat));
             }
         }
     }
@@ -241,6 +296,13 @@
         panic!("the condition does not hold");
     }
 
+    /// Sets a fault under which reads are refused, and waits until no earlier read is under way.
+    pub async fn deafen(&self, at: usize, fault: Fault) {
+        self.nodes[at].fault(fault);
+        let refused = |cell: &Self| cell.nodes[at].refused.load(Ordering::SeqCst) > 0;
+        self.wait(refused).await;
+    }
+
     /// Calls the API of the instance `at`, with heartbeats going on meanwhile.
     pub async fn call(
         &self,
--- a/crates/primrosebay_entry/tests/operators.rs
+++ b/crates/primrosebay_entry/tests/operators.rs
@@ -7,14 +7,19 @@
 use async_std::net::TcpStream;
 use async_std::task::block_on;
 use cell::{Cell, Fault, OPERATOR};
-use primrosebay_coordination::freshness::Freshness;
+use std::time::Duration;
+
+use async_std::task;
+use primrosebay_coordination::freshness::{Freshness, Status};
+use primrosebay_coordination::zone::Coordinator;
 use primrosebay_entry::configuration::Configuration;
-use primrosebay_protocol::api::{Failure, WatchLine};
+use primrosebay_protocol::api::{Failure, Submitted, WatchLine};
 use primrosebay_protocol::code::Code;
 use primrosebay_protocol::log::CONFIG_STREAM;
 use primrosebay_settings::{Limits, Timeouts};
 use primrosebay_standin::log::Settings;
 use primrosebay_state::config::Config;
+use primrosebay_state::id::JobId;
 use primrosebay_state::record::Body;
 use primrosebay_state::time::Time;
 use rstest::rstest;
@@ -159,6 +164,30 @@
     });
 }
 
+/// Guards against a body without a declared length that is read without a bound.
+#[test]
+fn chunked_body_is_bounded() {
+    block_on(async {
+        let cell = Cell::start(&["a"]).await;
+        let address = cell.nodes[0].instance.address();
+        let mut stream = TcpStream::connect(address).await.expect("loopback");
+        let head =
+            format!("PUT /v1/teams/a HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {OPERATOR}\r\n");
+        let chunk = format!(
+            "transfer-encoding: chunked\r\n\r\n1388\r\n{}\r\n0\r\n\r\n",
+            " ".repeat(5000)
+        );
+        stream
+            .write_all((head + &chunk).as_bytes())
+            .await
+            .expect("sent");
+        let mut line = String::new();
+        let mut lines = BufReader::new(stream);
+        lines.read_line(&mut line).await.expect("answered");
+        assert!(line.contains(" 413 "), "{line}");
+    });
+}
+
 /// Guards against two operators at different instances who are both told that they won.
 #[test]
 fn one_of_two_racing_operators_wins() {
@@ -196,16 +225,8 @@
         cell.seed().await;
         cell.wait(|cell| cell.nodes[0].shared().judge(6).missing.is_empty())
             .await;
-        cell.nodes[0].fault(Fault::Deaf);
-        // A read that was under way may still be answered, so the changes after it count.
+        cell.deafen(0, Fault::Deaf).await;
         let next = |at: usize| cell.nodes[at].shared().config().next;
-        while cell
-            .put(1, &format!("/v1/teams/t{}", next(1)), 0, TEAM)
-            .await
-            .0
-            == 200
-            && next(0) == next(1)
-        {}
         assert_eq!(cell.put(1, "/v1/teams/x", 0, TEAM).await.0, 200);
         let end = next(1);
         let write = Box::pin(cell.put(0, "/v1/teams/x", 0, r#"{"share":7,"limit":{}}"#));
@@ -317,6 +338,62 @@
     });
 }
 
+/// Guards against tasks that start in a zone that operators took out, or at an instance that cannot
+/// know whether they did.
+#[test]
+fn zone_that_is_out_or_cut_off_starts_nothing() {
+    block_on(async {
+        let mut cell = Cell::with_worker(&["a", "b", "c"]).await;
+        cell.seed().await;
+        let submit = async |cell: &Cell, at: usize, name: &str| {
+            let head = format!(r#"{{"name":"{name}","zones":["a"],"run_ms":1,"#);
+            let job = head + r#""resources":{"cores_milli":1}}"#;
+            let (status, body) = cell.call(at, "a-key", Post, "/v1/jobs", job).await;
+            assert_eq!(status, 201, "{body}");
+            serde_json::from_str::<Submitted>(&body).expect("an id").id
+        };
+        let attempts = |cell: &Cell, id: JobId| {
+            let zone = cell.nodes[0].shared().zone("a").expect("its own zone");
+            zone.read(|coordinator| coordinator.job(id))
+                .map_or(0, |job| job.tasks[0].attempts)
+        };
+        let first = submit(&cell, 0, "first").await;
+        cell.wait(|cell| attempts(cell, first) == 1).await;
+        let (status, body) = cell
+            .put(0, "/v1/zones/a", 1, r#"{"state":"out","region":"north"}"#)
+            .await;
+        assert_eq!(status, 200, "{body}");
+        let out = cell.nodes[0].shared().config().version("zone", "a");
+        let second = submit(&cell, 0, "second").await;
+        for _ in 0..300 {
+            cell.exchange();
+            task::sleep(Duration::from_millis(1)).await;
+            assert_eq!(attempts(&cell, second), 0, "the zone is out");
+        }
+        cell.put(0, "/v1/zones/a", out, r#"{"state":"in","region":"north"}"#)
+            .await;
+        cell.wait(|cell| attempts(cell, second) == 1).await;
+        cell.nodes[0].fault(Fault::Deaf);
+        cell.nodes[0].linked = false;
+        cell.wait(|cell| cell.nodes[0].shared().status() == Status::Stale)
+            .await;
+        let zone = cell.nodes[0].shared().zone("a").expect("its own zone");
+        cell.wait(|_| !zone.read(Coordinator::may_start)).await;
+        let third = submit(&cell, 1, "third").await;
+        let known = |cell: &Cell, id| {
+            let zone = cell.nodes[0].shared().zone("a").expect("its own zone");
+            zone.read(|coordinator| coordinator.job(id).is_some())
+        };
+        cell.wait(|cell| known(cell, third)).await;
+        for _ in 0..300 {
+            task::sleep(Duration::from_millis(1)).await;
+            assert_eq!(attempts(&cell, third), 0, "the instance is cut off");
+        }
+        cell.nodes[0].fault(Fault::None);
+        cell.wait(|cell| attempts(cell, third) == 1).await;
+    });
+}
+
 /// Guards against a change that is called accepted while no quorum of zones has it.
 #[test]
 fn change_without_a_quorum_is_pending() {
@@ -355,7 +432,11 @@
     block_on(async {
         let cell = Cell::start(&["a"]).await;
         cell.seed().await;
-        cell.nodes[0].fault(fault);
+        match fault {
+            // The read that is under way would bring the record back.
+            Fault::LostDeaf => cell.deafen(0, fault).await,
+            _ => cell.nodes[0].fault(fault),
+        }
         let answer = cell.put(0, "/v1/teams/c", 0, TEAM).await;
         assert_eq!(code(&answer), expected);
         cell.nodes[0].fault(Fault::None);
@@ -482,5 +563,14 @@
                 "{parts:?} is not in\n{text}"
             );
         }
+        let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/operators.md");
+        let page = std::fs::read_to_string(path).expect("the page exists");
+        let kinds = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+        for name in kinds.filter_map(|line| line.split(' ').next()) {
+            assert!(
+                page.contains(&format!("`{name}`")),
+                "{name} is not in {path}"
+            );
+        }
     });
 }
--- a/crates/primrosebay_protocol/tests/page.rs
+++ b/crates/primrosebay_protocol/tests/page.rs
@@ -24,3 +24,20 @@
 fn codes_are_in_ascending_order() {
     assert!(TABLE.is_sorted_by(|a, b| a.code < b.code));
 }
+
+/// Guards against codes that operators get and find no advice for.
+#[test]
+fn every_code_has_advice_for_operators() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operators.md");
+    let page = std::fs::read_to_string(&path).expect("the page exists");
+    let rows: Vec<&str> = page.lines().filter(|line| line.starts_with("| ")).collect();
+    for entry in TABLE {
+        let code = entry.code.0.to_string();
+        let named = |row: &&str| {
+            row.split('|')
+                .nth(1)
+                .is_some_and(|cell| cell.contains(&code))
+        };
+        assert!(rows.iter().any(named), "{code} is not in {path:?}");
+    }
+}
