--- a/crates/primrosebay_coordination/src/schedule/settings.rs
+++ b/crates/primrosebay_coordination/src/schedule/settings.rs
@@ -17,7 +17,8 @@
     pub victims: usize,
     /// Most jobs that resources are held for at a time.
     pub reservations: usize,
-    /// Milliseconds after which a task that fits nowhere gets resources held for it.
+    /// Milliseconds after which the first job of the team that is furthest below its share gets
+    /// resources held for it.
     pub patience_ms: u64,
     /// Milliseconds after which a reservation is computed again.
     pub refresh_ms: u64,
@@ -25,6 +26,10 @@
     pub gang_ms: u64,
     /// Milliseconds for which accelerator workers are kept after accelerator jobs have waited.
     pub keep_ms: u64,
+    /// Whether tasks are granted what earlier tasks of their family used instead of what they
+    /// declare. The coordinator must then start tasks with [`super::Scheduler::granted`] and pass
+    /// what a recovered task was given to [`super::Scheduler::occupy`].
+    pub learn_sizes: bool,
     /// Run time in milliseconds that is assumed for a batch or gang task that declares none.
     pub run_ms: u64,
 }
@@ -32,10 +37,10 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            ageing_ms: 3_600_000,
+            ageing_ms: 86_400_000,
             window_ms: 600_000,
             // Deadlines and ageing together stay below the 2% that a team may deviate from its share.
-            deadline_permille: 10,
+            deadline_permille: 8,
             ageing_permille: 2,
             urgent_permille: 250,
             victims: 64,
@@ -44,6 +49,7 @@
             refresh_ms: 1_000,
             gang_ms: 50,
             keep_ms: 600_000,
+            learn_sizes: false,
             run_ms: 3_600_000,
         }
     }
