Measure latency without bursts and tell lost answers from refusals

Cause: the 16 callers started together and kept the same rhythm, so that the measurement showed the queue of a burst of 16 requests every 5 ms. And a lost answer has the same status as a deadline that passed before sending.

Change: callers are spread over the gap. A refusal is told by x-ran: no.

--- a/crates/primrosebay_load/src/caller.rs
+++ b/crates/primrosebay_load/src/caller.rs
@@ -27,6 +27,15 @@
     }
 }
 
+/// What a caller gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Outcome {
+    /// The HTTP status.
+    pub(crate) status: u16,
+    /// Whether the answer says that the request was not run.
+    pub(crate) not_run: bool,
+}
+
 /// Reads one answer piece by piece.
 #[derive(Debug, Default)]
 struct Reader {
@@ -34,8 +43,8 @@
 }
 
 impl Reader {
-    /// Adds a piece and returns the status once the answer is complete.
-    fn add(&mut self, piece: &[u8]) -> Option<u16> {
+    /// Adds a piece and returns the outcome once the answer is complete.
+    fn add(&mut self, piece: &[u8]) -> Option<Outcome> {
         self.bytes.extend_from_slice(piece);
         let end = self.bytes.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
         let head = std::str::from_utf8(&self.bytes[..end]).ok()?;
@@ -44,12 +53,13 @@
             .find_map(|line| line.strip_prefix("content-length: "))
             .and_then(|text| text.parse().ok())?;
         let status = head.get(9..12)?.parse().ok()?;
-        (self.bytes.len() >= end + length).then_some(status)
+        let not_run = head.contains("x-ran: no\r\n");
+        (self.bytes.len() >= end + length).then_some(Outcome { status, not_run })
     }
 }
 
-/// Sends a request on a blocking connection and returns the status of the answer.
-pub(crate) fn blocking(stream: &mut std::net::TcpStream, request: &[u8]) -> io::Result<u16> {
+/// Sends a request on a blocking connection and returns the outcome.
+pub(crate) fn blocking(stream: &mut std::net::TcpStream, request: &[u8]) -> io::Result<Outcome> {
     stream.write_all(request)?;
     let (mut reader, mut buffer) = (Reader::default(), [0; 4096]);
     loop {
@@ -57,14 +67,14 @@
         if count == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
-        if let Some(status) = reader.add(&buffer[..count]) {
-            return Ok(status);
+        if let Some(outcome) = reader.add(&buffer[..count]) {
+            return Ok(outcome);
         }
     }
 }
 
-/// Sends a request on an open connection and returns the status of the answer.
-pub(crate) async fn send(mut stream: &TcpStream, request: &[u8]) -> io::Result<u16> {
+/// Sends a request on an open connection and returns the outcome.
+pub(crate) async fn send(mut stream: &TcpStream, request: &[u8]) -> io::Result<Outcome> {
     stream.write_all(request).await?;
     let (mut reader, mut buffer) = (Reader::default(), [0; 4096]);
     loop {
@@ -72,14 +82,14 @@
         if count == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
-        if let Some(status) = reader.add(&buffer[..count]) {
-            return Ok(status);
+        if let Some(outcome) = reader.add(&buffer[..count]) {
+            return Ok(outcome);
         }
     }
 }
 
 /// Sends one request on a connection of its own.
-pub(crate) async fn once(target: &Target, repeat: &str, deadline_ms: u64) -> io::Result<u16> {
+pub(crate) async fn once(target: &Target, repeat: &str, deadline_ms: u64) -> io::Result<Outcome> {
     let stream = TcpStream::connect(target.address).await?;
     send(&stream, &target.request("ready", repeat, deadline_ms)).await
 }
--- a/crates/primrosebay_load/src/cell.rs
+++ b/crates/primrosebay_load/src/cell.rs
@@ -96,7 +96,7 @@
 
     async fn wait_ready(&self) -> io::Result<()> {
         for _ in 0..200 {
-            if once(&self.entry(), "once", 5_000).await? == 200 {
+            if once(&self.entry(), "once", 5_000).await?.status == 200 {
                 return Ok(());
             }
             task::sleep(Duration::from_millis(20)).await;
--- a/crates/primrosebay_load/src/goodput.rs
+++ b/crates/primrosebay_load/src/goodput.rs
@@ -8,7 +8,7 @@
 use async_std::net::TcpStream;
 use async_std::task;
 
-use crate::caller::{Target, send};
+use crate::caller::{Outcome, Target, send};
 use crate::cell::{Cell, MINIONS};
 
 /// Slots of a minion.
@@ -122,26 +122,24 @@
         self.count(&self.counts.sent);
         let deadline = u64::try_from(self.plan.deadline.as_millis()).unwrap_or(u64::MAX);
         let request = self.target.request(&i.to_string(), "once", deadline);
-        let status = self.exchange(&request).await.unwrap_or(0);
+        let outcome = self.exchange(&request).await;
         let in_time = start.elapsed() <= self.plan.deadline;
-        self.count(match status {
-            200 if in_time => &self.counts.good,
-            // 504 is also the status of a deadline that passed before the request was sent, which
-            // takes no slot; lost answers are counted by the minions' runs beyond the good ones.
-            503 | 504 => &self.counts.refused,
+        self.count(match outcome {
+            Ok(outcome) if outcome.status == 200 && in_time => &self.counts.good,
+            Ok(outcome) if outcome.not_run => &self.counts.refused,
             _ => &self.counts.wasted,
         });
     }
 
-    async fn exchange(&self, request: &[u8]) -> io::Result<u16> {
+    async fn exchange(&self, request: &[u8]) -> io::Result<Outcome> {
         let idle = self.idle().pop();
         let stream = match idle {
             Some(stream) => stream,
             None => TcpStream::connect(self.target.address).await?,
         };
-        let status = send(&stream, request).await?;
+        let outcome = send(&stream, request).await?;
         self.idle().push(stream);
-        Ok(status)
+        Ok(outcome)
     }
 
     fn idle(&self) -> std::sync::MutexGuard<'_, Vec<TcpStream>> {
--- a/crates/primrosebay_load/src/latency.rs
+++ b/crates/primrosebay_load/src/latency.rs
@@ -92,7 +92,15 @@
 ) -> io::Result<Histogram<u64>> {
     let callers: Vec<_> = targets
         .enumerate()
-        .map(|(i, target)| thread::spawn(move || call(plan, &target, &format!("{round}-{i}"))))
+        .map(|(i, target)| {
+            thread::spawn(move || {
+                // Callers that send at the same moment would measure the queue of their burst.
+                let turn = u32::try_from(i).unwrap_or(0);
+                let most = u32::try_from(plan.callers).unwrap_or(1);
+                thread::sleep(plan.gap * turn / most);
+                call(plan, &target, &format!("{round}-{i}"))
+            })
+        })
         .collect();
     let mut all = histogram();
     for caller in callers {
@@ -114,7 +122,7 @@
         thread::sleep(next.saturating_duration_since(Instant::now()));
         let request = target.request(&format!("{name}-{i}"), "idempotent", 10_000);
         let start = Instant::now();
-        let status = blocking(&mut stream, &request)?;
+        let status = blocking(&mut stream, &request)?.status;
         if status != 200 {
             return Err(io::Error::other(format!("status {status}")));
         }
