--- a/crates/primrosebay_coordination/src/zone/advance.rs
+++ b/crates/primrosebay_coordination/src/zone/advance.rs
@@ -11,13 +11,27 @@
 use crate::schedule::Decision;
 
 impl Coordinator {
-    pub(super) fn advance(&mut self, now: Time) {
+    /// Does what the event made possible. `answered` is the worker that it came from. In a settled
+    /// term only this one is looked at then, because a busy coordinator handles thousands of
+    /// answers a second; the rest is left to the next tick.
+    pub(super) fn advance(&mut self, now: Time, answered: Option<&Name>) {
+        let settled = self.terms.voters.own && self.terms.proposal.is_none() && self.recovery.done;
+        if let Some(worker) = answered
+            && self.terms.phase == Phase::Claiming
+            && settled
+        {
+            self.check_member(now, worker);
+            self.schedule(now);
+            self.send_all(now);
+            return;
+        }
         self.advance_term(now);
         if self.terms.phase == Phase::Claiming {
             self.advance_recovery(now);
             self.check_members(now);
             self.limit_teams(now);
             self.end_backoff(now);
+            self.evict(now);
             self.advance_moves(now);
             self.schedule(now);
         }
@@ -35,7 +49,7 @@
         let scheduler = &mut self.scheduler;
         self.members.retain(|name, member| {
             let keep = member.listed
-                || voters.contains(name)
+                || voters.binary_search(name).is_ok()
                 || !member.tasks.is_empty()
                 || !member.placed.is_empty();
             if !keep && member.known.is_some() {
@@ -88,8 +102,10 @@
             && member.listed
             && !member.leaving
             && !self.lost.contains(name)
-            && self.terms.voters.names.contains(name)
-            && proposal.as_ref().is_none_or(|names| names.contains(name))
+            && self.terms.voters.names.binary_search(name).is_ok()
+            && proposal
+                .as_ref()
+                .is_none_or(|names| names.binary_search(name).is_ok())
     }
 
     /// Gives a task whose start has not been sent back to the scheduler.
--- a/crates/primrosebay_coordination/src/zone/jobs.rs
+++ b/crates/primrosebay_coordination/src/zone/jobs.rs
@@ -4,6 +4,7 @@
 use primrosebay_state::id::{AttemptId, JobId, TaskId};
 use primrosebay_state::job::{JobSpec, Policy, Repeat};
 use primrosebay_state::record::Outcome;
+use primrosebay_state::time::Time;
 
 use crate::table::Table;
 
@@ -42,6 +43,19 @@
     pub running: bool,
     /// Whether the attempt is to be stopped, and with a checkpoint.
     pub stop: Option<bool>,
+    pub excess: Excess,
+}
+
+/// Whether an attempt uses more than it was given.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(super) enum Excess {
+    /// It does not.
+    #[default]
+    None,
+    /// It does and is throttled; it is stopped at the time if that does not help.
+    Throttled(Time),
+    /// It is stopped for that reason.
+    Evicted,
 }
 
 /// One task.
@@ -51,15 +65,23 @@
     /// The highest number of an attempt.
     pub attempts: u32,
     pub failures: u32,
+    /// Failures that count towards the limit of the job, in quarters.
+    pub blame: u32,
     /// Whether a `Starting` record is in the log.
     pub started: bool,
 }
 
 /// One job.
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 pub(super) struct Job {
     pub home: Name,
     pub spec: JobSpec,
+    /// Whether only this coordinator, in its present tenure, can have started the job.
+    pub own: bool,
     /// Whether the `Accepted` record is in the log.
     pub logged: bool,
     /// Whether the job is cancelled, and whether a record in the log says so.
@@ -94,12 +116,14 @@
             state: state.clone(),
             attempts: 0,
             failures: 0,
+            blame: 0,
             started: false,
         };
         let tasks = vec![task; spec.tasks as usize];
         Self {
             home,
             spec,
+            own: false,
             logged: false,
             cancelled: None,
             failed: false,
@@ -118,6 +142,16 @@
         self.tasks.iter().all(Task::is_ended)
     }
 
+    /// Notes that this coordinator accepted the job itself, so that no other has started its tasks.
+    pub fn claim(&mut self) {
+        self.own = true;
+        for task in &mut self.tasks {
+            if task.state == State::Inherited {
+                task.state = State::Waiting;
+            }
+        }
+    }
+
     pub fn is_once(&self) -> bool {
         self.spec.repeat == Repeat::Once
     }
@@ -198,9 +232,13 @@
         *self.names.or_insert(key, id) == id
     }
 
+    /// Returns the identifier of the job of `team` with `name` in the log.
+    pub fn id_of(&self, team: &Name, name: &Name) -> Option<JobId> {
+        self.names.get(&(team.clone(), name.clone())).copied()
+    }
+
     /// Returns the job of `team` with `name` in the log.
     pub fn named(&self, team: &Name, name: &Name) -> Option<&Job> {
-        let id = self.names.get(&(team.clone(), name.clone()))?;
-        self.all.get(id)
+        self.all.get(&self.id_of(team, name)?)
     }
 }
--- a/crates/primrosebay_coordination/src/zone/log.rs
+++ b/crates/primrosebay_coordination/src/zone/log.rs
@@ -42,11 +42,12 @@
                     self.recovery.read = true;
                 }
             }
-            Body::Config(_) | Body::Allowance { .. } => {}
+            Body::Snapshot(piece) => self.read_snapshot(now, piece),
+            Body::Config(_) | Body::Allowance { .. } | Body::ConfigSnapshot(_) => {}
         }
     }
 
-    fn read_accepted(
+    pub(super) fn read_accepted(
         &mut self,
         now: Time,
         id: JobId,
@@ -73,7 +74,7 @@
         }
     }
 
-    fn read_finished(&mut self, now: Time, id: TaskId, outcome: Outcome) {
+    pub(super) fn read_finished(&mut self, now: Time, id: TaskId, outcome: Outcome) {
         let Some((_, task)) = self.jobs.task(id) else {
             return;
         };
@@ -85,6 +86,7 @@
                 let attempt = self.jobs.attempt(id);
                 if let Some(member) = self.members.get_mut(&worker) {
                     member.strays.push(attempt);
+                    member.stops = true;
                 }
             }
             self.detach(now, id, &worker);
@@ -102,10 +104,11 @@
             job.failed = true;
             self.close(now, id.job);
         }
+        self.regroup(now, id.job);
         self.wake_dependents(now, id.job);
     }
 
-    fn read_cancelled(&mut self, now: Time, id: JobId) {
+    pub(super) fn read_cancelled(&mut self, now: Time, id: JobId) {
         if let Some(job) = self.jobs.all.get_mut(&id) {
             let known = job.cancelled.is_some();
             job.cancelled = Some(true);
--- a/crates/primrosebay_coordination/src/zone/mod.rs
+++ b/crates/primrosebay_coordination/src/zone/mod.rs
@@ -11,8 +11,10 @@
 mod retry;
 mod send;
 mod settings;
+mod snapshot;
 mod tasks;
 mod term;
+mod usage;
 mod view;
 
 use rand::SeedableRng;
@@ -72,7 +74,8 @@
         spec: JobSpec,
         /// Whether the record is in the log; it is held by peers otherwise.
         durable: bool,
-        /// Whether this coordinator accepted it, so that no other one can have started it.
+        /// Whether this coordinator accepted it in one tenure (see [`Authority::tenure`]), so that
+        /// no other one can have started it.
         own: bool,
     },
     /// A caller or operator cancels a job.
@@ -177,6 +180,8 @@
     token: u64,
     appends: Table<u64, Pending>,
     backoff: Vec<(Time, TaskId)>,
+    /// Tasks that use more than they were given, with the time until which they are throttled.
+    throttled: Vec<(Time, TaskId)>,
     /// Jobs that wait for another job to end.
     dependents: Vec<JobId>,
     /// Jobs that are being given to another zone.
@@ -214,6 +219,7 @@
             token: 0,
             appends: Table::default(),
             backoff: Vec::new(),
+            throttled: Vec::new(),
             dependents: Vec::new(),
             moves: Vec::new(),
             opened: Table::default(),
@@ -230,6 +236,10 @@
 
     /// Handles one event. `now` is the local monotonic clock and never goes back.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Command> {
+        let answered = match &event {
+            Event::Reply { worker, .. } => Some(worker.clone()),
+            _ => None,
+        };
         match event {
             Event::Tick => self.changed = true,
             Event::Workers(list) => self.set_workers(&list),
@@ -269,7 +279,7 @@
             Event::WorkerLost(worker) => self.on_lost(now, &worker),
             Event::Stop => self.stop(now),
         }
-        self.advance(now);
+        self.advance(now, answered.as_ref());
         std::mem::take(&mut self.out)
     }
 
--- a/crates/primrosebay_coordination/src/zone/recovery.rs
+++ b/crates/primrosebay_coordination/src/zone/recovery.rs
@@ -184,6 +184,7 @@
     pub(super) fn forget_term(&mut self, _now: Time) {
         self.scheduler = Scheduler::new(crate::schedule::Settings::default(), self.seed);
         self.backoff.clear();
+        self.throttled.clear();
         self.dependents.clear();
         self.recovery = Recovery {
             teams_changed: true,
@@ -221,6 +222,7 @@
     /// Forgets where the tasks that are not over may run.
     pub(super) fn make_inherited(&mut self) {
         let closing = self.is_closing();
+        self.own = false;
         for task in &mut self.tasks {
             if closing && !task.is_ended() {
                 task.state = State::Ended {
--- a/crates/primrosebay_coordination/src/zone/reports.rs
+++ b/crates/primrosebay_coordination/src/zone/reports.rs
@@ -6,7 +6,7 @@
 use primrosebay_state::time::Time;
 
 use super::Coordinator;
-use super::jobs::{Active, State};
+use super::jobs::{Active, Excess, State};
 use super::lease::Reading;
 use super::tasks::Over;
 use super::term::Phase;
@@ -50,10 +50,12 @@
                 // The tasks that run there may have been renewed up to now.
                 member.renewed = Some(now);
                 member.hurried = true;
+                member.claimed = Some(now);
             }
             member.granted = member.granted.max(Some(sent));
         }
         for report in &reply.reports {
+            self.note_handled(worker, report);
             self.on_report(now, worker, report);
         }
         self.end_unreported(now, worker, reply.sequence);
@@ -77,14 +79,18 @@
         }
     }
 
-    pub(super) fn on_report(&mut self, now: Time, worker: &Name, report: &Report) {
-        let id = report.attempt.task;
+    /// Notes that a report need not be sent again, except for ends that are not durable.
+    fn note_handled(&mut self, worker: &Name, report: &Report) {
         if let Some(member) = self.members.get_mut(worker) {
             if report.state != AttemptState::Running && report.sequence > member.handled {
-                member.ended.push((report.sequence, id));
+                member.ended.push((report.sequence, report.attempt.task));
             }
             member.handled = member.handled.max(report.sequence);
         }
+    }
+
+    pub(super) fn on_report(&mut self, now: Time, worker: &Name, report: &Report) {
+        let id = report.attempt.task;
         let Some(task) = self.jobs.task_mut(id) else {
             self.note_orphan(now, worker, report);
             return;
@@ -95,7 +101,10 @@
         let current =
             matches!(&task.state, State::Active(active) if active.worker == *worker) && latest;
         match (Over::from_report(report.state), &mut task.state) {
-            (None, State::Active(active)) if current => active.running = true,
+            (None, State::Active(active)) if current => {
+                active.running = true;
+                self.note_usage(now, report);
+            }
             (None, State::Inherited) => self.adopt(now, worker, id),
             (None, _) => self.note_stray(worker, report),
             (Some(over), _) if current => self.attempt_over(now, id, over),
@@ -122,6 +131,7 @@
             request: 0,
             running: true,
             stop: None,
+            excess: Excess::None,
         };
         self.set_state(id, State::Active(active));
     }
@@ -132,6 +142,7 @@
             && !member.strays.contains(&report.attempt)
         {
             member.strays.push(report.attempt);
+            member.stops = true;
         }
     }
 
--- a/crates/primrosebay_coordination/src/zone/send.rs
+++ b/crates/primrosebay_coordination/src/zone/send.rs
@@ -1,13 +1,13 @@
 //! Requests to workers.
 
-use primrosebay_protocol::worker::{Command as Order, Request, Start};
+use primrosebay_protocol::worker::{Command as Order, Request, Start, Term};
 use primrosebay_state::Name;
 use primrosebay_state::id::TaskId;
 use primrosebay_state::time::{Time, WorkerTime};
 
 use rand::Rng;
 
-use super::jobs::{Active, State};
+use super::jobs::{Active, Excess, State};
 use super::member::Member;
 use super::term::Phase;
 use super::{Command, Coordinator};
@@ -15,6 +15,12 @@
 /// Most starts in one request, so that it stays within about 64 KB.
 const MAX_STARTS: usize = 256;
 
+/// What all requests of one moment have in common.
+struct Basis {
+    term: Term,
+    may_renew: bool,
+}
+
 impl Coordinator {
     /// Sends what is due.
     pub(super) fn send_all(&mut self, now: Time) {
@@ -48,15 +54,17 @@
         } else {
             Vec::new()
         };
+        let basis = self.basis(now);
         for name in names {
-            let request = self.request(now, &name, false);
+            let request = self.request(now, &name, &basis, false);
             self.send(now, name, request);
         }
     }
 
     fn renew(&mut self, now: Time) {
         let heartbeat = self.settings.heartbeat;
-        let starts = self.may_send_starts(now);
+        let placed = self.members.iter().any(|(_, m)| !m.placed.is_empty());
+        let starts = placed && self.may_send_starts(now);
         let ttl = self.settings.control_ttl;
         let wanted = |member: &Member| {
             member.is_due(now, heartbeat)
@@ -68,14 +76,18 @@
         let names: Vec<_> = self
             .members
             .iter()
+            .filter(|(_, member)| wanted(member))
             .filter(|(name, member)| {
-                (member.listed || voters.contains(name)) && !self.lost.contains(name)
+                (member.listed || voters.binary_search(name).is_ok()) && !self.lost.contains(name)
             })
-            .filter(|(_, member)| wanted(member))
             .map(|(name, _)| name.clone())
             .collect();
+        if names.is_empty() {
+            return;
+        }
+        let basis = self.basis(now);
         for name in names {
-            let mut request = self.request(now, &name, true);
+            let mut request = self.request(now, &name, &basis, true);
             if request.deadline.is_some() {
                 self.add_stops(&name, &mut request);
                 if starts {
@@ -93,13 +105,20 @@
             && self.has_authority(now)
     }
 
+    fn basis(&self, now: Time) -> Basis {
+        let may_renew = self.may_renew(now);
+        Basis {
+            term: self.request_term(may_renew),
+            may_renew,
+        }
+    }
+
     /// Returns a request without commands: a claim, or a renewal with a deadline if the lease is
     /// held. A process that pauses after this point sends a request that the worker rejects.
-    fn request(&mut self, now: Time, worker: &Name, claim: bool) -> Request {
+    fn request(&mut self, now: Time, worker: &Name, basis: &Basis, claim: bool) -> Request {
         self.sequence += 1;
-        let may_renew = self.may_renew(now);
         let mut request = Request {
-            term: self.request_term(now),
+            term: basis.term.clone(),
             run: 0,
             sequence: self.sequence,
             deadline: None,
@@ -112,6 +131,9 @@
         let Some(member) = self.members.get::<Name>(worker) else {
             return request;
         };
+        if member.told >= request.term.epoch {
+            request.term.voters.clear();
+        }
         request.acknowledged = self.acknowledged(member);
         if claim
             && member.is_held(now, self.settings.control_ttl)
@@ -120,7 +142,7 @@
             let clock = reading.earliest(now);
             request.run = member.run;
             request.deadline = Some(clock + self.settings.control_ttl);
-            if may_renew {
+            if basis.may_renew {
                 request.tasks_until = clock + self.settings.task_ttl;
             }
         }
@@ -142,7 +164,9 @@
         let Some(member) = self.members.get_mut(worker) else {
             return;
         };
-        member.stops = false;
+        if !std::mem::take(&mut member.stops) && !member.stopping {
+            return;
+        }
         for id in &member.tasks {
             let Some((_, task)) = self.jobs.task(*id) else {
                 continue;
@@ -156,6 +180,14 @@
                     attempt: self.jobs.attempt(*id),
                     checkpoint,
                 });
+            } else if let State::Active(Active {
+                excess: Excess::Throttled(_),
+                ..
+            }) = task.state
+            {
+                request.commands.push(Order::Throttle {
+                    attempt: self.jobs.attempt(*id),
+                });
             }
         }
         for attempt in &member.strays {
@@ -164,15 +196,13 @@
                 checkpoint: false,
             });
         }
+        member.stopping = !request.commands.is_empty();
     }
 
     fn add_starts(&mut self, worker: &Name, request: &mut Request) {
         let Some(member) = self.members.get_mut(worker) else {
             return;
         };
-        if !member.usable && member.quarantine == super::member::Quarantine::None {
-            return;
-        }
         let many = member.placed.len().min(MAX_STARTS);
         let placed: Vec<_> = member.placed.drain(..many).collect();
         member.tasks.extend(&placed);
@@ -186,6 +216,7 @@
                 request: request.sequence,
                 running: false,
                 stop: None,
+                excess: Excess::None,
             });
             let attempt = self.jobs.attempt(id);
             if let Some((job, _)) = self.jobs.task(id) {
@@ -195,6 +226,7 @@
                     repeat: job.spec.repeat,
                     run_ms: job.spec.run_ms,
                     team: job.spec.team.clone(),
+                    trace: job.spec.trace.clone(),
                 }));
             }
         }
@@ -205,6 +237,7 @@
             member.asked = (request.sequence, now);
             member.waiting = true;
             member.hurried = false;
+            member.ended.retain(|entry| entry.0 > request.acknowledged);
             if request.tasks_until > WorkerTime(0) {
                 member.renewed = Some(now);
             }
@@ -220,8 +253,9 @@
             .filter(|(_, member)| member.granted.is_some())
             .map(|(name, _)| name.clone())
             .collect();
+        let basis = self.basis(now);
         for name in held {
-            let mut request = self.request(now, &name, true);
+            let mut request = self.request(now, &name, &basis, true);
             request.release = true;
             self.send(now, name, request);
         }
--- a/crates/primrosebay_coordination/src/zone/tasks.rs
+++ b/crates/primrosebay_coordination/src/zone/tasks.rs
@@ -7,7 +7,7 @@
 use primrosebay_state::record::{Body, Outcome};
 use primrosebay_state::time::Time;
 
-use super::jobs::{Job, State};
+use super::jobs::{Excess, Job, State};
 use super::{Coordinator, Pending};
 
 /// How an attempt came to its end.
@@ -44,13 +44,16 @@
         durable: bool,
         own: bool,
     ) {
+        // Without authority the job may start elsewhere before this instance gets the zone.
+        let own = own && self.has_authority(now);
         if let Some(job) = self.jobs.all.get_mut(&id) {
             job.logged |= durable;
+            if own && job.home == self.zone {
+                job.claim();
+            }
             self.submit(now, id);
             return;
         }
-        // Without authority the job may start elsewhere before this instance gets the zone.
-        let own = own && self.has_authority(now);
         let state = if own {
             State::Waiting
         } else {
@@ -58,6 +61,7 @@
         };
         let mut job = Job::new(self.zone.clone(), spec, &state);
         job.logged = durable;
+        job.own = own;
         self.jobs.all.insert(id, job);
         if !own {
             self.recovery.inherited.push(id);
@@ -79,6 +83,10 @@
         if waits {
             return;
         }
+        if !job.own && !self.recovery.done {
+            self.wait_for_recovery(id);
+            return;
+        }
         if !job.spec.after.is_empty() {
             let before = self.jobs.named(&job.spec.team, &job.spec.after);
             if before.and_then(Job::outcome) != Some(Outcome::Done) {
@@ -104,6 +112,24 @@
         }
     }
 
+    /// Keeps the waiting tasks of a job until the log has been read: the job may have been moved or
+    /// its tasks may have finished.
+    fn wait_for_recovery(&mut self, id: JobId) {
+        let Some(job) = self.jobs.all.get_mut(&id) else {
+            return;
+        };
+        let mut waiting = false;
+        for task in &mut job.tasks {
+            if task.state == State::Waiting {
+                task.state = State::Inherited;
+                waiting = true;
+            }
+        }
+        if waiting && !self.recovery.inherited.contains(&id) {
+            self.recovery.inherited.push(id);
+        }
+    }
+
     /// Handles the end of the attempt that the task at `id` was given last.
     pub(super) fn attempt_over(&mut self, now: Time, id: TaskId, over: Over) {
         let Some((job, task)) = self.jobs.task(id) else {
@@ -112,8 +138,9 @@
         let Some(worker) = task.worker().cloned() else {
             return;
         };
-        let preempted = matches!(&task.state, State::Active(active) if active.stop.is_some());
         let (closing, once) = (job.is_closing(), job.is_once());
+        let evicted =
+            matches!(&task.state, State::Active(active) if active.excess == Excess::Evicted);
         let service = job.spec.policy == Policy::Service;
         let keep = job.moving.is_some() || job.is_gang();
         self.detach(now, id, &worker);
@@ -137,15 +164,17 @@
             Over::Done if !service => self.end_task(now, id, Outcome::Done),
             Over::Stopped | Over::Lost if once => self.end_task(now, id, Outcome::Unknown),
             Over::Failed if once => self.end_task(now, id, Outcome::Failed),
-            Over::Done | Over::Failed => self.retry_failed(now, id, over),
+            // Counts as a failure, because the next attempt is likely to need as much.
+            Over::Stopped if evicted => self.retry_failed(now, id, &worker, Over::Failed),
+            Over::Done | Over::Failed => self.retry_failed(now, id, &worker, over),
             _ if keep => self.hold_back(now, id),
             Over::NotRun => self.retry_later(now, id, self.settings.heartbeat),
             Over::Stopped | Over::Lost => {
-                debug_assert!(preempted || over != Over::Done);
                 self.set_state(id, State::Waiting);
                 self.submit(now, id.job);
             }
         }
+        self.regroup(now, id.job);
     }
 
     /// Takes the task off its worker and frees its resources.
--- a/crates/primrosebay_coordination/src/zone/term.rs
+++ b/crates/primrosebay_coordination/src/zone/term.rs
@@ -30,6 +30,7 @@
 pub(super) struct Voters {
     /// The epoch of their term; 0 if no term was learned of and the live list stands in.
     pub epoch: u64,
+    /// In ascending order.
     pub names: Vec<Name>,
     /// Whether the term is this coordinator's own.
     pub own: bool,
@@ -69,18 +70,49 @@
 }
 
 impl Coordinator {
-    /// Returns whether the member counts as a voter of the latest term that has granted its lease.
-    fn is_vote(&self, member: &Member) -> bool {
-        self.terms.voters.own || self.terms.voters.epoch == 0 || member.remembers
+    /// Returns whether the lease of `member` is held and no earlier holder relies on it any more.
+    ///
+    /// A worker that has restarted has forgotten its earlier lease, so that lease is waited for.
+    fn is_vote(&self, now: Time, member: &Member) -> bool {
+        let ttl = self.settings.control_ttl;
+        let forgot = !self.terms.voters.own && !member.remembers;
+        let waited = |at: Time| now >= at + upper_bound(ttl);
+        member.is_held(now, ttl) && (!forgot || member.claimed.is_some_and(waited))
     }
 
     pub(super) fn votes(&self, now: Time) -> usize {
-        let ttl = self.settings.control_ttl;
         count(&self.members, &self.terms.voters.names, |member| {
-            member.is_held(now, ttl) && self.is_vote(member)
+            self.is_vote(now, member)
         })
     }
 
+    /// Returns whether no term can have opened after the latest one that was learned of.
+    ///
+    /// More than half of the voters would know of it, so it is enough that half of them remember
+    /// their terms. If more of them have restarted, all workers must have been held for so long
+    /// that the tasks on any other one have stopped.
+    fn knows_latest(&self, now: Time) -> bool {
+        let voters = &self.terms.voters;
+        if voters.own || voters.epoch == 0 {
+            return true;
+        }
+        let remembering = count(&self.members, &voters.names, |member| member.remembers);
+        2 * remembering >= voters.names.len() || self.holds_all(now)
+    }
+
+    fn holds_all(&self, now: Time) -> bool {
+        let ttl = upper_bound(self.settings.task_ttl);
+        let long = |member: &Member| {
+            member.is_held(now, self.settings.control_ttl)
+                && member.claimed.is_some_and(|at| now >= at + ttl)
+        };
+        let voters = &self.terms.voters.names;
+        self.members
+            .iter()
+            .filter(|(name, member)| member.listed || voters.binary_search(name).is_ok())
+            .all(|(name, member)| self.lost.contains(name) || long(member))
+    }
+
     /// Returns whether enough workers of a proposed term are held.
     fn holds_proposal(&self, now: Time) -> bool {
         let ttl = self.settings.control_ttl;
@@ -95,6 +127,7 @@
         self.terms.phase == Phase::Claiming
             && voters > 0
             && 2 * self.votes(now) >= voters
+            && self.knows_latest(now)
             && self.holds_proposal(now)
     }
 
@@ -109,9 +142,9 @@
 
     /// Returns the term that requests carry. Voters are told only while no other instance can have
     /// authority, so that a worker that has restarted learns no outdated term.
-    pub(super) fn request_term(&self, now: Time) -> Term {
+    pub(super) fn request_term(&self, may_renew: bool) -> Term {
         let voters = match &self.terms.proposal {
-            _ if !self.may_renew(now) => Vec::new(),
+            _ if !may_renew => Vec::new(),
             Some(names) => names.clone(),
             None if self.terms.voters.own => self.terms.voters.names.clone(),
             None => Vec::new(),
@@ -145,7 +178,10 @@
         let wait = u64::from(rank) * self.settings.rank_delay;
         let recent = Time(now.0.saturating_sub(2 * self.settings.heartbeat));
         let listed = self.members.iter().filter(|(_, m)| m.listed).count();
-        let free = |m: &Member| m.free_for(recent).is_some_and(|ms| ms >= wait);
+        // Leases may have been free for long when all candidates start at once, so a candidate
+        // also waits from when it saw one free itself.
+        let waited = self.terms.alarmed.map_or(0, |at| now.since(at)) >= wait;
+        let free = |m: &Member| waited && m.free_for(recent).is_some_and(|ms| ms >= wait);
         let frees = self.members.iter().filter(|(_, m)| free(m)).count();
         let any = self
             .members
@@ -190,10 +226,12 @@
             if self.terms.voters.own {
                 return false;
             }
-            // The claim goes on under a higher epoch, unless the other instance gets the workers.
-            self.terms.epoch = latest + 1;
-            self.terms.first = latest + 1;
-            self.terms.proposal = None;
+            // The claim goes on under a higher epoch once the other instance has let go.
+            if reply.held_ms == 0 {
+                self.terms.epoch = latest + 1;
+                self.terms.first = latest + 1;
+                self.terms.proposal = None;
+            }
         }
         self.terms.contended |= !reply.granted && other && reply.held_ms > 0;
         if let Some(opened) = &reply.opened {
@@ -211,9 +249,11 @@
             member.remembers |= !own && granted;
         }
         if !own && !self.terms.voters.own && opened.epoch > self.terms.voters.epoch {
+            let mut names = opened.voters.clone();
+            names.sort();
             self.terms.voters = Voters {
                 epoch: opened.epoch,
-                names: opened.voters.clone(),
+                names,
                 own: false,
             };
             self.terms.quorum_at = None;
@@ -244,9 +284,7 @@
         };
         let epoch = self.terms.epoch;
         let told = |member: &Member| member.told >= epoch;
-        let before = count(&self.members, &self.terms.voters.names, |member| {
-            told(member) && self.is_vote(member)
-        });
+        let before = count(&self.members, &self.terms.voters.names, told);
         let after = count(&self.members, names, told);
         let enough = 2 * before > self.terms.voters.names.len() && 2 * after > names.len();
         if !enough || !self.has_authority(now) {
@@ -300,7 +338,7 @@
     fn next_voters(&self, now: Time) -> Vec<Name> {
         let ttl = self.settings.control_ttl;
         let keep = |name: &Name, member: &Member| {
-            let voter = self.terms.voters.names.contains(name);
+            let voter = self.terms.voters.names.binary_search(name).is_ok();
             member.is_held(now, ttl)
                 || (voter && !self.lost.contains(name) && !self.tasks_have_ended(now, member))
         };
--- a/crates/primrosebay_coordination/src/zone/view.rs
+++ b/crates/primrosebay_coordination/src/zone/view.rs
@@ -20,6 +20,10 @@
     pub phase: Phase,
     /// The epoch of its requests.
     pub epoch: u64,
+    /// The epoch of its first claim since it last had no authority. A job counts as accepted by
+    /// this coordinator only if authority was held in the same tenure before its record was first
+    /// sent and when the record was durable; another one may have started it in between otherwise.
+    pub tenure: u64,
     /// Whether it may start tasks by its leases.
     pub held: bool,
 }
@@ -101,6 +105,13 @@
         self.jobs.all.get(&id).map(|job| job.view(id))
     }
 
+    /// Returns the job of `team` that has `name` in the log, whatever its home.
+    #[must_use]
+    pub fn named(&self, team: &Name, name: &Name) -> Option<JobView> {
+        let id = self.jobs.id_of(team, name)?;
+        self.job(id)
+    }
+
     /// Returns the jobs whose home is this zone, by id.
     pub fn jobs(&self) -> impl Iterator<Item = JobView> {
         self.jobs
@@ -130,6 +141,7 @@
         Authority {
             phase: self.terms.phase,
             epoch: self.terms.epoch,
+            tenure: self.terms.first,
             held: self.has_authority(now),
         }
     }
--- a/crates/primrosebay_entry/src/shared.rs
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -1,11 +1,13 @@
 //! What the parts of an entry instance share.
 
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
-use std::time::{Duration, Instant};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
+use std::time::Duration;
 
+use primrosebay_coordination::freshness::Freshness;
 use primrosebay_protocol::list::Instance;
+use primrosebay_settings::{Limits, Timeouts};
 use primrosebay_state::Name;
 use primrosebay_state::config::Config;
 use primrosebay_state::id::{Incarnation, JobId};
@@ -14,6 +16,12 @@
 use primrosebay_transport::minion::HttpMinions;
 use primrosebay_transport::worker::HttpWorkers;
 
+use crate::api::metrics::Metrics;
+use crate::api::watch::Watchers;
+use crate::clock::Clock;
+use crate::configuration::Configuration;
+use crate::jobs::home::Recent;
+use crate::peers::Peers;
 use crate::publisher::Publisher;
 use crate::requests::{RequestSettings, Requests};
 use crate::zones::Zone;
@@ -25,16 +33,44 @@
     pub name: Name,
     /// The availability zone of the instance.
     pub zone: Name,
+    /// The region of the instance.
+    pub region: Name,
     /// Address of the API.
     pub address: SocketAddr,
     /// Address of the platform's log.
     pub log: SocketAddr,
     /// Address of the platform's list of instances.
     pub list: SocketAddr,
-    /// SHA-256 of the operators' key, in hexadecimal digits.
-    pub operator_hash: Name,
+    /// SHA-256 of each operators' key, in hexadecimal digits.
+    pub operators: Vec<Name>,
     /// Time-out of a call to the platform.
     pub call_timeout: Duration,
+    /// Bounds.
+    pub limits: Limits,
+    /// Time-outs.
+    pub timeouts: Timeouts,
+    /// The local clock.
+    pub clock: Clock,
+}
+
+impl Default for Setup {
+    /// Loopback addresses with port 0, and a platform that cannot be reached.
+    fn default() -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            name: Name::from("entry"),
+            zone: Name::from("zone"),
+            region: Name::from("region"),
+            address: any,
+            log: any,
+            list: any,
+            operators: Vec::new(),
+            call_timeout: Duration::from_secs(1),
+            limits: Limits::default(),
+            timeouts: Timeouts::default(),
+            clock: Clock::default(),
+        }
+    }
 }
 
 /// The state that the parts of an entry instance share.
@@ -50,11 +86,19 @@
     pub log: Arc<HttpLog>,
     /// Exchanges messages with workers.
     pub workers: HttpWorkers,
+    /// The configuration and its freshness.
+    pub configuration: Configuration,
+    /// Jobs on their way to other zones.
+    pub recent: Recent,
+    /// Open watches of the configuration.
+    pub watchers: Watchers,
+    /// Figures about the API.
+    pub metrics: Metrics,
     /// Routes requests to minions.
     pub requests: Requests<HttpMinions>,
-    started: Instant,
+    peers: OnceLock<Arc<Peers>>,
+    stopping: AtomicBool,
     jobs: AtomicU64,
-    config: RwLock<Arc<Config>>,
     directory: RwLock<Arc<[Instance]>>,
     zones: Mutex<Vec<Arc<Zone>>>,
 }
@@ -63,7 +107,11 @@
     /// Creates the shared state around the adapters.
     #[must_use]
     pub fn new(setup: Setup, incarnation: Incarnation, log: Arc<HttpLog>) -> Self {
-        let started = Instant::now();
+        let freshness = Freshness::new(&setup.name, &setup.zone, &setup.region);
+        let history = usize::try_from(setup.limits.watch_events).unwrap_or(usize::MAX);
+        let clock = setup.clock.clone();
+        // The meter provider must be there before the instruments are made.
+        let metrics = Metrics::new();
         let requests = Requests::new(
             RequestSettings {
                 seed: incarnation.0,
@@ -72,18 +120,22 @@
             setup.zone.clone(),
             incarnation,
             HttpMinions::default(),
-            Arc::new(move || elapsed(started)),
+            Arc::new(move || clock.now()),
         );
         Self {
+            configuration: Configuration::new(history, freshness),
+            requests,
             publisher: Publisher::start(Arc::clone(&log), incarnation),
             workers: HttpWorkers::new(setup.call_timeout),
             incarnation,
             log,
             setup,
-            requests,
-            started,
+            recent: Recent::default(),
+            watchers: Watchers::default(),
+            metrics,
+            peers: OnceLock::new(),
+            stopping: AtomicBool::new(false),
             jobs: AtomicU64::new(0),
-            config: RwLock::default(),
             directory: RwLock::new(Arc::from([])),
             zones: Mutex::default(),
         }
@@ -92,7 +144,18 @@
     /// Returns the time on the local clock.
     #[must_use]
     pub fn now(&self) -> Time {
-        elapsed(self.started)
+        self.setup.clock.now()
+    }
+
+    /// Makes the instance report that it is not ready.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether the instance is stopping.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
     }
 
     /// Returns a new identifier for a job.
@@ -107,12 +170,20 @@
     /// Returns the configuration in force.
     #[must_use]
     pub fn config(&self) -> Arc<Config> {
-        Arc::clone(&self.config.read().unwrap_or_else(PoisonError::into_inner))
+        self.configuration.get()
     }
 
-    /// Puts a configuration in force.
-    pub fn set_config(&self, config: Config) {
-        *self.config.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(config);
+    /// Returns the exchange with other entry instances, if it was started.
+    #[must_use]
+    pub fn peers(&self) -> Option<&Arc<Peers>> {
+        self.peers.get()
+    }
+
+    /// Uses the exchange with other entry instances. The first call counts.
+    pub fn use_peers(&self, peers: Arc<Peers>) {
+        if self.peers.set(Arc::clone(&peers)).is_ok() {
+            self.publisher.use_peers(peers);
+        }
     }
 
     /// Returns the platform's list of instances as last fetched, by name.
@@ -171,7 +242,3 @@
         self.zones.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn elapsed(started: Instant) -> Time {
-    Time(u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX))
-}
--- a/crates/primrosebay_protocol/src/code.rs
+++ b/crates/primrosebay_protocol/src/code.rs
@@ -81,6 +81,7 @@
     NOT_FOUND = 4001, 404, No, Never, "There is no such resource.";
     CONFLICT = 4002, 409, No, Never, "The resource has another version than the one given.";
     TOO_OLD = 4003, 410, No, Never, "The version to watch from is no longer kept; list the resources and watch from there.";
+    NO_METHOD = 4004, 405, No, Never, "The route does not take this method.";
     OVERLOADED = 5001, 503, No, Later, "A queue is full.";
     NO_MINION = 5002, 503, No, Later, "No minion of the service can take the request.";
     NOT_FRESH = 5003, 503, No, Later, "The entry instance is cut off and cannot check keys.";
@@ -89,11 +90,43 @@
     STOPPING = 5006, 503, No, Later, "The entry instance is stopping.";
     DEADLINE = 5007, 504, No, Later, "The deadline passed before the request was sent to a minion.";
     UNKNOWN = 6001, 504, Unknown, IfIdempotent, "The request was sent to a minion and its answer was lost.";
-    RECORD_UNKNOWN = 6002, 504, Unknown, IfIdempotent, "The change was sent to the log and the answer was lost; read the resource to see whether it took effect.";
+    RECORD_UNKNOWN = 6002, 504, Unknown, IfIdempotent, "The change was sent to the log and its outcome is not known; read the resource to see whether it took effect.";
     MINION_FAILED = 6003, 502, Yes, IfIdempotent, "The minion ran the request and reported a failure.";
     INTERNAL = 9001, 500, Unknown, IfIdempotent, "The entry instance failed.";
 }
 
+/// The head of [`page`].
+const HEAD: &str = "# Result codes
+
+Generated from `crates/primrosebay_protocol/src/code.rs`; `UPDATE_DOCS=1 cargo test -p primrosebay_protocol --test page` writes it again. `docs/operators.md` says what to do.
+
+A body with a result code has the field `code` with the number. *Ran* tells whether the work ran. *Retry* tells whether to send the same call again.
+
+| code | status | ran | retry | meaning |
+| --- | --- | --- | --- | --- |
+";
+
+/// Returns the page `docs/codes.md` in Markdown.
+#[must_use]
+pub fn page() -> String {
+    TABLE.iter().fold(HEAD.to_owned(), |mut page, entry| {
+        let ran = match entry.ran {
+            Ran::Yes => "yes",
+            Ran::No => "no",
+            Ran::Unknown => "unknown",
+        };
+        let retry = match entry.retry {
+            Retry::Never => "no",
+            Retry::Later => "later",
+            Retry::IfIdempotent => "if idempotent",
+        };
+        let (code, status) = (entry.code.0.to_string(), entry.status.to_string());
+        let row = [&code, &status, ran, retry, entry.meaning].join(" | ");
+        page += &["| ", &row, " |\n"].concat();
+        page
+    })
+}
+
 impl Code {
     /// Returns the documentation of the code.
     #[must_use]
@@ -104,6 +137,13 @@
             .map(|i| &TABLE[i])
     }
 
+    /// Returns whether the same call may succeed later or elsewhere.
+    #[must_use]
+    pub fn is_retried(self) -> bool {
+        self.entry()
+            .is_some_and(|entry| entry.retry != Retry::Never)
+    }
+
     /// Returns the HTTP status that carries the code.
     #[must_use]
     pub fn status(self) -> u16 {
--- a/crates/primrosebay_state/src/record.rs
+++ b/crates/primrosebay_state/src/record.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
-use crate::config::Change;
+use crate::config::{Change, Piece as ConfigPiece};
 use crate::id::{Incarnation, JobId, RecordId, TaskId};
 use crate::job::JobSpec;
 
@@ -93,5 +93,50 @@
         to: Name,
         /// The amount.
         amount: crate::resources::Resources,
+        /// The giver's term; records of an earlier term than the giver's latest have no effect.
+        #[serde(default)]
+        epoch: u64,
+    },
+    /// A piece of a snapshot of the configuration.
+    ConfigSnapshot(ConfigPiece),
+    /// A part of a snapshot of jobs, published before retention drops the records that it stands
+    /// for.
+    Snapshot(Piece),
+}
+
+/// A part of a snapshot of a zone's live jobs. Each part is complete in itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Piece {
+    /// The zone.
+    pub zone: Name,
+    /// The contents.
+    pub items: Vec<Item>,
+}
+
+/// One thing that a snapshot keeps.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Item {
+    /// The latest recorded term of a zone.
+    Opened {
+        /// The zone.
+        zone: Name,
+        /// The epoch.
+        epoch: u64,
+    },
+    /// A job that has not ended.
+    Job {
+        /// The job.
+        job: JobId,
+        /// The home zone.
+        zone: Name,
+        /// What the caller submitted.
+        spec: Box<JobSpec>,
+        /// The tasks that ended, by index.
+        ended: Vec<(u32, Outcome)>,
+        /// The tasks with a `Starting` record that have not ended, by index.
+        starting: Vec<u32>,
+        /// Whether the job was cancelled.
+        cancelled: bool,
     },
 }
--- a/crates/primrosebay_transport/src/lib.rs
+++ b/crates/primrosebay_transport/src/lib.rs
@@ -5,4 +5,6 @@
 pub mod list;
 pub mod log;
 pub mod minion;
+pub mod peer;
+pub mod trace;
 pub mod worker;
