Pass on a minion's own 404 and 405 unchanged

Change: answers of minions are marked and passed on as they are.

Result: requests_pass_through_a_whole_entry_instance got (404, code 4001) instead of (404, empty) without the mark, and passes with it.

--- a/crates/primrosebay_entry/src/api/mod.rs
+++ b/crates/primrosebay_entry/src/api/mod.rs
@@ -52,6 +52,10 @@
     app
 }
 
+/// Marks the answer of a minion, which is passed on as it is.
+#[derive(Debug)]
+pub(crate) struct FromMinion;
+
 /// Counts answers, and gives those of the router a result code.
 #[derive(Debug)]
 struct Finish;
@@ -62,7 +66,8 @@
         let shared = Arc::clone(request.state());
         let method = request.method();
         let mut response = next.run(request).await;
-        if response.is_empty() == Some(true) {
+        let own = response.ext::<FromMinion>().is_none();
+        if own && response.is_empty() == Some(true) {
             match response.status() {
                 StatusCode::NotFound => response = fail(Code::NOT_FOUND)?,
                 StatusCode::MethodNotAllowed => response = fail(Code::NO_METHOD)?,
--- a/crates/primrosebay_entry/src/requests/attempt.rs
+++ b/crates/primrosebay_entry/src/requests/attempt.rs
@@ -11,6 +11,8 @@
 use primrosebay_transport::minion::{Answer, AnswerBody, Call, MinionError, MinionLink};
 use tide::http::{Body, Response, StatusCode};
 
+use crate::api::FromMinion;
+
 use super::pipe::{PipeWriter, pipe};
 use super::service::Running;
 use super::source::Payload;
@@ -164,6 +166,7 @@
     let status = StatusCode::try_from(head.status).unwrap_or(StatusCode::BadGateway);
     let mut response = Response::new(status);
     response.set_body(body);
+    response.ext_mut().insert(FromMinion);
     for (name, value) in head.headers {
         response.insert_header(name.as_str(), value);
     }
--- a/crates/primrosebay_entry/tests/request_access.rs
+++ b/crates/primrosebay_entry/tests/request_access.rs
@@ -16,7 +16,7 @@
 use primrosebay_settings as settings;
 use primrosebay_standin::list::ListService;
 use primrosebay_standin::log::{LogService, Settings as LogSettings};
-use primrosebay_standin::minion::{Minion, Settings};
+use primrosebay_standin::minion::{Faults, Minion, Settings};
 use primrosebay_state::Name;
 use primrosebay_state::config::{Change, Config, Resource};
 use primrosebay_state::id::{Incarnation, RecordId};
@@ -145,5 +145,11 @@
     assert_eq!(call("Bearer secret").await, (200, "basket".to_owned()));
     assert_eq!(call("Bearer other").await.0, 401);
     assert_eq!(minion.runs().of("basket"), 2);
+    // A minion's own 404 must not become the code of an unknown service, which says "not run".
+    minion.set_faults(Faults {
+        status: 404,
+        ..Faults::default()
+    });
+    assert_eq!(call("Bearer secret").await, (404, String::new()));
     entry.close().await;
 }
--- a/crates/primrosebay_standin/src/minion.rs
+++ b/crates/primrosebay_standin/src/minion.rs
@@ -237,7 +237,10 @@
         StatusCode::Ok
     };
     let mut response = shared.response(status, &attempt);
-    response.set_body(body);
+    match StatusCode::try_from(faults.status) {
+        Ok(status) => response.set_status(status),
+        Err(_) => response.set_body(body),
+    }
     Ok(response)
 }
 
--- a/crates/primrosebay_standin/src/minion/faults.rs
+++ b/crates/primrosebay_standin/src/minion/faults.rs
@@ -16,6 +16,8 @@
     pub delay_ms: u64,
     /// Every request runs and fails.
     pub fail: bool,
+    /// Every request runs and gets this status with an empty body; 0 for none.
+    pub status: u16,
     /// Every request is refused before it runs.
     pub refuse: bool,
     /// Requests run, and their answers wait until this is switched off.
