Enforce the settings of connections, heads and bodies

Cause: limits.connections and the time-outs of heads, bodies, idle connections and the planned stop were settings without an effect. async-h1 waits 60 s for a head and offers no setting.

Change: a wrapper around the stream ends the wait for a head, separately from the wait for a request; bodies of the API have a time-out; the server gets its bounds from the settings.

Red result: without the time-out of heads slow_and_surplus_connections_are_closed fails ("the connection stays open").

--- a/crates/primrosebay_entry/benches/peers.rs
+++ b/crates/primrosebay_entry/benches/peers.rs
@@ -64,6 +64,7 @@
                 zone: zone.clone(),
                 free: amount(1_700),
                 total: amount(7_100),
+                wanted: amount(900),
             }],
             demand: (0..3)
                 .map(|team| Demand {
--- a/crates/primrosebay_entry/src/api/input.rs
+++ b/crates/primrosebay_entry/src/api/input.rs
@@ -1,5 +1,7 @@
 //! Reads bodies and queries within their bounds.
 
+use std::time::Duration;
+
 use futures_lite::AsyncReadExt;
 use primrosebay_protocol::api::Failure;
 use primrosebay_protocol::code::Code;
@@ -19,9 +21,11 @@
     let mut bytes = Vec::new();
     let body = request.take_body();
     // A chunked body tells no length, so one byte more than allowed is read.
-    let read = body.take(limit + 1).read_to_end(&mut bytes).await;
-    if read.is_err() {
-        return Err(malformed("", "a complete body"));
+    let time = Duration::from_millis(request.state().setup.timeouts.body_ms);
+    let mut body = body.take(limit + 1);
+    let read = async_std::future::timeout(time, body.read_to_end(&mut bytes)).await;
+    if !matches!(read, Ok(Ok(_))) {
+        return Err(malformed("", "a complete body within the time-out"));
     }
     if bytes.len() as u64 > limit {
         return Err(Failure::new(Code::BODY_TOO_LARGE));
--- a/crates/primrosebay_entry/src/instance.rs
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -58,7 +58,7 @@
             Peers::join(&shared, peers).map_err(io::Error::other)?;
         }
         let app = api::app(Arc::clone(&shared));
-        let server = Server::start(shared.setup.address, app, Limits::default()).await?;
+        let server = Server::start(shared.setup.address, app, http_limits(&shared)).await?;
         Zone::start(&shared, &shared.setup.zone);
         task::spawn(configuration::follow(Arc::downgrade(&shared)));
         task::spawn(configuration::watch_status(Arc::downgrade(&shared)));
@@ -104,6 +104,16 @@
     }
 }
 
+fn http_limits(shared: &Shared) -> Limits {
+    let (limits, timeouts) = (&shared.setup.limits, &shared.setup.timeouts);
+    Limits {
+        connections: usize::try_from(limits.connections).unwrap_or(usize::MAX),
+        grace: Duration::from_millis(timeouts.stop_ms),
+        head: Duration::from_millis(timeouts.header_ms),
+        idle: Duration::from_millis(timeouts.idle_ms),
+    }
+}
+
 async fn follow_list(shared: Arc<Shared>) {
     let list = HttpList::new(shared.setup.list, shared.setup.call_timeout);
     loop {
--- a/crates/primrosebay_entry/tests/operators.rs
+++ b/crates/primrosebay_entry/tests/operators.rs
@@ -188,6 +188,46 @@
     });
 }
 
+/// Guards against connections that are held open by callers who never finish a head or a body, and
+/// against more connections than the limit.
+#[test]
+fn slow_and_surplus_connections_are_closed() {
+    block_on(async {
+        let limits = Limits {
+            connections: 2,
+            ..Limits::default()
+        };
+        let timeouts = Timeouts {
+            header_ms: 100,
+            body_ms: 100,
+            ..Timeouts::default()
+        };
+        let cell = Cell::with(&["a"], limits, timeouts, Settings::default()).await;
+        let address = cell.nodes[0].instance.address();
+        let open = async |text: String| {
+            let mut stream = TcpStream::connect(address).await.expect("loopback");
+            stream.write_all(text.as_bytes()).await.expect("sent");
+            BufReader::new(stream)
+        };
+        let first_line = async |stream: &mut BufReader<TcpStream>| {
+            let mut line = String::new();
+            // The library under the server closes after 60 s by itself. A connection may be reset.
+            let read = stream.read_line(&mut line);
+            let read = async_std::future::timeout(Duration::from_secs(30), read).await;
+            assert!(read.is_ok(), "the connection stays open");
+            line
+        };
+        let head =
+            format!("PUT /v1/teams/a HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {OPERATOR}\r\n");
+        let mut slow_head = open("GET /healthz HTTP/1.1\r\nhost".to_owned()).await;
+        let mut slow_body = open(head + "content-length: 9\r\n\r\n{").await;
+        let mut surplus = open(String::new()).await;
+        assert_eq!(first_line(&mut surplus).await, "");
+        assert_eq!(first_line(&mut slow_head).await, "");
+        assert!(first_line(&mut slow_body).await.contains(" 400 "));
+    });
+}
+
 /// Guards against two operators at different instances who are both told that they won.
 #[test]
 fn one_of_two_racing_operators_wins() {
--- a/crates/primrosebay_transport/src/http_server.rs
+++ b/crates/primrosebay_transport/src/http_server.rs
@@ -10,6 +10,8 @@
 use async_std::task::{self, JoinHandle};
 use http_types::{Request, Response, StatusCode};
 
+use crate::head_timeout::HeadTimeout;
+
 /// Bounds of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -17,6 +19,10 @@
     pub connections: usize,
     /// Time that requests in flight get at a planned stop.
     pub grace: Duration,
+    /// Time in which the head of a request must arrive after its first byte.
+    pub head: Duration,
+    /// Time after which a connection without a request is closed.
+    pub idle: Duration,
 }
 
 impl Default for Limits {
@@ -24,6 +30,8 @@
         Self {
             connections: 4096,
             grace: Duration::from_secs(10),
+            head: Duration::from_secs(5),
+            idle: Duration::from_mins(1),
         }
     }
 }
@@ -105,19 +113,30 @@
             shared.connections.fetch_sub(1, Ordering::SeqCst);
             continue;
         }
-        task::spawn(serve(stream, app.clone(), Arc::clone(&shared)));
+        task::spawn(serve(stream, app.clone(), limits, Arc::clone(&shared)));
     }
 }
 
 async fn serve<S: Clone + Send + Sync + 'static>(
     stream: TcpStream,
     app: tide::Server<S>,
+    limits: Limits,
     shared: Arc<Shared>,
 ) {
     let peer = stream.peer_addr().ok();
     // Without this option small answers can wait 40 ms for a delayed acknowledgement.
     let _ = stream.set_nodelay(true);
-    let answer = |request: Request| respond(request, peer, app.clone(), Arc::clone(&shared));
+    let busy = Arc::new(AtomicBool::new(false));
+    let stream = HeadTimeout::new(stream, limits.head, limits.idle, Arc::clone(&busy));
+    let answer = |request: Request| {
+        let (app, shared, busy) = (app.clone(), Arc::clone(&shared), Arc::clone(&busy));
+        async move {
+            busy.store(true, Ordering::SeqCst);
+            let response = respond(request, peer, app, shared).await;
+            busy.store(false, Ordering::SeqCst);
+            response
+        }
+    };
     if let Err(e) = async_h1::accept(stream, answer).await {
         log::debug!("http: connection closed: {e}");
     }
--- a/crates/primrosebay_transport/src/lib.rs
+++ b/crates/primrosebay_transport/src/lib.rs
@@ -1,5 +1,6 @@
 //! Network adapters: HTTP, QUIC and TLS.
 
+mod head_timeout;
 pub mod http_client;
 pub mod http_server;
 pub mod list;
