--- a/crates/primrosebay_entry/src/jobs/home.rs
+++ b/crates/primrosebay_entry/src/jobs/home.rs
@@ -14,9 +14,9 @@
 
 use crate::shared::Shared;
 
-/// How long a sent job counts on its own: two heartbeats, so that no burst sees the load that it
-/// makes as nothing.
-const RECENT_MS: u64 = 800;
+/// How long a sent job counts on its own: the time between two summaries in heartbeats, so that no
+/// burst sees the load that it makes as nothing.
+const RECENT_MS: u64 = 1_600;
 
 impl Shared {
     /// Returns the names of all zones, from the configuration and of this instance.
