Fence allowances of a zone at each takeover

Cause: a transfer that a predecessor has sent, and that reaches the log after its successor has read the log, was in use by both zones until the successor read it. Change: an instance that has claimed a zone records a fence in the stream config and starts tasks only after it was read back; transfers of earlier terms that come after the fence have no effect. Conclusion: after a takeover during an outage of the log nothing new starts in the zone until the log is back; running tasks, renewals and requests go on.

--- a/crates/primrosebay_entry/src/transfers.rs
+++ b/crates/primrosebay_entry/src/transfers.rs
@@ -9,6 +9,7 @@
 use primrosebay_protocol::log::CONFIG_STREAM;
 use primrosebay_protocol::peer;
 use primrosebay_state::Name;
+use primrosebay_state::escrow::Escrow;
 use primrosebay_state::record::Body;
 use primrosebay_state::resources::Resources;
 
@@ -17,6 +18,8 @@
 
 /// How often a zone looks whether it can give.
 const PERIOD: Duration = Duration::from_millis(500);
+/// How often a zone looks for a new term. Urgent work waits for it after a takeover.
+const FENCE_POLL: Duration = Duration::from_millis(20);
 /// How often a recorded transfer is looked for in the configuration.
 const READ_POLL: Duration = Duration::from_millis(10);
 
@@ -52,6 +55,35 @@
     }
 }
 
+/// Records a fence whenever this instance has claimed the zone, and lets the zone start tasks
+/// once it has been read back.
+///
+/// A predecessor may have given allowance away by a record that is still on its way to the log. A
+/// transfer of an earlier term that reaches the log after the fence has no effect, so from then on
+/// the allowances that were read are all there is.
+pub(crate) async fn fence(shared: Weak<Shared>, zone: Arc<Zone>) {
+    while let Some(shared) = shared.upgrade() {
+        if let Some(held) = zone.authority().filter(|_| !zone.is_fenced()) {
+            let id = shared.publisher.next_id();
+            let body = Escrow::new(&zone.name, held.epoch, id).fence();
+            if let Ok(offset) = shared.publisher.append(CONFIG_STREAM, body).await {
+                wait_read(&shared, offset).await;
+                zone.set_fenced(held.tenure);
+                zone.update_config(&shared);
+            }
+        }
+        drop(shared);
+        task::sleep(FENCE_POLL).await;
+    }
+}
+
+/// Waits until the record at `offset` is in the configuration.
+async fn wait_read(shared: &Shared, offset: u64) {
+    while shared.config().next <= offset {
+        task::sleep(READ_POLL).await;
+    }
+}
+
 /// Returns what the zone asks its peers for.
 pub(crate) fn asked(zone: &Zone) -> Vec<peer::Demand> {
     let found = zone.read(|coordinator| {
@@ -73,6 +105,7 @@
     while let Some(shared) = shared.upgrade() {
         // Without the log no transfer can be recorded, so none is begun.
         if let Some(epoch) = zone.epoch()
+            && zone.is_fenced()
             && shared.status() == Status::Fresh
         {
             for gift in choose(&shared, &zone) {
@@ -126,9 +159,7 @@
             Err(_) => task::sleep(PERIOD).await,
         }
     };
-    while shared.config().next <= offset {
-        task::sleep(READ_POLL).await;
-    }
+    wait_read(&shared, offset).await;
     zone.pending.remove(&gift.team, &gift.amount);
     zone.update_config(&shared);
 }
--- a/crates/primrosebay_entry/src/zones.rs
+++ b/crates/primrosebay_entry/src/zones.rs
@@ -8,7 +8,7 @@
 use primrosebay_coordination::escrow::Gift;
 use primrosebay_coordination::freshness::Work;
 use primrosebay_coordination::schedule::TeamUsage;
-use primrosebay_coordination::zone::{Command, Coordinator, Event, Settings};
+use primrosebay_coordination::zone::{Authority, Command, Coordinator, Event, Settings};
 use primrosebay_protocol::list::Role;
 use primrosebay_protocol::log::JOBS_STREAM;
 use primrosebay_protocol::peer::ZoneFree;
@@ -58,6 +58,8 @@
     /// The offset after the last record of the jobs' stream that the coordinator was given.
     jobs_read: AtomicU64,
     stopped: AtomicBool,
+    /// The epoch of the latest claim whose fence was read back; 0 for none.
+    fenced: AtomicU64,
     /// Allowance that was given away and is not yet in the configuration.
     pub(crate) pending: Pending,
     shared: Weak<Shared>,
@@ -74,12 +76,14 @@
             coordinator: Mutex::new(coordinator),
             jobs_read: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
+            fenced: AtomicU64::new(0),
             pending: Pending::default(),
             shared: Arc::downgrade(shared),
         });
         shared.add_zone(Arc::clone(&zone));
         task::spawn(tick(Arc::clone(&zone)));
         task::spawn(zone_reader::follow(Arc::clone(&zone)));
+        task::spawn(transfers::fence(Arc::downgrade(shared), Arc::clone(&zone)));
         task::spawn(transfers::give(Arc::downgrade(shared), Arc::clone(&zone)));
         task::spawn(snapshots::publish_jobs(
             Arc::downgrade(shared),
@@ -125,9 +129,14 @@
     /// Returns the epoch of the term in which this instance has authority over the zone.
     #[must_use]
     pub fn epoch(&self) -> Option<u64> {
+        self.authority().map(|held| held.epoch)
+    }
+
+    /// Returns the authority of this instance over the zone, if it has any.
+    pub(crate) fn authority(&self) -> Option<Authority> {
         let now = self.shared.upgrade()?.now();
         let authority = self.read(|coordinator| coordinator.authority(now));
-        authority.held.then_some(authority.epoch)
+        authority.held.then_some(authority)
     }
 
     /// Returns what the workers of the zone have free and what waits for them.
@@ -212,7 +221,7 @@
     /// The configuration and the pending transfers are read under the coordinator's lock, so that an
     /// allowance that [`Zone::take_gifts`] has lowered is not raised again by an older reading.
     pub fn update_config(self: &Arc<Self>, shared: &Shared) {
-        let may = shared.may(Work::Start);
+        let may = self.is_fenced() && shared.may(Work::Start);
         let commands: Vec<Command> = {
             let mut coordinator = self.lock();
             let config = shared.config();
@@ -228,6 +237,18 @@
         self.run(commands);
     }
 
+    /// Returns whether this instance has authority and no transfer of a predecessor can take effect
+    /// any more.
+    pub(crate) fn is_fenced(&self) -> bool {
+        let authority = self.authority();
+        authority.is_some_and(|held| self.fenced.load(Ordering::SeqCst) == held.tenure)
+    }
+
+    /// Notes that the fence of the claim with the epoch `first` was read back.
+    pub(crate) fn set_fenced(&self, first: u64) {
+        self.fenced.store(first, Ordering::SeqCst);
+    }
+
     /// Returns what `team` may use here, less what was given away.
     fn allowance(&self, config: &Config, team: &str) -> Resources {
         let allowance = config.allowances().get(team, &self.name);
