Compare tenures instead of epochs when a job is handed over

Cause: the epoch also changes when voters change, which made a coordinator treat jobs that it had accepted itself as inherited. Change: the tenure, which lasts as long as the authority, is compared.

--- a/crates/primrosebay_entry/src/jobs.rs
+++ b/crates/primrosebay_entry/src/jobs.rs
@@ -167,7 +167,7 @@
         if let Some(earlier) = earlier(&home, &spec) {
             return same(&earlier, &spec);
         }
-        let epoch = home.epoch();
+        let tenure = home.tenure();
         let body = Body::Accepted {
             job: id,
             zone: zone.clone(),
@@ -186,7 +186,7 @@
             return same(&earlier, &spec);
         }
         if home.name == zone {
-            home.accepted(id, spec, code == Code::ACCEPTED, epoch);
+            home.accepted(id, spec, code == Code::ACCEPTED, tenure);
         }
         Ok(Submitted {
             code,
--- a/crates/primrosebay_entry/src/zones.rs
+++ b/crates/primrosebay_entry/src/zones.rs
@@ -108,16 +108,16 @@
         self.jobs_read.load(Ordering::SeqCst)
     }
 
-    /// Hands over a job that this instance has accepted under the term `epoch`. If the term has
-    /// changed since, another coordinator may have read the record and started the job.
+    /// Hands over a job that this instance has accepted. If it has lost its authority since `tenure`
+    /// was read, another coordinator may have read the record and started the job.
     pub(crate) fn accepted(
         self: &Arc<Self>,
         job: JobId,
         spec: JobSpec,
         durable: bool,
-        epoch: Option<u64>,
+        tenure: Option<u64>,
     ) {
-        let own = epoch.is_some() && epoch == self.epoch();
+        let own = tenure.is_some() && tenure == self.tenure();
         self.handle(Event::Accepted {
             job,
             spec,
@@ -132,6 +132,11 @@
         self.authority().map(|held| held.epoch)
     }
 
+    /// Returns what stays the same for as long as this instance keeps its authority over the zone.
+    pub(crate) fn tenure(&self) -> Option<u64> {
+        self.authority().map(|held| held.tenure)
+    }
+
     /// Returns the authority of this instance over the zone, if it has any.
     pub(crate) fn authority(&self) -> Option<Authority> {
         let now = self.shared.upgrade()?.now();
