Blame a job that fails on several workers although they are suspected

Change: a job that has failed on another worker too counts in full. Conclusion: the scenario bad_job_after_failing_workers passes.

--- a/crates/primrosebay_coordination/src/zone/retry.rs
+++ b/crates/primrosebay_coordination/src/zone/retry.rs
@@ -19,10 +19,15 @@
     /// Tries a task again after a failure, or fails its job after too many. The tasks of a service
     /// are always started again.
     pub(super) fn retry_failed(&mut self, now: Time, id: TaskId, worker: &Name, over: Over) {
-        // A worker that fails several jobs in a row is more likely at fault than each of them, but
-        // jobs that can never run must still come to an end when they meet on one worker.
+        // A worker that fails several jobs in a row is more likely at fault than each of them,
+        // unless the job fails on other workers too. Jobs that can never run must still come to an
+        // end when they meet on one worker.
+        let elsewhere = self
+            .members
+            .iter()
+            .any(|(name, member)| name != worker && member.failed.contains(&id.job));
         let member = self.members.get::<Name>(worker);
-        let suspect = member.is_some_and(|member| member.failed.len() > 1);
+        let suspect = !elsewhere && member.is_some_and(|member| member.failed.len() > 1);
         let blame = if suspect { 1 } else { FULL_BLAME };
         let Some(task) = self.jobs.task_mut(id) else {
             return;
