Do not let a restarted worker give lost authority back

Cause: a coordinator that had been cut off from most voters counted a voter that had restarted. Change: a voter counts for an open term only if it knows that term, and voters are told only under authority. A coordinator without authority for two lease times gives its workers back and claims again as a successor.

--- a/crates/primrosebay_coordination/src/zone/member.rs
+++ b/crates/primrosebay_coordination/src/zone/member.rs
@@ -35,6 +35,8 @@
     /// Whether the worker knew an opened term when it granted its lease. One that has restarted
     /// has forgotten which terms it granted, so it proves nothing about them.
     pub remembers: bool,
+    /// Whether the worker has restarted since it granted its lease and was not told of a term since.
+    pub forgot: bool,
     /// The latest epoch of this coordinator whose voters the worker knows.
     pub told: u64,
     /// When tasks on the worker were renewed last, as far as is known.
@@ -94,6 +96,7 @@
             granted: None,
             claimed: None,
             remembers: false,
+            forgot: false,
             told: 0,
             renewed: None,
             handled: 0,
@@ -160,6 +163,7 @@
 
     /// Notes that the worker has started anew: it runs nothing and has granted nothing.
     pub fn restarted(&mut self) {
+        self.forgot |= self.granted.is_some();
         self.granted = None;
         self.claimed = None;
         self.remembers = false;
--- a/crates/primrosebay_coordination/src/zone/term.rs
+++ b/crates/primrosebay_coordination/src/zone/term.rs
@@ -52,6 +52,8 @@
     pub quorum_at: Option<Time>,
     pub opened_at: Option<Time>,
     pub claimed_at: Time,
+    /// Since when there has been no authority although workers are claimed.
+    pub lapsed: Option<Time>,
     /// Whether another instance holds workers that this one claims.
     pub contended: bool,
     /// No claim before this time.
@@ -72,10 +74,15 @@
 impl Coordinator {
     /// Returns whether the lease of `member` is held and no earlier holder relies on it any more.
     ///
-    /// A worker that has restarted has forgotten its earlier lease, so that lease is waited for.
+    /// A worker that has restarted has forgotten its earlier lease, so that lease is waited for. It
+    /// has also forgotten a later term that it may have granted, so it does not count for a term of
+    /// this coordinator before it knows that term again.
     fn is_vote(&self, now: Time, member: &Member) -> bool {
         let ttl = self.settings.control_ttl;
-        let forgot = !self.terms.voters.own && !member.remembers;
+        if self.terms.voters.own {
+            return member.is_held(now, ttl) && member.told >= self.terms.voters.epoch;
+        }
+        let forgot = !member.remembers;
         let waited = |at: Time| now >= at + upper_bound(ttl);
         member.is_held(now, ttl) && (!forgot || member.claimed.is_some_and(waited))
     }
@@ -117,7 +124,8 @@
     fn holds_proposal(&self, now: Time) -> bool {
         let ttl = self.settings.control_ttl;
         self.terms.proposal.as_ref().is_none_or(|names| {
-            2 * count(&self.members, names, |member| member.is_held(now, ttl)) >= names.len()
+            let held = |member: &Member| member.is_held(now, ttl) && !member.forgot;
+            2 * count(&self.members, names, held) >= names.len()
         })
     }
 
@@ -245,6 +253,7 @@
         if let Some(member) = self.members.get_mut(worker) {
             if own && granted {
                 member.told = member.told.max(opened.epoch);
+                member.forgot = false;
             }
             member.remembers |= !own && granted;
         }
@@ -359,14 +368,16 @@
     }
 
     /// Gives the workers back when another candidate holds a part of them, so that one of the two
-    /// gets a majority.
+    /// gets a majority, or when the authority over an open term has been lost for long.
     fn withdraw(&mut self, now: Time) {
         let patience = 2 * self.settings.control_ttl;
-        if self.terms.voters.own
-            || !self.terms.contended
-            || self.has_authority(now)
-            || now.since(self.terms.claimed_at) < patience
-        {
+        if self.has_authority(now) {
+            self.terms.lapsed = None;
+            return;
+        }
+        let lapsed = *self.terms.lapsed.get_or_insert(now);
+        let hopeless = self.terms.voters.own || self.terms.contended;
+        if !hopeless || now.since(lapsed) < patience {
             return;
         }
         self.release_all(now);
--- a/crates/primrosebay_coordination/tests/zone/script.rs
+++ b/crates/primrosebay_coordination/tests/zone/script.rs
@@ -108,6 +108,10 @@
         ["release", "everything"] => world.release(),
         ["kill", name] => world.kill_worker(worker(world, name)),
         ["start", name] => world.start_worker(worker(world, name)),
+        ["join", name, "to", other] => {
+            let pair = (node(name), worker(world, other));
+            world.cut.remove(&pair);
+        }
         ["join", "everything"] => {
             world.cut.clear();
             world.faults.log_cut.clear();
