--- a/crates/primrosebay_coordination/src/zone/term.rs
+++ b/crates/primrosebay_coordination/src/zone/term.rs
@@ -339,6 +339,11 @@
         self.terms.epoch += 1;
         self.terms.proposal = Some(names);
         self.terms.proposed_at = now;
+        // Only a worker that restarts from now on can forget that it granted its lease to an
+        // instance that has learned of this proposal.
+        for (_, member) in self.members.iter_mut() {
+            member.forgot = false;
+        }
         self.hurry();
     }
 
