Move less memory when workers and jobs change

Cause: each change of a worker read the whole rack, and each new or ended job moved half of the vector of jobs. Change: a rack is read again only if its largest worker shrank; jobs are found through sorted blocks; the choice of the next job compares times first.

--- a/crates/primrosebay_coordination/src/schedule/fleet.rs
+++ b/crates/primrosebay_coordination/src/schedule/fleet.rs
@@ -286,7 +286,26 @@
             self.freed += 1;
             self.shapes.unblock(&after);
         }
-        self.measure(self.workers[id].rack);
+        self.follow(self.workers[id].rack, &before, &after);
+    }
+
+    /// Brings the largest free amounts of a rack up to date after one of its workers has changed.
+    /// The other workers are read only if this one may have been the largest.
+    fn follow(&mut self, rack: usize, before: &Resources, after: &Resources) {
+        let largest = &mut self.racks[rack].largest;
+        let top = |was: u64, is: u64, most: u64| is < was && was == most;
+        if top(before.cores_milli, after.cores_milli, largest.cores_milli)
+            || top(before.memory_mib, after.memory_mib, largest.memory_mib)
+            || top(
+                before.accelerators,
+                after.accelerators,
+                largest.accelerators,
+            )
+        {
+            self.measure(rack);
+        } else {
+            *largest = larger(largest, after);
+        }
     }
 
     fn measure(&mut self, rack: usize) {
--- a/crates/primrosebay_coordination/src/schedule/job.rs
+++ b/crates/primrosebay_coordination/src/schedule/job.rs
@@ -5,6 +5,7 @@
 use primrosebay_state::resources::Resources;
 use primrosebay_state::time::Time;
 
+use super::blocks::Blocks;
 use super::counts::Counts;
 use super::fleet::Need;
 use super::queue::{ClassKey, Entry};
@@ -125,15 +126,15 @@
 /// All jobs, found by identifier.
 #[derive(Debug, Default)]
 pub(super) struct Jobs {
-    ids: Vec<(JobId, usize)>,
+    ids: Blocks<(JobId, usize)>,
     pub(super) items: Vec<Option<Job>>,
     unused: Vec<usize>,
 }
 
 impl Jobs {
     pub(super) fn find(&self, id: JobId) -> Option<usize> {
-        let at = self.ids.binary_search_by_key(&id, |j| j.0).ok()?;
-        Some(self.ids[at].1)
+        let &(found, at) = self.ids.from((id, 0)).next()?;
+        (found == id).then_some(at)
     }
 
     pub(super) fn get(&self, at: usize) -> Option<&Job> {
@@ -152,9 +153,7 @@
         } else {
             self.items[at] = Some(job);
         }
-        if let Err(place) = self.ids.binary_search_by_key(&id, |j| j.0) {
-            self.ids.insert(place, (id, at));
-        }
+        self.ids.insert((id, at));
         at
     }
 
@@ -162,9 +161,8 @@
     pub(super) fn forget(&mut self, at: usize) {
         let Some(job) = self.get(at) else { return };
         if job.pending.is_empty() && job.running.is_empty() {
-            if let Ok(place) = self.ids.binary_search_by_key(&job.id, |j| j.0) {
-                self.ids.remove(place);
-            }
+            let id = job.id;
+            self.ids.remove(&(id, at));
             self.items[at] = None;
             self.unused.push(at);
         }
--- a/crates/primrosebay_coordination/src/schedule/round.rs
+++ b/crates/primrosebay_coordination/src/schedule/round.rs
@@ -367,15 +367,15 @@
         };
         let mut best: Option<(usize, Entry)> = None;
         for (at, head) in queue.heads.iter().enumerate() {
+            // The cheapest check first: most heads come after the best one so far.
+            if best.is_some_and(|(_, entry)| head.entry >= entry) {
+                continue;
+            }
             let open = match head.shape {
                 Some(shape) => !self.fleet.shapes.is_blocked(shape),
                 None => waits(at),
             };
-            if open
-                && best.is_none_or(|(_, entry)| head.entry < entry)
-                && team.allows(&head.least)
-                && accept(&queue.classes[at].key, team)
-            {
+            if open && team.allows(&head.least) && accept(&queue.classes[at].key, team) {
                 best = Some((at, head.entry));
             }
         }
