--- a/crates/primrosebay_entry/src/transfers.rs
+++ b/crates/primrosebay_entry/src/transfers.rs
@@ -99,9 +99,7 @@
 
 fn asked_by_peers(shared: &Shared, own: &str) -> Vec<Demand> {
     let view = shared.peers().map_or_else(Vec::new, |peers| peers.view());
-    let demands = view
-        .into_iter()
-        .flat_map(|peer| peer.heartbeat.summary.demand);
+    let demands = view.into_iter().flat_map(|peer| peer.summary.demand);
     demands
         .filter(|demand| *demand.zone != *own)
         .map(|demand| Demand {
