Answer heartbeats at once on the side with the higher name

Cause: two independent heartbeats of a link cause two packets that carry only an acknowledgement, which QUIC sends after 25 ms. Change: the instance with the higher name sends its heartbeat when one arrives, so that it carries the acknowledgement; without one it sends after 9/8 of the interval.

--- a/crates/primrosebay_coordination/src/membership.rs
+++ b/crates/primrosebay_coordination/src/membership.rs
@@ -24,6 +24,8 @@
 /// Further intervals that are allowed until a peer has echoed a heartbeat, because the echo travels
 /// with the peer's next one.
 const ECHO: u64 = 2;
+/// Part of an interval by which an answering heartbeat is sent later if nothing arrives to answer.
+const ANSWER_SLACK: u64 = 8;
 /// Heartbeats whose sending times are kept for each peer; more than any echo is behind.
 const SENT_KEPT: usize = 32;
 /// Earlier processes of a peer whose delayed heartbeats are recognized.
@@ -174,8 +176,15 @@
             if peer.next > now {
                 continue;
             }
-            // A late turn does not cause a burst of heartbeats.
-            peer.next = now.max(peer.next) + interval;
+            // A late turn does not cause a burst of heartbeats. The instance with the higher name
+            // answers the other one's heartbeat and leaves it time to arrive, so that the answer
+            // carries the acknowledgement.
+            let slack = if self.name > peer.listed.name {
+                interval / ANSWER_SLACK
+            } else {
+                0
+            };
+            peer.next = now.max(peer.next) + interval + slack;
             peer.sequence += 1;
             if peer.sent.len() == SENT_KEPT {
                 peer.sent.pop_front();
@@ -203,6 +212,7 @@
         let Ok(at) = self.position(name) else {
             return false;
         };
+        let interval = self.interval(&self.peers[at].listed.zone);
         let peer = &mut self.peers[at];
         if peer.retired.contains(&beat.incarnation) {
             return false;
@@ -233,6 +243,11 @@
         heard.sequence = beat.sequence;
         heard.at = now;
         heard.confirmed = heard.confirmed.max(echoed);
+        let last = peer.sent.back().map(|(_, at)| *at);
+        let rested = last.is_none_or(|at| now.since(at) >= interval / 2);
+        if self.name > peer.listed.name && rested {
+            peer.next = now;
+        }
         true
     }
 
--- a/crates/primrosebay_entry/src/peers.rs
+++ b/crates/primrosebay_entry/src/peers.rs
@@ -9,6 +9,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use async_std::channel::{self, Receiver, Sender};
+use async_std::future::timeout;
 use async_std::task::{self, JoinHandle};
 
 use primrosebay_coordination::membership::{Beat, HEARTBEAT_MS, Health, Listed, Membership};
@@ -125,6 +127,8 @@
     /// Latest heartbeats, sorted by peer.
     beats: Mutex<Vec<(Name, Heartbeat)>>,
     copies: Mutex<Copies>,
+    /// Wakes the heartbeat loop when a heartbeat is to be answered.
+    wake: Sender<()>,
 }
 
 /// The exchange with all peers.
@@ -159,11 +163,13 @@
         copies: Copies,
         local: Arc<dyn Local>,
     ) -> Result<Arc<Self>, LinkError> {
+        let (wake, woken) = channel::bounded(1);
         let core = Arc::new(Core {
             local,
             membership: Mutex::new(membership),
             beats: Mutex::default(),
             copies: Mutex::new(copies),
+            wake,
         });
         let incarnation = settings.incarnation;
         let net = Net::bind(settings, identity, core.clone())?;
@@ -175,7 +181,7 @@
             beating: Mutex::default(),
         });
         let beat = peers.clone();
-        *lock(&peers.beating) = Some(task::spawn(async move { beat.beat().await }));
+        *lock(&peers.beating) = Some(task::spawn(async move { beat.beat(woken).await }));
         Ok(peers)
     }
 
@@ -445,7 +451,7 @@
         self.net.clone().close().await;
     }
 
-    async fn beat(&self) {
+    async fn beat(&self, woken: Receiver<()>) {
         let mut lagging = Vec::new();
         let mut terms = (Vec::new(), Time(0));
         loop {
@@ -480,7 +486,7 @@
             let pause = wake.map_or(HEARTBEAT_MS, |wake| wake.since(self.core.local.now()));
             // A peer that joins is served within one heartbeat interval.
             let pause = Duration::from_millis(pause.min(HEARTBEAT_MS));
-            task::sleep(pause.max(SHORTEST_PAUSE)).await;
+            let _ = timeout(pause.max(SHORTEST_PAUSE), woken.recv()).await;
         }
     }
 
@@ -546,6 +552,10 @@
             if !membership.received(now, peer, beat) {
                 return;
             }
+            if membership.wake().is_some_and(|wake| wake <= now) {
+                // A full channel means that the loop is about to look anyway.
+                let _ = self.wake.try_send(());
+            }
             let listed = membership.targets().find(|listed| listed.name == *peer);
             let zone = listed.map(|listed| listed.zone.clone());
             (zone, membership.confirmed(peer))
