--- a/crates/primrosebay_coordination/src/schedule/job.rs
+++ b/crates/primrosebay_coordination/src/schedule/job.rs
@@ -15,9 +15,10 @@
     pub(super) id: JobId,
     pub(super) spec: JobSpec,
     pub(super) team: usize,
+    /// What each task is given.
+    pub(super) amount: Resources,
     /// Expected run time of a task in milliseconds; 0 if unknown.
     pub(super) run_ms: u64,
-    pub(super) submitted: Time,
     /// When the job should have started.
     pub(super) start_by: Time,
     /// Counts submissions, so that equal jobs start in their order.
@@ -27,8 +28,8 @@
     /// Running tasks and their positions in the ledger, sorted.
     pub(super) running: Vec<(u32, usize)>,
     pub(super) counts: Counts,
-    /// Tasks that were preempted and are not preempted again, sorted.
-    pub(super) preempted: Vec<u32>,
+    /// How often tasks were preempted, sorted by task.
+    pub(super) preempted: Vec<(u32, u32)>,
     /// Pending tasks that wait for their victims to stop.
     pub(super) claims: usize,
     /// When resources may next be held for the job.
@@ -41,10 +42,6 @@
 }
 
 impl Job {
-    pub(super) fn amount(&self) -> Resources {
-        self.spec.resources
-    }
-
     pub(super) fn is_gang(&self) -> bool {
         self.spec.policy == Policy::Gang
     }
@@ -57,7 +54,7 @@
     /// Returns what the next task of the job needs; `at` is where the job is among the jobs.
     pub(super) fn need(&self, at: usize, now: Time) -> Need {
         Need {
-            amount: self.amount(),
+            amount: self.amount,
             end: self.ends().map(|ms| now + ms),
             job: at,
             urgent: self.spec.urgent,
@@ -91,6 +88,20 @@
         }
     }
 
+    pub(super) fn add_preempted(&mut self, index: u32) {
+        match self.preempted.binary_search_by_key(&index, |p| p.0) {
+            Ok(at) => self.preempted[at].1 += 1,
+            Err(at) => self.preempted.insert(at, (index, 1)),
+        }
+    }
+
+    /// Returns how often a task was preempted.
+    pub(super) fn preempted(&self, index: u32) -> u32 {
+        self.preempted
+            .binary_search_by_key(&index, |p| p.0)
+            .map_or(0, |at| self.preempted[at].1)
+    }
+
     pub(super) fn class(&self) -> ClassKey {
         ClassKey {
             urgent: self.spec.urgent,
@@ -101,9 +112,9 @@
                 0
             },
             shape: Shape {
-                cores_milli: self.spec.resources.cores_milli,
-                memory_mib: self.spec.resources.memory_mib,
-                accelerators: self.spec.resources.accelerators,
+                cores_milli: self.amount.cores_milli,
+                memory_mib: self.amount.memory_mib,
+                accelerators: self.amount.accelerators,
                 span: self.ends().map_or(u32::MAX, u64::ilog2),
             },
             own: self.is_limited().then_some(self.id),
--- a/crates/primrosebay_coordination/src/schedule/round.rs
+++ b/crates/primrosebay_coordination/src/schedule/round.rs
@@ -37,12 +37,12 @@
     fn keep_accelerators(&mut self, now: Time) {
         let mut wanted = Resources::ZERO;
         for team in self.teams.items.iter().filter(|t| t.queue.accelerated > 0) {
-            for class in &team.queue.classes {
-                let amount = class.key.amount();
-                if amount.accelerators > 0 && team.allows(&class.key.least()) {
+            for head in &team.queue.heads {
+                let least = &head.least;
+                if least.accelerators > 0 && team.allows(least) {
                     let each = Resources {
-                        cores_milli: amount.cores_milli / amount.accelerators,
-                        memory_mib: amount.memory_mib / amount.accelerators,
+                        cores_milli: least.cores_milli / least.accelerators,
+                        memory_mib: least.memory_mib / least.accelerators,
                         accelerators: 0,
                     };
                     wanted = larger(&wanted, &each);
@@ -174,7 +174,7 @@
         let Some(job) = self.jobs.get(at).filter(may_claim) else {
             return false;
         };
-        let (id, team, amount) = (job.id, job.team, job.amount());
+        let (id, team, amount) = (job.id, job.team, job.amount);
         let search = Search {
             fleet: &self.fleet,
             ledger: &self.ledger,
@@ -309,18 +309,26 @@
     }
 
     /// Holds resources for the first job of the team that is furthest below its share, if that job
-    /// has waited for long and other jobs keep taking what is freed. No other team gets this, as
+    /// has stayed there for long because other jobs take what is freed. No other team gets this, as
     /// what is held is given out without regard to rank.
     fn hold_first(&mut self, now: Time, order: &[usize]) {
         let first = order.iter().find_map(|&team| {
-            let team = &self.teams.items[team];
-            let (_, _, at) = team.queue.head?;
+            let (_, _, at) = self.teams.items[team].queue.head?;
             let job = self.jobs.get(at)?;
-            let late = now.since(job.submitted) >= self.settings.patience_ms;
-            team.allows(&job.amount()).then_some((at, late))
+            let allowed = self.teams.items[team].allows(&job.amount);
+            allowed.then_some((team, at, job.sequence))
         });
-        if let Some((at, true)) = first {
-            self.hold(now, at);
+        let Some((team, at, sequence)) = first else {
+            return;
+        };
+        let stalled = &mut self.teams.items[team].stalled;
+        match *stalled {
+            Some((job, since)) if job == sequence => {
+                if now.since(since) >= self.settings.patience_ms {
+                    self.hold(now, at);
+                }
+            }
+            _ => *stalled = Some((sequence, now)),
         }
     }
 
@@ -350,20 +358,28 @@
         accept: impl Fn(&ClassKey, &super::share::Team) -> bool,
     ) -> Option<(ClassKey, Entry)> {
         let team = &self.teams.items[team];
-        team.queue
-            .classes
-            .iter()
-            .filter(|class| match class.shape {
+        let queue = &team.queue;
+        let waits = |at: usize| {
+            let class = &queue.classes[at];
+            class.round < self.round
+                && class.retry <= now
+                && (class.key.urgent || class.freed != self.fleet.freed)
+        };
+        let mut best: Option<(usize, Entry)> = None;
+        for (at, head) in queue.heads.iter().enumerate() {
+            let open = match head.shape {
                 Some(shape) => !self.fleet.shapes.is_blocked(shape),
-                None => {
-                    class.round < self.round
-                        && class.retry <= now
-                        && (class.key.urgent || class.freed != self.fleet.freed)
-                }
-            })
-            .filter(|class| team.allows(&class.key.least()) && accept(&class.key, team))
-            .filter_map(|class| Some((class.key, *class.jobs.first()?)))
-            .min_by_key(|&(_, entry)| entry)
+                None => waits(at),
+            };
+            if open
+                && best.is_none_or(|(_, entry)| head.entry < entry)
+                && team.allows(&head.least)
+                && accept(&queue.classes[at].key, team)
+            {
+                best = Some((at, head.entry));
+            }
+        }
+        best.map(|(at, entry)| (queue.classes[at].key, entry))
     }
 
     /// Remembers that a class did not fit.
@@ -373,7 +389,8 @@
             queue.classes[at].round = self.round;
             queue.classes[at].freed = self.fleet.freed;
             if let Some(shape) = queue.classes[at].shape {
-                self.fleet.shapes.block(shape);
+                let held = self.fleet.has_held(&key.amount());
+                self.fleet.shapes.block(shape, held);
             }
             if key.tasks > 0 {
                 queue.classes[at].retry = now + self.settings.gang_ms;
--- a/crates/primrosebay_coordination/src/schedule/scheduler.rs
+++ b/crates/primrosebay_coordination/src/schedule/scheduler.rs
@@ -12,7 +12,7 @@
 use super::Settings;
 use super::counts::Counts;
 use super::estimate::Estimates;
-use super::fleet::Fleet;
+use super::fleet::{Fleet, smaller};
 use super::gang::Reservation;
 use super::job::{Job, Jobs};
 use super::ledger::{Ledger, Running};
@@ -168,7 +168,8 @@
             && job.spec.policy != Policy::Service
         {
             let took = now.since(running.start);
-            self.estimates.learn(&job.spec.team, &job.spec.name, took);
+            let (team, name) = (&job.spec.team, &job.spec.name);
+            self.estimates.learn(team, name, took, &running.peak);
         }
         self.forget(at);
     }
@@ -186,10 +187,8 @@
             && !job.cancelled
         {
             job.add_pending(task.index);
-            if running.stopping
-                && let Err(place) = job.preempted.binary_search(&task.index)
-            {
-                job.preempted.insert(place, task.index);
+            if running.stopping {
+                job.add_preempted(task.index);
             }
         }
         self.enqueue(at);
@@ -210,6 +209,21 @@
         self.forget(at);
     }
 
+    /// Records what a running task uses, from which the sizes of later jobs of its family are
+    /// learned.
+    pub fn observe(&mut self, task: TaskId, usage: &Resources) {
+        if let Some((_, slot)) = self.slot(task) {
+            self.ledger.observe(slot, usage);
+        }
+    }
+
+    /// Returns what a running task is given; nothing if it does not run.
+    #[must_use]
+    pub fn granted(&self, task: TaskId) -> Option<Resources> {
+        let (_, slot) = self.slot(task)?;
+        Some(self.ledger.get(slot)?.amount)
+    }
+
     /// Returns what new work may use on usable workers.
     #[must_use]
     pub fn free(&self) -> Resources {
@@ -235,10 +249,15 @@
         }
         let team = self.teams.intern(&spec.team);
         let run_ms = self.estimates.run_ms(&spec.team, &spec.name, spec.run_ms);
-        let start_by = if spec.deadline_ms > 0 {
-            now + spec.deadline_ms.saturating_sub(run_ms)
-        } else {
-            now + self.settings.ageing_ms
+        let amount = self.amount(team, spec);
+        let start_by = match spec.policy {
+            // A service should run at all times.
+            Policy::Service => now,
+            _ if spec.deadline_ms > 0 => {
+                let length = run_ms.saturating_mul(self.waves(team, spec.tasks, &amount));
+                now + spec.deadline_ms.saturating_sub(length)
+            }
+            _ => now + self.settings.ageing_ms,
         };
         self.sequence += 1;
         let racks = self.fleet.racks.len().max(1);
@@ -246,8 +265,8 @@
             id,
             spec: spec.clone(),
             team,
+            amount,
             run_ms,
-            submitted: now,
             start_by,
             sequence: self.sequence,
             pending: Vec::new(),
@@ -262,6 +281,42 @@
         })
     }
 
+    /// Returns what each task of a new job is given.
+    fn amount(&self, team: usize, spec: &JobSpec) -> Resources {
+        let declared = &spec.resources;
+        if !self.settings.learn_sizes {
+            return *declared;
+        }
+        let learned = self.estimates.size(&spec.team, &spec.name, declared);
+        // A job that was accepted with its declared size must not be kept from running by a larger
+        // one.
+        let possible = spec.policy != Policy::Gang
+            && learned.fits(&self.teams.items[team].allowance)
+            && self.fleet.live().any(|(_, w)| learned.fits(&w.total));
+        if possible {
+            learned
+        } else {
+            smaller(&learned, declared)
+        }
+    }
+
+    /// Returns how many times in a row a job fills the share of its team, if it uses nothing else.
+    fn waves(&self, team: usize, tasks: u32, amount: &Resources) -> u64 {
+        let shares: u64 = self
+            .teams
+            .items
+            .iter()
+            .filter(|t| t.known)
+            .map(|t| u64::from(t.share))
+            .sum();
+        let own = u64::from(self.teams.items[team].share);
+        let part = self.fleet.total.cores_milli.saturating_mul(own) / shares.max(1);
+        let wanted = amount.cores_milli.saturating_mul(u64::from(tasks));
+        wanted
+            .div_ceil(part.max(1))
+            .clamp(1, u64::from(tasks.max(1)))
+    }
+
     fn slot(&self, task: TaskId) -> Option<(usize, usize)> {
         let at = self.jobs.find(task.job)?;
         let running = &self.jobs.get(at)?.running;
@@ -321,17 +376,21 @@
         } else {
             self.settings.run_ms
         };
-        let yields = spec.policy == Policy::Batch
-            && spec.repeat == Repeat::Idempotent
-            && !spec.urgent
-            && job.preempted.binary_search(&index).is_err();
+        let yields =
+            spec.policy == Policy::Batch && spec.repeat == Repeat::Idempotent && !spec.urgent;
         let running = Running {
             task: TaskId { job: job.id, index },
             job: at,
             worker,
             team: job.team,
-            amount: spec.resources,
+            amount: if recovered {
+                spec.resources
+            } else {
+                job.amount
+            },
+            peak: Resources::ZERO,
             start: now,
+            preempted: job.preempted(index),
             end: (spec.policy != Policy::Service).then(|| now + assumed),
             yields,
             checkpoint: spec.checkpoint,
--- a/crates/primrosebay_coordination/src/zone/jobs.rs
+++ b/crates/primrosebay_coordination/src/zone/jobs.rs
@@ -4,6 +4,7 @@
 use primrosebay_state::id::{AttemptId, JobId, TaskId};
 use primrosebay_state::job::{JobSpec, Policy, Repeat};
 use primrosebay_state::record::Outcome;
+use primrosebay_state::time::Time;
 
 use crate::table::Table;
 
@@ -36,12 +37,27 @@
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct Active {
     pub worker: Name,
+    /// The number of the attempt. Another worker may report a higher one that has ended.
+    pub attempt: u32,
     /// The request that carried the start; 0 if a worker reported the attempt.
     pub request: u64,
     /// Whether the worker reported that the attempt runs.
     pub running: bool,
     /// Whether the attempt is to be stopped, and with a checkpoint.
     pub stop: Option<bool>,
+    pub excess: Excess,
+}
+
+/// Whether an attempt uses more than it was given.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(super) enum Excess {
+    /// It does not.
+    #[default]
+    None,
+    /// It does and is throttled; it is stopped at the time if that does not help.
+    Throttled(Time),
+    /// It is stopped for that reason.
+    Evicted,
 }
 
 /// One task.
@@ -128,6 +144,28 @@
         self.tasks.iter().all(Task::is_ended)
     }
 
+    /// Notes that this coordinator accepted the job itself, so that no other has started its tasks.
+    pub fn claim(&mut self) {
+        self.own = true;
+        for task in &mut self.tasks {
+            if task.state == State::Inherited {
+                task.state = State::Waiting;
+            }
+        }
+    }
+
+    /// Returns the tasks that have ended, by index.
+    pub fn ended(&self) -> Vec<(u32, Outcome)> {
+        let outcome = |task: &Task| match task.state {
+            State::Ended { outcome, .. } => Some(outcome),
+            _ => None,
+        };
+        let tasks = (0..).zip(&self.tasks);
+        tasks
+            .filter_map(|(index, task)| Some((index, outcome(task)?)))
+            .collect()
+    }
+
     pub fn is_once(&self) -> bool {
         self.spec.repeat == Repeat::Once
     }
@@ -194,12 +232,13 @@
         job.tasks.get_mut(id.index as usize)
     }
 
-    /// Returns the attempt that the task's worker was given last.
+    /// Returns the attempt that may be running.
     pub fn attempt(&self, id: TaskId) -> AttemptId {
-        AttemptId {
-            task: id,
-            attempt: self.task(id).map_or(0, |(_, task)| task.attempts),
-        }
+        let attempt = match self.task(id).map(|(_, task)| &task.state) {
+            Some(State::Active(active)) => active.attempt,
+            _ => 0,
+        };
+        AttemptId { task: id, attempt }
     }
 
     /// Notes the name of a job in the log, and returns whether it is the first with that name.
@@ -208,9 +247,13 @@
         *self.names.or_insert(key, id) == id
     }
 
+    /// Returns the identifier of the job of `team` with `name` in the log.
+    pub fn id_of(&self, team: &Name, name: &Name) -> Option<JobId> {
+        self.names.get(&(team.clone(), name.clone())).copied()
+    }
+
     /// Returns the job of `team` with `name` in the log.
     pub fn named(&self, team: &Name, name: &Name) -> Option<&Job> {
-        let id = self.names.get(&(team.clone(), name.clone()))?;
-        self.all.get(id)
+        self.all.get(&self.id_of(team, name)?)
     }
 }
--- a/crates/primrosebay_coordination/src/zone/recovery.rs
+++ b/crates/primrosebay_coordination/src/zone/recovery.rs
@@ -118,6 +118,8 @@
             .collect();
         for (worker, report) in found {
             self.recovery.orphans.remove(&report.attempt);
+            // If the task is not taken over, nothing may count for its team any more.
+            self.scheduler.release(now, report.attempt.task);
             self.on_report(now, &worker, &report);
         }
     }
@@ -184,6 +186,7 @@
     pub(super) fn forget_term(&mut self, _now: Time) {
         self.scheduler = Scheduler::new(crate::schedule::Settings::default(), self.seed);
         self.backoff.clear();
+        self.throttled.clear();
         self.dependents.clear();
         self.recovery = Recovery {
             teams_changed: true,
--- a/crates/primrosebay_coordination/src/zone/reports.rs
+++ b/crates/primrosebay_coordination/src/zone/reports.rs
@@ -2,11 +2,11 @@
 
 use primrosebay_protocol::worker::{AttemptState, Reply, Report};
 use primrosebay_state::Name;
-use primrosebay_state::id::TaskId;
+use primrosebay_state::id::{AttemptId, TaskId};
 use primrosebay_state::time::Time;
 
 use super::Coordinator;
-use super::jobs::{Active, State};
+use super::jobs::{Active, Excess, State};
 use super::lease::Reading;
 use super::tasks::Over;
 use super::term::Phase;
@@ -55,6 +55,7 @@
             member.granted = member.granted.max(Some(sent));
         }
         for report in &reply.reports {
+            self.note_handled(worker, report);
             self.on_report(now, worker, report);
         }
         self.end_unreported(now, worker, reply.sequence);
@@ -78,31 +79,37 @@
         }
     }
 
-    pub(super) fn on_report(&mut self, now: Time, worker: &Name, report: &Report) {
-        let id = report.attempt.task;
+    /// Notes that a report need not be sent again, except for ends that are not durable.
+    fn note_handled(&mut self, worker: &Name, report: &Report) {
         if let Some(member) = self.members.get_mut(worker) {
             if report.state != AttemptState::Running && report.sequence > member.handled {
-                member.ended.push((report.sequence, id));
+                member.ended.push((report.sequence, report.attempt.task));
             }
             member.handled = member.handled.max(report.sequence);
         }
+    }
+
+    pub(super) fn on_report(&mut self, now: Time, worker: &Name, report: &Report) {
+        let id = report.attempt.task;
         let Some(task) = self.jobs.task_mut(id) else {
             self.note_orphan(now, worker, report);
             return;
         };
-        let latest = report.attempt.attempt >= task.attempts;
         task.attempts = task.attempts.max(report.attempt.attempt);
         let inherited = task.state == State::Inherited;
-        let current =
-            matches!(&task.state, State::Active(active) if active.worker == *worker) && latest;
+        let current = matches!(&task.state, State::Active(active)
+            if active.worker == *worker && active.attempt == report.attempt.attempt);
         match (Over::from_report(report.state), &mut task.state) {
-            (None, State::Active(active)) if current => active.running = true,
-            (None, State::Inherited) => self.adopt(now, worker, id),
+            (None, State::Active(active)) if current => {
+                active.running = true;
+                self.note_usage(now, report);
+            }
+            (None, State::Inherited) => self.adopt(now, worker, report.attempt),
             (None, _) => self.note_stray(worker, report),
             (Some(over), _) if current => self.attempt_over(now, id, over),
             (Some(Over::NotRun), _) if inherited => {}
             (Some(over), _) if inherited => {
-                self.adopt(now, worker, id);
+                self.adopt(now, worker, report.attempt);
                 self.attempt_over(now, id, over);
             }
             (Some(_), _) => self.forget_stray(worker, report),
@@ -110,7 +117,7 @@
     }
 
     /// Takes over a task that a worker reports.
-    fn adopt(&mut self, now: Time, worker: &Name, id: TaskId) {
+    fn adopt(&mut self, now: Time, worker: &Name, AttemptId { task: id, attempt }: AttemptId) {
         let Some((job, _)) = self.jobs.task(id) else {
             return;
         };
@@ -120,9 +127,11 @@
         }
         let active = Active {
             worker: worker.clone(),
+            attempt,
             request: 0,
             running: true,
             stop: None,
+            excess: Excess::None,
         };
         self.set_state(id, State::Active(active));
     }
@@ -133,6 +142,7 @@
             && !member.strays.contains(&report.attempt)
         {
             member.strays.push(report.attempt);
+            member.stops = true;
         }
     }
 
--- a/crates/primrosebay_coordination/src/zone/tasks.rs
+++ b/crates/primrosebay_coordination/src/zone/tasks.rs
@@ -7,7 +7,7 @@
 use primrosebay_state::record::{Body, Outcome};
 use primrosebay_state::time::Time;
 
-use super::jobs::{Job, State};
+use super::jobs::{Excess, Job, State};
 use super::{Coordinator, Pending};
 
 /// How an attempt came to its end.
@@ -44,13 +44,16 @@
         durable: bool,
         own: bool,
     ) {
+        // Without authority the job may start elsewhere before this instance gets the zone.
+        let own = own && self.has_authority(now);
         if let Some(job) = self.jobs.all.get_mut(&id) {
             job.logged |= durable;
+            if own && job.home == self.zone {
+                job.claim();
+            }
             self.submit(now, id);
             return;
         }
-        // Without authority the job may start elsewhere before this instance gets the zone.
-        let own = own && self.has_authority(now);
         let state = if own {
             State::Waiting
         } else {
@@ -135,8 +138,9 @@
         let Some(worker) = task.worker().cloned() else {
             return;
         };
-        let preempted = matches!(&task.state, State::Active(active) if active.stop.is_some());
         let (closing, once) = (job.is_closing(), job.is_once());
+        let evicted =
+            matches!(&task.state, State::Active(active) if active.excess == Excess::Evicted);
         let service = job.spec.policy == Policy::Service;
         let keep = job.moving.is_some() || job.is_gang();
         self.detach(now, id, &worker);
@@ -160,15 +164,17 @@
             Over::Done if !service => self.end_task(now, id, Outcome::Done),
             Over::Stopped | Over::Lost if once => self.end_task(now, id, Outcome::Unknown),
             Over::Failed if once => self.end_task(now, id, Outcome::Failed),
+            // Counts as a failure, because the next attempt is likely to need as much.
+            Over::Stopped if evicted => self.retry_failed(now, id, &worker, Over::Failed),
             Over::Done | Over::Failed => self.retry_failed(now, id, &worker, over),
             _ if keep => self.hold_back(now, id),
             Over::NotRun => self.retry_later(now, id, self.settings.heartbeat),
             Over::Stopped | Over::Lost => {
-                debug_assert!(preempted || over != Over::Done);
                 self.set_state(id, State::Waiting);
                 self.submit(now, id.job);
             }
         }
+        self.regroup(now, id.job);
     }
 
     /// Takes the task off its worker and frees its resources.
--- a/crates/primrosebay_entry/src/api/mod.rs
+++ b/crates/primrosebay_entry/src/api/mod.rs
@@ -14,7 +14,6 @@
 
 use primrosebay_protocol::api::Failure;
 use primrosebay_protocol::code::Code;
-use primrosebay_state::job::Problem;
 use serde::Serialize;
 use tide::{Body, Request, Response, StatusCode};
 
@@ -39,6 +38,7 @@
     app.at("/v1/tasks").get(views::tasks);
     app.at("/v1/workers").get(views::workers);
     app.at("/v1/workers/:name").get(views::worker);
+    app.at("/v1/workers/:name/lost").post(views::lost);
     app.at("/v1/watch").get(watch::watch);
     for kind in &resources::KINDS {
         app.at(&format!("/v1/{}", kind.path))
@@ -52,6 +52,10 @@
     app
 }
 
+/// Marks the answer of a minion, which is passed on as it is.
+#[derive(Debug)]
+pub(crate) struct FromMinion;
+
 /// Counts answers, and gives those of the router a result code.
 #[derive(Debug)]
 struct Finish;
@@ -62,7 +66,8 @@
         let shared = Arc::clone(request.state());
         let method = request.method();
         let mut response = next.run(request).await;
-        if response.is_empty() == Some(true) {
+        let own = response.ext::<FromMinion>().is_none();
+        if own && response.is_empty() == Some(true) {
             match response.status() {
                 StatusCode::NotFound => response = fail(Code::NOT_FOUND)?,
                 StatusCode::MethodNotAllowed => response = fail(Code::NO_METHOD)?,
@@ -104,8 +109,3 @@
 pub(crate) fn fail(code: Code) -> tide::Result {
     json(code.status(), &Failure::new(code))
 }
-
-/// Answers with the fields that are wrong.
-pub(crate) fn fail_with(code: Code, problems: Vec<Problem>) -> tide::Result {
-    json(code.status(), &Failure::with_problems(code, problems))
-}
