Wait for the freed port in the test of a peer that returns

closed_peer_is_connected_again failed once on a busy machine: the socket of a closed endpoint is freed by a background task after close has returned, so the second bind to the same port got AddrInUse.

--- a/crates/primrosebay_transport/tests/peer.rs
+++ b/crates/primrosebay_transport/tests/peer.rs
@@ -331,7 +331,20 @@
             ..settings("entry-b")
         };
         let identity = authority.issue("entry-b").unwrap();
-        let b = Net::bind(same, identity, Arc::new(Recorder::default())).unwrap();
+        let bind = || {
+            let recorder = Arc::new(Recorder::default());
+            Net::bind(same.clone(), identity.clone(), recorder).ok()
+        };
+        // The socket is freed by a task in the background, some time after `close`.
+        let mut b = bind();
+        for _ in 0..TURNS {
+            if b.is_some() {
+                break;
+            }
+            task::sleep(Duration::from_millis(10)).await;
+            b = bind();
+        }
+        let b = b.expect("the port was not freed");
         until("the link did not return", || a.connected().len() == 1).await;
         b.close().await;
     });
