Tell new allowance demand with the next heartbeats

zone_uses_the_allowance_of_an_idle_one failed in a run of all tests: demand travelled with one of four heartbeats, up to 3.2 s late for another zone, while the test's tasks run for 3 s. The summary now also goes with the next two heartbeats after the set of teams that ask changes.

--- a/crates/primrosebay_entry/src/peers.rs
+++ b/crates/primrosebay_entry/src/peers.rs
@@ -18,7 +18,9 @@
 use primrosebay_protocol::api::Failure;
 use primrosebay_protocol::code::Code;
 use primrosebay_protocol::log::{Page, Placed};
-use primrosebay_protocol::peer::{Document, Heartbeat, Request, Response, Summary, ZoneFree};
+use primrosebay_protocol::peer::{
+    Demand, Document, Heartbeat, Request, Response, Summary, ZoneFree,
+};
 use primrosebay_state::Name;
 use primrosebay_state::id::{Incarnation, RecordId};
 use primrosebay_state::record::Record;
@@ -453,7 +455,8 @@
 
     async fn beat(&self, woken: Receiver<()>) {
         let mut lagging = Vec::new();
-        let mut terms = (Vec::new(), Time(0));
+        let mut told = (Vec::new(), Vec::new());
+        let mut since = Time(0);
         loop {
             let now = self.core.local.now();
             let due = lock(&self.core.membership).due(now);
@@ -461,13 +464,18 @@
                 let Some(report) = self.core.local.report() else {
                     return self.net.clone().close().await;
                 };
-                if terms.0 != report.summary.zones {
-                    terms = (report.summary.zones.clone(), now);
+                let summary = &report.summary;
+                let wants = |demand: &Demand| (demand.team.clone(), demand.zone.clone());
+                let wanted: Vec<_> = summary.demand.iter().map(wants).collect();
+                if told.0 != summary.zones || told.1 != wanted {
+                    told = (summary.zones.clone(), wanted);
+                    since = now;
                 }
                 for due in due {
-                    // A new term is told with the next two heartbeats to each peer, so that calls go
-                    // to the new coordinator even if one is lost.
-                    let changed = now.since(terms.1) < 2 * due.interval;
+                    // A new term and new demand are told with the next two heartbeats to each peer,
+                    // even if one is lost, so that calls go to the new coordinator and a zone does
+                    // not wait for allowance.
+                    let changed = now.since(since) < 2 * due.interval;
                     let full = changed || due.sequence % SUMMARY_EVERY == 1;
                     let heartbeat = Heartbeat {
                         incarnation: self.incarnation,
