Trace requests and their attempts at minions

Adds a span for each request and each attempt and hands the trace context on to the minion. The load cell records its team, without which a key no longer works.

--- a/crates/primrosebay_entry/src/requests.rs
+++ b/crates/primrosebay_entry/src/requests.rs
@@ -31,6 +31,7 @@
 use primrosebay_state::id::Incarnation;
 use primrosebay_state::time::Time;
 use primrosebay_transport::minion::{Exact, MinionLink};
+use primrosebay_transport::trace::Span;
 use tide::http::{Body, Request, Response, StatusCode};
 
 pub use access::account;
@@ -170,7 +171,7 @@
         service: &str,
         request: &mut Request,
     ) -> Result<Response, Code> {
-        let terms = Terms::of(request, &self.settings, self.now())?;
+        let mut terms = Terms::of(request, &self.settings, self.now())?;
         let service = self.service(service).ok_or(Code::NOT_FOUND)?;
         let buffered = match terms.length {
             Some(length) if length > self.settings.replay as u64 => 0,
@@ -180,7 +181,11 @@
         // Room for the body is taken before any of it is read.
         let held = Held::new(&service, &account, buffered).ok_or(Code::OVERLOADED)?;
         let payload = self.read_body(request.take_body(), &terms).await?;
+        let span = Span::start("request", &terms.trace);
+        span.set("service", &*service.name);
+        terms.trace = span.context();
         let response = self.run(&service, &account, &terms, &payload).await;
+        span.close();
         drop(held);
         response
     }
--- a/crates/primrosebay_entry/src/requests/attempt.rs
+++ b/crates/primrosebay_entry/src/requests/attempt.rs
@@ -9,6 +9,7 @@
 use primrosebay_coordination::routing::hop::{hedge_after, hop_deadline};
 use primrosebay_coordination::routing::retry::Ended;
 use primrosebay_transport::minion::{Answer, AnswerBody, Call, MinionError, MinionLink};
+use primrosebay_transport::trace::Span;
 use tide::http::{Body, Response, StatusCode};
 
 use crate::api::FromMinion;
@@ -66,10 +67,13 @@
         let now = self.now();
         let last = matches!(payload, Payload::Stream(..));
         let limit = hop_deadline(terms.repeat, now, terms.deadline, last).since(now);
+        let span = Span::start("request.attempt", &terms.trace);
+        span.set("minion", &*running.site().name);
         let call = Call {
             address: running.site().address.clone(),
             attempt: id.to_string(),
             media: terms.media.clone(),
+            trace: span.context(),
             body: payload.send(),
             limit: Duration::from_millis(limit),
         };
@@ -77,6 +81,7 @@
             Ok(answer) => self.receive(answer, &mut running).await,
             Err(error) => Err(error),
         };
+        span.close();
         match result {
             Ok((_, Content::Failed)) => Err(Ended::Failed),
             Ok((head, Content::Whole(bytes))) => Ok(response(head, Body::from_bytes(bytes))),
--- a/crates/primrosebay_entry/src/requests/terms.rs
+++ b/crates/primrosebay_entry/src/requests/terms.rs
@@ -4,6 +4,7 @@
 use primrosebay_protocol::minion::DEADLINE_HEADER;
 use primrosebay_state::job::Repeat;
 use primrosebay_state::time::Time;
+use primrosebay_transport::trace::HEADER;
 use tide::http::Request;
 
 use super::RequestSettings;
@@ -18,6 +19,8 @@
     pub(super) repeat: Repeat,
     /// When the caller stops waiting.
     pub(super) deadline: Time,
+    /// The caller's trace context; empty for none.
+    pub(super) trace: String,
     /// The media type of the body.
     pub(super) media: Option<String>,
     /// The declared length of the body in bytes.
@@ -61,6 +64,7 @@
         Ok(Self {
             repeat,
             deadline: now + left.min(settings.longest),
+            trace: header(HEADER).unwrap_or_default().to_owned(),
             media: header("content-type").map(str::to_owned),
             length,
         })
--- a/crates/primrosebay_load/src/cell.rs
+++ b/crates/primrosebay_load/src/cell.rs
@@ -101,7 +101,8 @@
             }
             task::sleep(Duration::from_millis(20)).await;
         }
-        Err(io::Error::other("the entry instance does not answer"))
+        let last = once(&self.entry(), "once", 5_000).await?;
+        Err(io::Error::other(format!("not ready: {last:?}")))
     }
 }
 
@@ -118,23 +119,35 @@
     }
 }
 
+/// Returns the records of a team and its key.
 fn key() -> Append {
-    let spec = Resource::Key {
+    let team = Resource::Team {
+        share: 1,
+        limit: Resources::ZERO,
+    };
+    let key = Resource::Key {
         team: "load".into(),
         hash: hash(KEY).into(),
     };
+    let records = (1..).zip([("team", team), ("key", key)]);
+    Append {
+        records: records.map(record).collect(),
+    }
+}
+
+fn record((sequence, (kind, spec)): (u64, (&str, Resource))) -> Record {
     let change = Change {
-        kind: "key".into(),
+        kind: kind.into(),
         name: "load".into(),
         expected: 0,
         spec: Some(spec),
     };
-    let id = RecordId {
-        incarnation: Incarnation(1),
-        sequence: 1,
-    };
-    let body = Body::Config(change);
-    Append {
-        records: vec![Record { id, body }],
+    let incarnation = Incarnation(1);
+    Record {
+        id: RecordId {
+            incarnation,
+            sequence,
+        },
+        body: Body::Config(change),
     }
 }
--- a/crates/primrosebay_transport/src/minion.rs
+++ b/crates/primrosebay_transport/src/minion.rs
@@ -18,6 +18,8 @@
 };
 use primrosebay_state::Name;
 
+use crate::trace;
+
 pub use body::AnswerBody;
 pub use exact::Exact;
 
@@ -48,6 +50,8 @@
     pub attempt: String,
     /// The media type of the body, if the caller gave one.
     pub media: Option<String>,
+    /// The trace context, in the form of the `traceparent` header; empty for none.
+    pub trace: String,
     /// The body.
     pub body: Payload,
     /// Time for the whole answer.
@@ -272,6 +276,9 @@
             request.set_body(Body::from_reader(reader, length));
         }
     }
+    if !call.trace.is_empty() {
+        request.insert_header(trace::HEADER, call.trace);
+    }
     if let Some(media) = call.media {
         request.insert_header("content-type", media);
     }
--- a/crates/primrosebay_transport/tests/minion_link.rs
+++ b/crates/primrosebay_transport/tests/minion_link.rs
@@ -17,6 +17,7 @@
         address: address.to_string().into(),
         attempt: attempt.to_owned(),
         media: None,
+        trace: String::new(),
         body: Payload::Whole(attempt.as_bytes().into()),
         limit: Duration::from_millis(limit_ms),
     }
