--- a/crates/primrosebay_transport/src/http_server.rs
+++ b/crates/primrosebay_transport/src/http_server.rs
@@ -2,13 +2,18 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, JoinHandle};
-use http_types::{Request, Response, StatusCode};
+use futures_lite::io::{AsyncRead, BufReader};
+use http_types::{Body, Request, Response, StatusCode};
+
+use crate::head_timeout::HeadTimeout;
 
 /// Bounds of a server.
 #[derive(Debug, Clone, Copy)]
@@ -17,6 +22,10 @@
     pub connections: usize,
     /// Time that requests in flight get at a planned stop.
     pub grace: Duration,
+    /// Time in which the head of a request must arrive after its first byte.
+    pub head: Duration,
+    /// Time after which a connection without a request is closed.
+    pub idle: Duration,
 }
 
 impl Default for Limits {
@@ -24,6 +33,8 @@
         Self {
             connections: 4096,
             grace: Duration::from_secs(10),
+            head: Duration::from_secs(5),
+            idle: Duration::from_mins(1),
         }
     }
 }
@@ -105,19 +116,30 @@
             shared.connections.fetch_sub(1, Ordering::SeqCst);
             continue;
         }
-        task::spawn(serve(stream, app.clone(), Arc::clone(&shared)));
+        task::spawn(serve(stream, app.clone(), limits, Arc::clone(&shared)));
     }
 }
 
 async fn serve<S: Clone + Send + Sync + 'static>(
     stream: TcpStream,
     app: tide::Server<S>,
+    limits: Limits,
     shared: Arc<Shared>,
 ) {
     let peer = stream.peer_addr().ok();
     // Without this option small answers can wait 40 ms for a delayed acknowledgement.
     let _ = stream.set_nodelay(true);
-    let answer = |request: Request| respond(request, peer, app.clone(), Arc::clone(&shared));
+    let busy = Arc::new(AtomicBool::new(false));
+    let stream = HeadTimeout::new(stream, limits.head, limits.idle, Arc::clone(&busy));
+    let answer = |request: Request| {
+        let (app, shared, busy) = (app.clone(), Arc::clone(&shared), Arc::clone(&busy));
+        async move {
+            busy.store(true, Ordering::SeqCst);
+            let response = respond(request, peer, app, shared).await;
+            busy.store(false, Ordering::SeqCst);
+            response
+        }
+    };
     if let Err(e) = async_h1::accept(stream, answer).await {
         log::debug!("http: connection closed: {e}");
     }
@@ -131,12 +153,59 @@
     shared: Arc<Shared>,
 ) -> http_types::Result<Response> {
     request.set_peer_addr(peer);
+    let read = track_body(&mut request);
     shared.requests.fetch_add(1, Ordering::SeqCst);
     let answer = app.respond::<_, Response>(request).await;
     shared.requests.fetch_sub(1, Ordering::SeqCst);
     let mut response = answer.unwrap_or_else(|_| Response::new(StatusCode::InternalServerError));
-    if shared.stopping.load(Ordering::SeqCst) {
+    // The decoder may throw away the beginning of the next request together with the rest of a body
+    // that nobody has read, so the connection is not used again.
+    let unread = read.is_some_and(|read| !read.load(Ordering::SeqCst));
+    if unread || shared.stopping.load(Ordering::SeqCst) {
         response.insert_header("connection", "close");
     }
     Ok(response)
 }
+
+/// Makes the returned flag tell whether the body was read to its end; nothing if there is no body.
+fn track_body(request: &mut Request) -> Option<Arc<AtomicBool>> {
+    let length = request.len();
+    let chunked = request.header("transfer-encoding").is_some();
+    if length == Some(0) || length.is_none() && !chunked {
+        return None;
+    }
+    let read = Arc::new(AtomicBool::new(false));
+    let body = request.take_body();
+    let kind = body.mime().clone();
+    let tracked = Tracked {
+        left: length.map(|bytes| bytes as u64),
+        body,
+        read: Arc::clone(&read),
+    };
+    let mut body = Body::from_reader(BufReader::new(tracked), length);
+    body.set_mime(kind);
+    request.set_body(body);
+    Some(read)
+}
+
+/// A body that notes its end.
+struct Tracked {
+    body: Body,
+    left: Option<u64>,
+    read: Arc<AtomicBool>,
+}
+
+impl AsyncRead for Tracked {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.body).poll_read(context, buffer))?;
+        self.left = self.left.map(|left| left.saturating_sub(count as u64));
+        if count == 0 && !buffer.is_empty() || self.left == Some(0) {
+            self.read.store(true, Ordering::SeqCst);
+        }
+        Poll::Ready(Ok(count))
+    }
+}
