--- a/crates/primrosebay_entry/src/requests/terms.rs
+++ b/crates/primrosebay_entry/src/requests/terms.rs
@@ -4,6 +4,7 @@
 use primrosebay_protocol::minion::DEADLINE_HEADER;
 use primrosebay_state::job::Repeat;
 use primrosebay_state::time::Time;
+use primrosebay_transport::trace::HEADER;
 use tide::http::Request;
 
 use super::RequestSettings;
@@ -11,6 +12,10 @@
 /// Says whether the request may run more than once.
 pub(super) const REPEAT_HEADER: &str = "x-repeat";
 
+/// Time that the request and the answer spend on the way between the caller and this instance, in
+/// milliseconds: 3 each way. It is taken off the deadline, but never more than a tenth of it.
+const TRANSIT_MS: u64 = 6;
+
 /// The terms of one request.
 #[derive(Debug)]
 pub(super) struct Terms {
@@ -18,6 +23,8 @@
     pub(super) repeat: Repeat,
     /// When the caller stops waiting.
     pub(super) deadline: Time,
+    /// The caller's trace context; empty for none.
+    pub(super) trace: String,
     /// The media type of the body.
     pub(super) media: Option<String>,
     /// The declared length of the body in bytes.
@@ -42,7 +49,7 @@
             Some("once") | None => Repeat::Once,
             Some(_) => return Err(Code::INVALID),
         };
-        let left = match header(DEADLINE_HEADER) {
+        let left: u64 = match header(DEADLINE_HEADER) {
             Some(text) => text.parse().map_err(|_| Code::INVALID)?,
             None => settings.deadline,
         };
@@ -60,7 +67,8 @@
         }
         Ok(Self {
             repeat,
-            deadline: now + left.min(settings.longest),
+            deadline: now + (left - TRANSIT_MS.min(left / 10)).min(settings.longest),
+            trace: header(HEADER).unwrap_or_default().to_owned(),
             media: header("content-type").map(str::to_owned),
             length,
         })
