Do not fill the queue of a slow log with appends of every instance

The leader's answers to forwarded submissions came after their timeout, so 35 instances appended by themselves; 185 appends were rejected with 503, also the leader's and the claims of its successors. Nothing was accepted until 12.5 s, 2.5 s after the log was fast again, and 644 callers got a 504. Ruled out: processor time (place to send took 30 ms). Change: an instance appends by itself only if the log could take an append of every instance at once; otherwise it asks the leader again.

--- a/crates/primrosebay_member/src/lib.rs
+++ b/crates/primrosebay_member/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every instance follows the log, answers callers and can lead. What it needs from its
 //! surroundings is behind [`ports::Platform`].
 
+pub mod backpressure;
 pub mod calls;
 mod election;
 mod follow;
--- a/crates/primrosebay_member/src/submit.rs
+++ b/crates/primrosebay_member/src/submit.rs
@@ -1,7 +1,8 @@
 //! Makes durable what callers submit, many records with one call.
 //!
 //! Records go to the leader, which appends them with its own: a slow log takes few appends a second,
-//! however many records each holds. Without a leader the instance appends them itself.
+//! however many records each holds. Without a leader the instance appends them itself, unless that
+//! would fill the queue of a slow log.
 
 use std::sync::Arc;
 
@@ -10,6 +11,7 @@
 use primrosebay_cell::job::JobKey;
 use primrosebay_cell::record::Record;
 
+use crate::backpressure::may_append_directly;
 use crate::ports::{AppendError, Platform};
 use crate::receipts::{Kind, Receipt};
 use crate::shared::Shared;
@@ -66,15 +68,24 @@
 }
 
 async fn append<P: Platform>(shared: &Shared<P>, mut batch: Vec<Item>) {
-    let result = match forward(shared, &batch).await {
-        Forwarded::Durable => Ok(()),
-        Forwarded::Not => append_here(shared, &batch).await,
-        Forwarded::Unknown => {
-            for item in &mut batch {
-                item.unsure = true;
-            }
-            append_here(shared, &batch).await
+    let forwarded = forward(shared, &batch).await;
+    if forwarded == Forwarded::Unknown {
+        for item in &mut batch {
+            item.unsure = true;
+        }
+    }
+    if forwarded != Forwarded::Durable && !is_direct(shared) {
+        log::info!(records = batch.len(), forwarded:? = forwarded; "submit: log is slow, the leader is asked again");
+        if shared.is_in_touch() {
+            retry(shared, batch.into_iter()).await;
+        } else {
+            give_up(shared, &batch, "the log cannot be reached");
         }
+        return;
+    }
+    let result = match forwarded {
+        Forwarded::Durable => Ok(()),
+        Forwarded::Not | Forwarded::Unknown => append_here(shared, &batch).await,
     };
     match result {
         Ok(()) => {
@@ -84,18 +95,14 @@
         }
         Err(AppendError::Unknown(reason)) => {
             log::warn!(records = batch.len(), reason:% = reason; "submit: append was not answered");
-            if !shared.is_in_touch() {
-                // Another instance can accept the job before this one learns what became of it.
-                for (kind, job) in batch.iter().filter_map(|i| i.waiter) {
-                    shared.receipts.settle(kind, job, &Receipt::Unknown);
-                }
-                return;
+            for item in &mut batch {
+                item.unsure = true;
+            }
+            if shared.is_in_touch() {
+                retry(shared, batch.into_iter()).await;
+            } else {
+                give_up(shared, &batch, &reason);
             }
-            retry(
-                shared,
-                batch.into_iter().map(|i| Item { unsure: true, ..i }),
-            )
-            .await;
         }
         Err(AppendError::Fenced | AppendError::Sequence(_)) => {
             log::error!("submit: append without a term was refused for its term");
@@ -103,15 +110,34 @@
         Err(AppendError::Rejected(reason)) => {
             log::warn!(records = batch.len(), reason:% = reason; "submit: append rejected");
             let (unsure, sure): (Vec<Item>, Vec<Item>) = batch.into_iter().partition(|i| i.unsure);
-            for (kind, job) in sure.iter().filter_map(|i| i.waiter) {
-                let receipt = Receipt::Rejected(reason.clone());
-                shared.receipts.settle(kind, job, &receipt);
-            }
+            give_up(shared, &sure, &reason);
             retry(shared, unsure.into_iter()).await;
         }
     }
 }
 
+/// Tells callers that their records are not stored, or may be if an earlier try had no answer.
+/// Another instance can accept the job before this one learns what became of it.
+fn give_up<P>(shared: &Shared<P>, batch: &[Item], reason: &str) {
+    for item in batch {
+        let Some((kind, job)) = item.waiter else {
+            continue;
+        };
+        let receipt = if item.unsure {
+            Receipt::Unknown
+        } else {
+            Receipt::Rejected(reason.into())
+        };
+        shared.receipts.settle(kind, job, &receipt);
+    }
+}
+
+/// Returns whether this instance may append submissions by itself.
+fn is_direct<P: Platform>(shared: &Shared<P>) -> bool {
+    let instances = shared.followed().ledger.members().count();
+    may_append_directly(shared.platform.latency(), instances)
+}
+
 /// Asks the leader to append records.
 async fn forward<P: Platform>(shared: &Shared<P>, batch: &[Item]) -> Forwarded {
     let records: Vec<Record> = batch.iter().map(|i| i.record.clone()).collect();
