Find minions for a gang with fewer calls for advice

Calls of different gangs named the same minions, of which one gang got the room; later calls asked for room for the whole gang again and left out the minions known to be allowed, whose tickets had expired by then. Whether a minion is allowed was seen to be independent of its zone, rack and kind and of other steps, so nothing can be foretold. Change: each step has its own order among equal minions; a call after the first asks for the rest only, names the known ones too and keeps their room until the answer; the number of names follows from the binomial distribution.

--- a/crates/primrosebay_cell/src/leader/advice.rs
+++ b/crates/primrosebay_cell/src/leader/advice.rs
@@ -17,7 +17,8 @@
 pub(super) const MINIONS_PER_CALL: usize = 100;
 
 /// The part of named minions that is expected to be allowed before a queue's service has answered.
-const EXPECTED_SHARE: f64 = 0.3;
+/// It is the lowest of both users' queues, since a call that names too few was in vain.
+const EXPECTED_SHARE: f64 = 0.25;
 
 /// The lowest part that is counted on, so that a few poor answers do not make calls endless.
 const LEAST_SHARE: f64 = 0.1;
@@ -215,7 +216,8 @@
 }
 
 impl Leader {
-    /// Asks for advice on a step if an instance is free to do so.
+    /// Asks for advice on a step if an instance is free to do so. Returns after how many
+    /// milliseconds the answer is expected.
     pub(super) fn ask(
         &mut self,
         step: StepKey,
@@ -223,19 +225,18 @@
         mut minions: Vec<Name>,
         late: bool,
         now: Now,
-    ) -> bool {
+    ) -> Option<u64> {
         minions.truncate(MINIONS_PER_CALL);
         if minions.is_empty() {
-            return false;
+            return None;
         }
         let cost = terms.call_ms(minions.len());
         let advisers = &mut self.advisers;
-        let Some(at) = advisers.pick(cost, late, now.time, &self.settings) else {
-            return false;
-        };
+        let at = advisers.pick(cost, late, now.time, &self.settings)?;
         let queued = advisers.members[at].calls.iter().map(|c| c.until).max();
         let begin = queued.unwrap_or(now.time).max(now.time);
-        let timeout_ms = begin.since(now.time) + cost + self.settings.advice_wait_ms;
+        let expected_ms = begin.since(now.time) + cost;
+        let timeout_ms = expected_ms + self.settings.advice_wait_ms;
         advisers.members[at].calls.push(Call {
             step,
             until: begin + cost,
@@ -251,7 +252,7 @@
             minions,
             timeout_ms,
         });
-        true
+        Some(expected_ms)
     }
 
     /// Takes over what came of a call for advice; none if it failed.
@@ -275,10 +276,11 @@
             return;
         };
         log::info!(step:% = step, node:% = node, named = named.len(), good = advice.good.len(); "leader: advice answered");
-        // Calls that name only allowed minions say nothing about the others.
-        let first = named.iter().all(|n| !known.good.contains(n));
+        // Minions that were named before say nothing new about the queue.
+        let new = |n: &Name| known.named.binary_search(n).is_err();
+        let count = named.iter().filter(|n| new(n)).count();
+        let good = advice.good.iter().filter(|(n, _)| new(n)).count();
         let queue = self.jobs.get(&step.job).map(|j| j.queue.clone());
-        let (count, good) = (named.len(), advice.good.len());
         let valid = advice
             .valid_ms
             .saturating_sub(self.settings.advice_slack_ms);
@@ -295,7 +297,7 @@
             }
             known.tickets.push((name, ticket, until));
         }
-        if let Some(queue) = queue.filter(|_| first) {
+        if let Some(queue) = queue.filter(|_| count > 0) {
             advisers.note_share(queue, count, good);
         }
     }
--- a/crates/primrosebay_cell/src/leader/allowance.rs
+++ b/crates/primrosebay_cell/src/leader/allowance.rs
@@ -152,7 +152,8 @@
             let Some(account) = &run.account else {
                 continue;
             };
-            let of_account: &mut Yielding = yielding.or_insert(account.clone(), Yielding::default());
+            let of_account: &mut Yielding =
+                yielding.or_insert(account.clone(), Yielding::default());
             if matches!(run.phase, Phase::Stopping(..)) {
                 of_account.stopping = of_account.stopping.plus(&run.amount);
             } else if let Some(priority) = self.yield_priority(run, now.time) {
--- a/crates/primrosebay_cell/src/leader/dispatch.rs
+++ b/crates/primrosebay_cell/src/leader/dispatch.rs
@@ -34,6 +34,9 @@
             }
         }
         request.pending = pending.collect();
+        if request.gang {
+            self.unreserve(request.step);
+        }
     }
 
     /// Returns the number of the next run of a gang, which its members share.
--- a/crates/primrosebay_cell/src/leader/place.rs
+++ b/crates/primrosebay_cell/src/leader/place.rs
@@ -1,5 +1,8 @@
 //! Which step is served next, and where its tasks are started.
 
+use std::cmp::Reverse;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
 use primrosebay_state::time::Time;
@@ -12,11 +15,12 @@
 use crate::job::{StepKey, TaskKey};
 use crate::record::Place;
 
-/// How many times the expected number of minions a call for a gang names. A gang starts only if
-/// all its tasks find room, so a call that turns out too small was in vain.
-const GANG_FACTOR: f64 = 1.7;
+/// By how many standard deviations the number of allowed minions may fall short of what is expected
+/// for a gang still to find enough: one call in twenty turns out too small. A gang starts only if
+/// all its tasks find room, so such a call was in vain.
+const GANG_DEVIATIONS: f64 = 1.65;
 
-/// A first call names as many minions as this part of its fixed time pays for. More names give
+/// A call names as many minions as this part of its fixed time pays for. More names give
 /// more choice for little; the fixed time bounds how many calls the cell can make.
 const NAMING_PART: f64 = 0.25;
 
@@ -30,9 +34,23 @@
 /// How many objectives a job may take before it is worth nothing.
 const LATE_OBJECTIVES: u64 = 3;
 
+/// Added to the time after which an answer is expected, in milliseconds, while room is kept for it:
+/// the answer travels over two hops and waits for the next pass.
+const ANSWER_MS: u64 = 300;
+
 /// The order in which steps are served: the lowest first.
 type Order = (u32, bool, u64);
 
+/// A minion on which a step's tasks may find room.
+#[derive(Debug)]
+struct Room {
+    /// How many tasks fit if less urgent runs give way.
+    slots: u32,
+    /// How many fit once what is already being stopped has stopped.
+    stopped: u32,
+    name: Name,
+}
+
 /// What is to be placed for a step.
 #[derive(Debug)]
 pub(super) struct Request {
@@ -169,13 +187,7 @@
         minions.map(|(name, _)| name.clone()).collect()
     }
 
-    fn place_step(
-        &mut self,
-        step: StepKey,
-        late: bool,
-        allowances: &mut Allowances,
-        now: Now,
-    ) {
+    fn place_step(&mut self, step: StepKey, late: bool, allowances: &mut Allowances, now: Now) {
         let Some(mut request) = self.request(step, late) else {
             return;
         };
@@ -256,7 +268,7 @@
             .into_iter()
             .filter(|n| named.binary_search(n).is_err())
             .collect();
-        self.ask_first(request, terms, &unnamed, now);
+        self.ask_more(request, terms, &good, &unnamed, now);
     }
 
     /// Asks for new tickets on minions that are known to be allowed and have or can get room.
@@ -270,30 +282,48 @@
     ) -> bool {
         let want = u32::try_from(request.pending.len()).unwrap_or(u32::MAX);
         let rooms = self.rooms(request, good, now.time);
-        let slots: u64 = rooms.iter().map(|r| u64::from(r.0)).sum();
-        let enough = if request.gang {
-            slots >= u64::from(want)
-        } else {
-            slots > 0
-        };
+        let least = if request.gang { u64::from(want) } else { 1 };
         // A ticket that is still valid is of no use without room, so it is not asked for again.
-        let new = rooms.iter().any(|(_, name)| !ticketed.contains(name));
-        if !enough || !new {
+        let new = rooms.iter().any(|room| !ticketed.contains(&room.name));
+        if slots_of(&rooms) < least || !new {
             return false;
         }
-        let names: Vec<Name> = rooms.into_iter().map(|(_, name)| name).collect();
-        let asked = self.ask(request.step, terms, names.clone(), request.late, now);
-        if !asked {
+        let names: Vec<Name> = rooms.into_iter().map(|room| room.name).collect();
+        self.ask_for(request, terms, &names, &names, now);
+        true
+    }
+
+    /// Asks about minions, and keeps the room of those that are known to be allowed for a gang
+    /// until the answer arrives.
+    fn ask_for(
+        &mut self,
+        request: &Request,
+        terms: AdviceTerms,
+        names: &[Name],
+        allowed: &[Name],
+        now: Now,
+    ) {
+        let asked = self.ask(request.step, terms, names.to_vec(), request.late, now);
+        let Some(wait_ms) = asked else {
             self.waits.adviser += 1;
+            return;
+        };
+        if request.gang {
+            let want = u32::try_from(request.pending.len()).unwrap_or(u32::MAX);
+            let until = now.time + wait_ms + ANSWER_MS;
+            self.reserve_slots(request, allowed, want, until, now.time);
         }
-        if asked && request.gang {
-            self.reserve_slots(request, &names, want, now.time);
-        }
-        true
     }
 
     /// Keeps the room that a gang is going to use when its tickets arrive.
-    fn reserve_slots(&mut self, request: &Request, names: &[Name], want: u32, now: Time) {
+    fn reserve_slots(
+        &mut self,
+        request: &Request,
+        names: &[Name],
+        want: u32,
+        until: Time,
+        now: Time,
+    ) {
         let mut left = want;
         for name in names {
             let Some(minion) = self.minions.get(name) else {
@@ -302,54 +332,63 @@
             let slots = self.slots_later(minion, request, now).0.min(left);
             if slots > 0 {
                 left -= slots;
-                self.reserve(request, name, slots, now);
+                self.reserve(request, name, slots, until);
             }
         }
     }
 
-    /// Asks which of these minions may run the step.
-    fn ask_first(&mut self, request: &Request, terms: AdviceTerms, unnamed: &[Name], now: Now) {
-        let rooms = self.rooms(request, unnamed, now.time);
-        let want = request.pending.len() as u64;
-        let slots: u64 = rooms.iter().map(|r| u64::from(r.0)).sum();
-        let enough = if request.gang {
-            slots >= want
+    /// Asks which of the minions that were not named yet may run the step. A call for a gang also
+    /// names those that are known to be allowed, so that all its tickets are valid together.
+    fn ask_more(
+        &mut self,
+        request: &Request,
+        terms: AdviceTerms,
+        good: &[Name],
+        unnamed: &[Name],
+        now: Now,
+    ) {
+        let known = if request.gang {
+            self.rooms(request, good, now.time)
         } else {
-            slots > 0
+            Vec::new()
         };
-        if !enough {
+        let rooms = self.rooms(request, unnamed, now.time);
+        let want = request.pending.len() as u64;
+        let want = want.saturating_sub(slots_of(&known)).max(1);
+        let least = if request.gang { want } else { 1 };
+        if slots_of(&rooms) < least {
             self.waits.room += 1;
             return;
         }
         let queue = self.jobs.get(&request.step.job).map(|j| j.queue.clone());
-        let mut share = self.advisers.share(&queue.unwrap_or_default());
-        if request.gang {
-            share /= GANG_FACTOR;
-        }
-        let count = names_for_call(&rooms, want, terms, share);
-        let names = rooms
-            .into_iter()
-            .take(count)
-            .map(|(_, name)| name)
-            .collect();
-        if !self.ask(request.step, terms, names, request.late, now) {
-            self.waits.adviser += 1;
-        }
+        let share = self.advisers.share(&queue.unwrap_or_default());
+        let deviations = if request.gang { GANG_DEVIATIONS } else { 0.0 };
+        let count = names_for_call(&rooms, want, terms, share, deviations);
+        let allowed: Vec<Name> = known.into_iter().map(|room| room.name).collect();
+        let new = rooms.into_iter().take(count).map(|room| room.name);
+        let names: Vec<Name> = allowed.iter().cloned().chain(new).collect();
+        self.ask_for(request, terms, &names, &allowed, now);
     }
 
-    /// Returns the minions that have or can get room with the number of tasks that fit, most first.
-    fn rooms(&self, request: &Request, names: &[Name], now: Time) -> Vec<(u32, Name)> {
+    /// Returns the minions that have or can get room, those for most tasks first. Among equal ones
+    /// each step has an order of its own, so that calls for different steps name different minions.
+    fn rooms(&self, request: &Request, names: &[Name], now: Time) -> Vec<Room> {
         let mut rooms = Vec::new();
         for name in names {
             let Some(minion) = self.minions.get(name) else {
                 continue;
             };
-            let slots = self.slots_later(minion, request, now).1;
+            let (stopped, slots) = self.slots_later(minion, request, now);
             if slots > 0 {
-                rooms.push((slots, name.clone()));
+                rooms.push(Room {
+                    slots,
+                    stopped,
+                    name: name.clone(),
+                });
             }
         }
-        rooms.sort_by_key(|room| std::cmp::Reverse(room.0));
+        let step = request.step;
+        rooms.sort_by_cached_key(|r| (Reverse((r.slots, r.stopped)), spread(step, &r.name)));
         rooms
     }
 
@@ -361,24 +400,48 @@
     }
 }
 
-/// Returns how many minions a first call names: enough that those which turn out to be allowed, a
-/// part of `share`, have room for all tasks.
+/// Returns for how many tasks these minions have or can get room.
+fn slots_of(rooms: &[Room]) -> u64 {
+    rooms.iter().map(|room| u64::from(room.slots)).sum()
+}
+
+/// Returns a number that orders minions in another way for each step.
+fn spread(step: StepKey, name: &Name) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (step.job.0, step.occurrence, step.step, name).hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Returns how many minions a call names: enough that those which turn out to be allowed, a part of
+/// `share`, have room for all tasks, also if they are by `deviations` fewer than expected. Each
+/// minion is allowed or not regardless of the others.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
     reason = "there are at most thousands of minions"
 )]
-fn names_for_call(rooms: &[(u32, Name)], want: u64, terms: AdviceTerms, share: f64) -> usize {
+fn names_for_call(
+    rooms: &[Room],
+    want: u64,
+    terms: AdviceTerms,
+    share: f64,
+    deviations: f64,
+) -> usize {
     let mut slots = 0;
     let mut needed = 0;
-    for (count, _) in rooms {
+    for room in rooms {
         if slots >= want {
             break;
         }
-        slots += u64::from(*count);
+        slots += u64::from(room.slots);
         needed += 1;
     }
-    let expected = (f64::from(needed) / share).ceil() as usize;
+    let needed = f64::from(needed);
+    // The mean of a binomial distribution that exceeds `needed` by that many of its deviations.
+    let refused = 1.0 - share;
+    let half = deviations * deviations * refused / 2.0;
+    let mean = needed + half + (2.0 * half * needed + half * half).sqrt();
+    let expected = (mean / share).ceil() as usize;
     let cheap = (terms.decide_ms * NAMING_PART / terms.each_ms.max(0.001)) as usize;
     expected.max(cheap)
 }
--- a/crates/primrosebay_cell/src/leader/preempt.rs
+++ b/crates/primrosebay_cell/src/leader/preempt.rs
@@ -7,7 +7,7 @@
 use super::command::Now;
 use super::minion::{Minion, Phase, Reserved, Run, fitting};
 use super::place::Request;
-use crate::job::TaskKey;
+use crate::job::{StepKey, TaskKey};
 
 /// How long a run is left alone after its start, in milliseconds. A run that is stopped earlier
 /// has spent more on starting than it has done.
@@ -84,14 +84,13 @@
             if slots > later {
                 self.stop_victims(request, &name, slots, now);
             }
-            self.reserve(request, &name, slots, now.time);
+            self.reserve(request, &name, slots, now.time + self.settings.reserve_ms);
         }
         want - left
     }
 
     /// Keeps room for tasks of a step on a minion, in place of what was kept for it there before.
-    pub(super) fn reserve(&mut self, request: &Request, name: &Name, slots: u32, now: Time) {
-        let until = now + self.settings.reserve_ms;
+    pub(super) fn reserve(&mut self, request: &Request, name: &Name, slots: u32, until: Time) {
         if let Some(minion) = self.minions.get_mut(name) {
             minion.reserved.retain(|r| r.step != request.step);
             minion.reserved.push(Reserved {
@@ -102,6 +101,13 @@
         }
     }
 
+    /// Gives up the room that is kept for a step.
+    pub(super) fn unreserve(&mut self, step: StepKey) {
+        for (_, minion) in self.minions.iter_mut() {
+            minion.reserved.retain(|r| r.step != step);
+        }
+    }
+
     /// Stops as few victims as give room for `slots` tasks.
     fn stop_victims(&mut self, request: &Request, name: &Name, slots: u32, now: Now) {
         let Some(minion) = self.minions.get(name) else {
