--- a/crates/primrosebay_cell/tests/leader/world.rs
+++ b/crates/primrosebay_cell/tests/leader/world.rs
@@ -424,7 +424,7 @@
                 let each = self.allows_each;
                 let allowed = |m: &Name| {
                     let at = self.minions.iter().position(|f| f.name == *m);
-                    at.is_some_and(|at| hash(step.job.0, at) % each == 0)
+                    at.is_some_and(|at| hash(step.job.0, at).is_multiple_of(each))
                 };
                 let allowed = minions.into_iter().filter(allowed);
                 let good = allowed.map(|m| (m, "ticket".into())).collect();
