Let work that can still meet its objective go before work that cannot

Cause: steps were served by deadline, so in a burst each job was served when its time was just too short and none was in time (model: 6 of 30 jobs in time with half of the offered load beyond the capacity). Change: a job is late once it cannot meet its objective any more, not when the objective has passed. In the model 15 or more of 30 are in time.

--- a/crates/primrosebay_cell/src/job.rs
+++ b/crates/primrosebay_cell/src/job.rs
@@ -239,4 +239,20 @@
         }
         ends.into_iter().max().unwrap_or(0)
     }
+
+    /// Returns for each step the estimated run time of the longest chain of dependent steps that
+    /// begins with it, in milliseconds.
+    #[must_use]
+    pub fn chains_ms(&self) -> Vec<u64> {
+        // Steps depend only on earlier ones, so the last comes first.
+        let mut chains = vec![0; self.steps.len()];
+        for (i, step) in self.steps.iter().enumerate().rev() {
+            chains[i] += step.estimate_ms;
+            for before in &step.after {
+                let before = *before as usize;
+                chains[before] = chains[before].max(chains[i]);
+            }
+        }
+        chains
+    }
 }
--- a/crates/primrosebay_cell/src/leader/active.rs
+++ b/crates/primrosebay_cell/src/leader/active.rs
@@ -13,6 +13,10 @@
 /// Minions that a call for advice names when an objective is computed.
 const OBJECTIVE_MINIONS: usize = 30;
 
+/// How long it takes from a decision until a minion has begun a task, in milliseconds: an append to
+/// the log and two messages.
+const START_MS: u64 = 50;
+
 #[derive(Debug)]
 #[expect(
     clippy::struct_excessive_bools,
@@ -23,6 +27,8 @@
     pub(super) queue: Name,
     pub(super) account: Option<Name>,
     pub(super) spec: Arc<JobSpec>,
+    /// What [`JobSpec::chains_ms`] returns for it.
+    pub(super) chains: Vec<u64>,
     pub(super) accepted_ms: u64,
     /// Whether the account had submitted more than its share promises.
     pub(super) excess: bool,
@@ -118,6 +124,13 @@
         from + self.objective_ms(queue)
     }
 
+    /// Returns when the job ends if the step starts now and those that depend on it follow at once,
+    /// in Unix milliseconds.
+    pub(super) fn expected_end_ms(&self, step: StepKey, now: Now) -> u64 {
+        let chain = self.chains.get(step.step as usize).copied().unwrap_or(0);
+        now.wall_ms + START_MS + chain
+    }
+
     /// Returns how long the job may take, in milliseconds.
     #[expect(
         clippy::cast_possible_truncation,
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -224,6 +224,7 @@
             queue: submission.queue.clone(),
             account: submission.account.clone(),
             spec: spec.clone(),
+            chains: spec.chains_ms(),
             accepted_ms: submission.accepted_ms,
             excess,
             cancelled: false,
--- a/crates/primrosebay_cell/src/leader/place.rs
+++ b/crates/primrosebay_cell/src/leader/place.rs
@@ -24,8 +24,8 @@
 /// more choice for little; the fixed time bounds how many calls the cell can make.
 const NAMING_PART: f64 = 0.25;
 
-/// Added to the priority of jobs whose objective has passed, so that work which can still meet
-/// its objective goes first.
+/// Added to the priority of jobs that cannot meet their objective any more, so that work which still
+/// can goes first.
 const LATE_CLASS: u32 = 1_000;
 
 /// Added to the priority of jobs that are worth nothing any more.
@@ -60,7 +60,7 @@
     pub(super) one_rack: bool,
     pub(super) rack: Option<Name>,
     pub(super) priority: u32,
-    /// Whether the job's objective has passed.
+    /// Whether the job cannot meet its objective any more.
     late: bool,
     per_minion: u32,
     pub(super) account: Option<Name>,
@@ -116,7 +116,7 @@
                 let last = deadline + (LATE_OBJECTIVES - 1) * objective;
                 let class = if now.wall_ms > last {
                     WORTHLESS_CLASS
-                } else if now.wall_ms > deadline {
+                } else if job.expected_end_ms(step, now) > deadline {
                     LATE_CLASS
                 } else {
                     0
--- a/crates/primrosebay_cell/tests/leader/load.rs
+++ b/crates/primrosebay_cell/tests/leader/load.rs
@@ -56,6 +56,26 @@
     assert!(took <= 2_250, "took {took} ms");
 }
 
+/// The pattern: urgent jobs arrive faster than they can run, so that each waits a little longer than
+/// the one before. Guards against serving those whose time is just too short to be met, after which
+/// the next ones are too late as well and none is in time.
+#[test]
+fn jobs_that_cannot_meet_their_objective_any_more_give_way() {
+    let mut world = World::new(1);
+    let mut keys = Vec::new();
+    for key in 0..30 {
+        keys.push((world.now, world.submit(key, "urgent", &job(1, cores(8)))));
+        world.run(300);
+    }
+    world.run(5_000);
+    // The objective is 2,250 ms, and two jobs of 1,000 ms run at a time.
+    let in_time = keys
+        .iter()
+        .filter(|(at, key)| world.took_ms(*key, *at) <= 2_250);
+    let in_time = in_time.count();
+    assert!(in_time >= 15, "{in_time} of 30 in time");
+}
+
 /// The pattern: an account's batch work takes all that its limit allows when its urgent work
 /// arrives. Guards against urgent work that waits for the account's own batch tasks.
 #[test]
--- a/crates/primrosebay_cell/tests/leader/world.rs
+++ b/crates/primrosebay_cell/tests/leader/world.rs
@@ -297,6 +297,13 @@
         self.state(key) == JobState::Ended(Outcome::Completed)
     }
 
+    /// Returns how long after `from` a job has ended, in milliseconds.
+    pub fn took_ms(&self, key: JobKey, from: u64) -> u64 {
+        let progress = self.ledger.progress(key);
+        let ended = progress.filter(|p| p.outcome.is_some()).map(|p| p.ended_ms);
+        ended.map_or(u64::MAX, |at| at - EPOCH_MS - from)
+    }
+
     /// Makes the minion silent to which the first start was sent.
     pub fn silence_first(&mut self) {
         let first = self.starts[0].minion.clone();
