Let a restarted leader claim the term at once

Change: an instance that finds its own claim as the last one knows that the term is over. The first read of the log does not wait for a record. An instance whose term was ended by others waits for signs of them first.

--- a/crates/primrosebay_member/src/election.rs
+++ b/crates/primrosebay_member/src/election.rs
@@ -11,6 +11,7 @@
 use crate::ports::{AppendError, Platform, Term};
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::vacancy::{LastLeader, Vacancy};
 
 /// How often the instance looks whether a leader is missing.
 const LOOK: Duration = Duration::from_millis(50);
@@ -32,6 +33,9 @@
         }
         if let Some(epoch) = claim(&shared).await {
             lead::run(Arc::clone(&shared), epoch).await;
+            // Whoever has ended the term may not have been read yet, so the own claim, which is the
+            // last one that is known, does not mean that nobody leads.
+            put_off(&shared);
         }
         jitter = draw(&shared);
     }
@@ -60,22 +64,33 @@
     if !shared.is_within(Some(fresh), 2 * shared.settings.read_wait + jitter) {
         return false;
     }
-    let rank = rank_delay(&followed.ledger, &shared.settings);
-    let wait = match followed.ledger.leader() {
-        // All instances start together and first have to learn of each other.
-        None => shared.settings.takeover / 2 + jitter,
-        // The claim was read with its resignation, so a later sign comes from another instance.
-        Some(claim) if claim.resigned && !followed.contested => jitter / 4,
-        Some(_) => {
-            let answers = shared.platform.latency() * shared.settings.takeover_answers;
-            shared.settings.takeover + answers + jitter
-        }
-    } + rank;
+    let last = match followed.ledger.leader() {
+        None => LastLeader::None,
+        Some(claim) if claim.resigned => LastLeader::Resigned,
+        Some(claim) if claim.node == shared.settings.name => LastLeader::Own,
+        Some(_) => LastLeader::Other,
+    };
+    let vacancy = Vacancy {
+        last,
+        contested: followed.contested,
+        latency: shared.platform.latency(),
+        jitter,
+        rank: rank_delay(&followed.ledger, &shared.settings),
+    };
+    let wait = vacancy.wait(&shared.settings);
     followed
         .heard
         .is_some_and(|heard| fresh.since(heard) >= millis(wait))
 }
 
+/// Waits for signs of another leader before this instance claims again.
+fn put_off<P>(shared: &Shared<P>) {
+    let now = shared.clock.now();
+    let mut followed = shared.followed();
+    followed.heard = Some(now);
+    followed.contested = true;
+}
+
 /// Begins a term. Returns its number once the claim has been read back and no higher one is known.
 async fn claim<P: Platform>(shared: &Shared<P>) -> Option<u64> {
     let known = shared.followed().ledger.leader().map_or(0, |c| c.epoch);
@@ -104,10 +119,7 @@
         // A refused claim means that a higher one is in the log, and one without an answer may be
         // there too. Claiming again at once would only depose whoever has just begun.
         if !matches!(e, AppendError::Rejected(_)) {
-            let now = shared.clock.now();
-            let mut followed = shared.followed();
-            followed.heard = Some(now);
-            followed.contested = true;
+            put_off(shared);
         }
         return None;
     }
--- a/crates/primrosebay_member/src/follow.rs
+++ b/crates/primrosebay_member/src/follow.rs
@@ -49,7 +49,13 @@
 
 /// Reads on once, waiting for a record for a short time. Returns the number of records read.
 async fn read<P: Platform>(shared: &Shared<P>) -> Result<usize, String> {
-    let wait = shared.settings.read_wait;
+    // Nothing is known to be missing, and no term is claimed, until a read has shown the end.
+    let confirmed = shared.followed().fresh.is_some();
+    let wait = if confirmed {
+        shared.settings.read_wait
+    } else {
+        Duration::ZERO
+    };
     read_on(shared, wait).await
 }
 
--- a/crates/primrosebay_member/src/lib.rs
+++ b/crates/primrosebay_member/src/lib.rs
@@ -19,3 +19,4 @@
 mod shared;
 mod submit;
 mod touch;
+pub mod vacancy;
