--- a/crates/primrosebay_member/src/submit.rs
+++ b/crates/primrosebay_member/src/submit.rs
@@ -1,8 +1,9 @@
 //! Makes durable what callers submit, many records with one call.
 //!
 //! Records go to the leader, which appends them with its own: a slow log takes few appends a second,
-//! however many records each holds. Without a leader the instance appends them itself, unless that
-//! would fill the queue of a slow log.
+//! however many records each holds. If there is no leader the instance appends them itself, unless
+//! that would fill the queue of a slow log. A leader that is reached but late still has them: it is
+//! asked again, since the first sign of a slow log is that answers of the leader are late.
 
 use std::sync::Arc;
 
@@ -68,24 +69,21 @@
 }
 
 async fn append<P: Platform>(shared: &Shared<P>, mut batch: Vec<Item>) {
-    let forwarded = forward(shared, &batch).await;
-    if forwarded == Forwarded::Unknown {
-        for item in &mut batch {
-            item.unsure = true;
-        }
-    }
-    if forwarded != Forwarded::Durable && !is_direct(shared) {
-        log::info!(records = batch.len(), forwarded:? = forwarded; "submit: log is slow, the leader is asked again");
-        if shared.is_in_touch() {
-            retry(shared, batch.into_iter()).await;
-        } else {
-            give_up(shared, &batch, "the log cannot be reached");
-        }
-        return;
-    }
-    let result = match forwarded {
+    let result = match forward(shared, &batch).await {
         Forwarded::Durable => Ok(()),
-        Forwarded::Not | Forwarded::Unknown => append_here(shared, &batch).await,
+        Forwarded::Not if is_direct(shared) => append_here(shared, &batch).await,
+        forwarded => {
+            log::info!(records = batch.len(), forwarded:? = forwarded; "submit: the leader is asked again");
+            for item in &mut batch {
+                item.unsure |= forwarded == Forwarded::Unknown;
+            }
+            if shared.is_in_touch() {
+                retry(shared, batch.into_iter()).await;
+            } else {
+                give_up(shared, &batch, "the log cannot be reached");
+            }
+            return;
+        }
     };
     match result {
         Ok(()) => {
