Read the log before a job is said to run

Cause: callers count a job's time until it is shown as completed. Instances that do not lead read the log every 150 ms, so a job of one second, whose objective leaves about half a second for all the rest, lost 75 ms of it on average.

--- a/crates/primrosebay_member/src/node.rs
+++ b/crates/primrosebay_member/src/node.rs
@@ -47,6 +47,7 @@
             settings,
             clock,
             followed: Mutex::new(Followed::default()),
+            reading: async_std::sync::Mutex::new(()),
             operators: Mutex::new(Operators::default()),
             receipts: Receipts::default(),
             submissions,
