--- a/crates/primrosebay/src/commands/member.rs
+++ b/crates/primrosebay/src/commands/member.rs
@@ -57,6 +57,7 @@
     front.close().await;
     ready.close().await;
     log::info!("member: stopped");
+    log::logger().flush();
     Ok(())
 }
 
