Revert "Keep a gang's room from less urgent work while it waits for advice"

Gangs of the same queue kept each other's room, and tasks stopped early needed new advice. The cause of the calls in vain is still to be traced.

--- a/crates/primrosebay_cell/src/leader/dispatch.rs
+++ b/crates/primrosebay_cell/src/leader/dispatch.rs
@@ -60,7 +60,7 @@
         }
         let far = |m: &Minion| request.rack.as_ref().is_some_and(|r| !m.has_label(r));
         let failed = |m: &Minion| request.failed_on.contains(&m.entry.name);
-        let left = |m: &Minion| m.free(request.step, request.priority).cores_milli;
+        let left = |m: &Minion| m.free(request.step).cores_milli;
         if request.gang {
             // Few minions are less likely to break a gang than many.
             rooms.sort_by_key(|(m, slots)| (failed(m), far(m), std::cmp::Reverse(*slots)));
--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -42,8 +42,6 @@
 #[derive(Debug, Clone)]
 pub(super) struct Reserved {
     pub(super) step: StepKey,
-    /// The priority of its queue. More urgent steps do not respect the reservation.
-    pub(super) priority: u32,
     pub(super) amount: Resources,
     pub(super) until: Time,
 }
@@ -138,28 +136,22 @@
         self.used(|_| true).cores_milli
     }
 
-    fn reserved(&self, step: StepKey, priority: u32) -> Resources {
-        let counts = |r: &&Reserved| r.step != step && r.priority <= priority;
-        let others = self.reserved.iter().filter(counts);
+    fn reserved(&self, step: StepKey) -> Resources {
+        let others = self.reserved.iter().filter(|r| r.step != step);
         others.fold(Resources::ZERO, |sum, r| sum.plus(&r.amount))
     }
 
-    /// Returns what is free now for tasks of `step`, whose queue has this priority.
-    pub(super) fn free(&self, step: StepKey, priority: u32) -> Resources {
-        let used = self.used(|_| true).plus(&self.reserved(step, priority));
+    /// Returns what is free now for tasks of `step`.
+    pub(super) fn free(&self, step: StepKey) -> Resources {
+        let used = self.used(|_| true).plus(&self.reserved(step));
         self.entry.capacity.minus(&used)
     }
 
     /// Returns what is free for tasks of `step` once everything that stops has stopped and the
     /// runs for which `victim` holds are stopped too.
-    pub(super) fn free_without(
-        &self,
-        step: StepKey,
-        priority: u32,
-        victim: impl Fn(&Run) -> bool,
-    ) -> Resources {
+    pub(super) fn free_without(&self, step: StepKey, victim: impl Fn(&Run) -> bool) -> Resources {
         let stays = |r: &Run| !matches!(r.phase, Phase::Stopping(..)) && !victim(r);
-        let used = self.used(stays).plus(&self.reserved(step, priority));
+        let used = self.used(stays).plus(&self.reserved(step));
         self.entry.capacity.minus(&used)
     }
 
--- a/crates/primrosebay_cell/src/leader/place.rs
+++ b/crates/primrosebay_cell/src/leader/place.rs
@@ -86,7 +86,7 @@
     }
 
     pub(super) fn slots(&self, minion: &Minion) -> u32 {
-        fitting(&self.amount, &minion.free(self.step, self.priority)).min(self.limit_on(minion))
+        fitting(&self.amount, &minion.free(self.step)).min(self.limit_on(minion))
     }
 }
 
@@ -315,8 +315,7 @@
         }
     }
 
-    /// Keeps the room that a gang is going to use when its tickets arrive, also room that less
-    /// urgent runs still take: whatever they free meanwhile is not given to others like them.
+    /// Keeps the room that a gang is going to use when its tickets arrive.
     fn reserve_slots(
         &mut self,
         request: &Request,
@@ -330,7 +329,7 @@
             let Some(minion) = self.minions.get(name) else {
                 continue;
             };
-            let slots = self.slots_later(minion, request, now).1.min(left);
+            let slots = self.slots_later(minion, request, now).0.min(left);
             if slots > 0 {
                 left -= slots;
                 self.reserve(request, name, slots, until);
--- a/crates/primrosebay_cell/src/leader/preempt.rs
+++ b/crates/primrosebay_cell/src/leader/preempt.rs
@@ -9,11 +9,9 @@
 use super::place::Request;
 use crate::job::{StepKey, TaskKey};
 
-/// How long a run is left alone after its start, in milliseconds, so that a task is not stopped
-/// again and again without having done anything. It is short because room that less urgent runs
-/// have just taken is room that a gang, which waited for advice, no longer finds: its call, which
-/// takes longer than these runs have worked, was then in vain.
-const MIN_RUN_MS: u64 = 100;
+/// How long a run is left alone after its start, in milliseconds. A run that is stopped earlier
+/// has spent more on starting than it has done.
+const MIN_RUN_MS: u64 = 500;
 
 impl Leader {
     /// Returns whether a run can be stopped for work of this priority without losing what it has
@@ -42,10 +40,9 @@
     /// many if victims are stopped too.
     pub(super) fn slots_later(&self, minion: &Minion, request: &Request, now: Time) -> (u32, u32) {
         let limit = request.limit_on(minion);
-        let stopping = minion.free_without(request.step, request.priority, |_| false);
-        let victims = minion.free_without(request.step, request.priority, |r| {
-            self.is_victim(r, request.priority, now)
-        });
+        let stopping = minion.free_without(request.step, |_| false);
+        let victims =
+            minion.free_without(request.step, |r| self.is_victim(r, request.priority, now));
         (
             fitting(&request.amount, &stopping).min(limit),
             fitting(&request.amount, &victims).min(limit),
@@ -98,7 +95,6 @@
             minion.reserved.retain(|r| r.step != request.step);
             minion.reserved.push(Reserved {
                 step: request.step,
-                priority: request.priority,
                 amount: request.amount.times(u64::from(slots)),
                 until,
             });
@@ -124,7 +120,7 @@
         let mut chosen: Vec<(TaskKey, u32)> = Vec::new();
         for run in victims {
             let is_chosen = |r: &Run| chosen.contains(&(r.task, r.number));
-            if need.fits(&minion.free_without(request.step, request.priority, is_chosen)) {
+            if need.fits(&minion.free_without(request.step, is_chosen)) {
                 break;
             }
             chosen.push((run.task, run.number));
