Revert "Give passes of the leader at most a fifth of its time"

A pass is also long because the processor is given to others, and each stage of a job then waits up to 50 ms more.

--- a/crates/primrosebay_member/src/lead.rs
+++ b/crates/primrosebay_member/src/lead.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_std::channel::{Receiver, Sender, bounded, unbounded};
 use async_std::task::{self, JoinHandle};
@@ -17,17 +17,12 @@
 use crate::orders;
 use crate::peer;
 use crate::ports::{AppendError, Platform, ReadError, Stream, Term};
-use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::submit::Forwarded;
 
 /// Most bytes of one append. The platform's limit is above it.
 const APPEND_BYTES: usize = 1_000_000;
 
-/// How many times as long as a pass the leader collects events before the next one, so that passes
-/// take at most a fifth of its time.
-const PAUSE_FACTOR: u32 = 4;
-
 /// How often the leader reports what it knows, in numbers.
 const SUMMARY: Duration = Duration::from_secs(1);
 
@@ -142,13 +137,12 @@
 
 impl<P: Platform> Office<P> {
     async fn serve(&mut self, receiver: &Receiver<Event>) {
-        let mut pause = self.shared.settings.pass;
         loop {
             let tick = self.shared.settings.tick;
             if let Ok(Ok(event)) = async_std::future::timeout(tick, receiver.recv()).await {
                 self.take(event);
                 // Events that arrive together are decided together.
-                task::sleep(pause).await;
+                task::sleep(self.shared.settings.pass).await;
             }
             while let Ok(event) = receiver.try_recv() {
                 self.take(event);
@@ -160,9 +154,7 @@
                 self.resign().await;
                 return;
             }
-            let began = Instant::now();
             self.pass();
-            pause = pause_after(began.elapsed(), &self.shared.settings);
         }
     }
 
@@ -371,12 +363,6 @@
     }
 }
 
-/// Returns how long events are collected before the next pass. With a backlog a pass takes longer,
-/// and the time between passes is what is left for calls to minions.
-fn pause_after(took: Duration, settings: &Settings) -> Duration {
-    (took * PAUSE_FACTOR).clamp(settings.pass, settings.tick)
-}
-
 /// Packs the records of a batch into appends. The claim ends the last one, so that whoever reads it
 /// knows that all are there.
 fn pack(batch: &Batch, claim: &Record) -> Vec<Vec<(String, Vec<u8>)>> {
