--- a/crates/primrosebay_member/src/calls.rs
+++ b/crates/primrosebay_member/src/calls.rs
@@ -16,10 +16,6 @@
 use crate::shared::wall_ms;
 use crate::submit::{self, Item};
 
-/// How long a caller that asks for a job's state waits for the log to be read. The log usually
-/// answers within a tenth of it.
-const REFRESH_WAIT: Duration = Duration::from_millis(100);
-
 /// Why a call is not let in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Denial {
@@ -208,39 +204,18 @@
     }
 
     /// Returns the state of a job. The log is read to its end before a job counts as unknown, since
-    /// another instance may have accepted it a moment ago, and before it is said not to have ended,
-    /// if the log answers fast.
+    /// another instance may have accepted it a moment ago.
     pub async fn status(&self, access: &Access, job: JobKey) -> Status {
         let status = self.known_status(access, job);
-        match status {
-            Status::Unknown => match follow::catch_up(&self.shared).await {
-                Ok(()) => self.known_status(access, job),
-                Err(reason) => {
-                    log::warn!(job:% = job, reason:% = reason; "calls: log cannot be read for an unknown job");
-                    Status::Stale
-                }
-            },
-            Status::Known(JobState::Pending | JobState::Running) => {
-                self.refresh().await;
-                self.known_status(access, job)
-            }
-            Status::Known(JobState::Ended(_)) | Status::Stale => status,
-        }
-    }
-
-    /// Reads the log if it may say more of running jobs and answers without delay.
-    async fn refresh(&self) {
-        let shared = &self.shared;
-        let age = shared.settings.state_age;
-        if shared.platform.latency() > age {
-            return;
+        if status != Status::Unknown {
+            return status;
         }
-        let refresh = follow::refresh(shared, age);
-        // What is known was right a moment ago, and the reader of the log reports its loss.
-        match async_std::future::timeout(REFRESH_WAIT, refresh).await {
-            Ok(Ok(())) => {}
-            Ok(Err(reason)) => log::debug!(reason:% = reason; "calls: states are not the newest"),
-            Err(_) => log::debug!("calls: states are not the newest, the log is slow"),
+        match follow::catch_up(&self.shared).await {
+            Ok(()) => self.known_status(access, job),
+            Err(reason) => {
+                log::warn!(job:% = job, reason:% = reason; "calls: log cannot be read for an unknown job");
+                Status::Stale
+            }
         }
     }
 
--- a/crates/primrosebay_member/src/follow.rs
+++ b/crates/primrosebay_member/src/follow.rs
@@ -64,17 +64,6 @@
     read_on(shared, Duration::ZERO).await.map(drop)
 }
 
-/// Reads to the present end of the stream if the last read is older than `age`. Callers that come
-/// together share one read.
-pub(crate) async fn refresh<P: Platform>(shared: &Shared<P>, age: Duration) -> Result<(), String> {
-    let _reading = shared.reading.lock().await;
-    let fresh = shared.followed().fresh;
-    if shared.is_within(fresh, age) {
-        return Ok(());
-    }
-    catch_up(shared).await
-}
-
 async fn read_on<P: Platform>(shared: &Shared<P>, wait: Duration) -> Result<usize, String> {
     let sent = shared.clock.now();
     let (loaded, next) = {
--- a/crates/primrosebay_member/src/node.rs
+++ b/crates/primrosebay_member/src/node.rs
@@ -47,7 +47,6 @@
             settings,
             clock,
             followed: Mutex::new(Followed::default()),
-            reading: async_std::sync::Mutex::new(()),
             operators: Mutex::new(Operators::default()),
             receipts: Receipts::default(),
             submissions,
--- a/crates/primrosebay_member/src/settings.rs
+++ b/crates/primrosebay_member/src/settings.rs
@@ -27,11 +27,8 @@
     /// How long a read of the cell's stream waits for a record.
     pub read_wait: Duration,
     /// Pause between reads of an instance that does not lead. It bounds the calls to the log, at
-    /// the price of how late the instance notices that the leader is lost.
+    /// the price of how old the states are that it reports.
     pub read_pause: Duration,
-    /// How old the knowledge of a job that has not ended may be when a caller is told its state.
-    /// Beyond that the log is read first, unless its answers take longer than this.
-    pub state_age: Duration,
     /// Pause before a dependency that failed is tried again.
     pub retry_pause: Duration,
     /// How long the log may show no sign of the leader before another instance takes over, if the
@@ -85,8 +82,7 @@
             job_age: Duration::from_millis(1_500),
             ready_age: Duration::from_millis(1_200),
             read_wait: Duration::from_millis(400),
-            read_pause: Duration::from_millis(250),
-            state_age: Duration::from_millis(30),
+            read_pause: Duration::from_millis(150),
             retry_pause: Duration::from_millis(100),
             takeover: Duration::from_millis(700),
             takeover_answers: 3,
--- a/crates/primrosebay_member/src/shared.rs
+++ b/crates/primrosebay_member/src/shared.rs
@@ -48,8 +48,6 @@
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
     pub(crate) followed: Mutex<Followed>,
-    /// Held while the log is read because a caller waits for it.
-    pub(crate) reading: async_std::sync::Mutex<()>,
     pub(crate) operators: Mutex<Operators>,
     pub(crate) receipts: Receipts,
     pub(crate) submissions: Sender<Item>,
