Give each member of a soak its own loopback address

Members got ports of 127.0.0.1 that were free when chosen and before they started, but connections of the cells that run beside them use the same range. Change: each member has a loopback address of its own, its three ports are chosen together, and the message says whether the process has ended. The check and its bound are unchanged.

--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -1,7 +1,7 @@
 //! Member processes with a stand-in for the platform.
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -60,9 +60,20 @@
     folder: PathBuf,
 }
 
-fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+/// Returns free addresses for a member on a loopback address of its own. On a shared one its ports,
+/// which are free until it starts and while it is down, can be taken by connections of other cells
+/// or by their members; a member that finds its port taken ends and is never ready.
+fn free_addresses(cell: u32, member: usize) -> [SocketAddr; 3] {
+    let part = |n: u32| u8::try_from(n % 250).unwrap_or(0);
+    let member = u32::try_from(member).unwrap_or(0);
+    let ip = Ipv4Addr::new(
+        127,
+        1 + part(std::process::id()),
+        part(cell),
+        1 + part(member),
+    );
+    let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).unwrap());
+    listeners.map(|l| l.local_addr().unwrap())
 }
 
 impl Process {
@@ -124,10 +135,11 @@
         let mut members = Vec::new();
         for i in 0..MEMBERS {
             let proxy = Proxy::start(store.address()).await.unwrap();
+            let [front, ready, internal] = free_addresses(number, i);
             let addresses = Member {
-                front: free_port(),
-                ready: free_port(),
-                internal: free_port(),
+                front,
+                ready,
+                internal,
                 store: proxy.address(),
             };
             let name = format!("member-{i}");
@@ -158,9 +170,15 @@
     /// Waits until all members are ready.
     pub async fn wait_ready(&mut self) {
         let until = Instant::now() + Duration::from_secs(20);
-        for member in &self.members {
-            while !self.is_ready(member.addresses.ready).await {
-                assert!(Instant::now() < until, "{} is not ready", member.name);
+        for i in 0..self.members.len() {
+            while !self.is_ready(self.members[i].addresses.ready).await {
+                let member = &mut self.members[i];
+                let ended = member.child.as_mut().map(Child::try_wait);
+                assert!(
+                    Instant::now() < until,
+                    "{} is not ready, ended: {ended:?}",
+                    member.name
+                );
                 task::sleep(Duration::from_millis(100)).await;
             }
         }
