Look up workers and teams in the shared table

Cause: the index of names stood twice, in the fleet and in the teams, both a sorted vector searched by hand as the shared table does. Change: both use the table. No decision changes; the tests of the crate pass as they are.

--- a/crates/primrosebay_coordination/src/schedule/fleet.rs
+++ b/crates/primrosebay_coordination/src/schedule/fleet.rs
@@ -2,6 +2,7 @@
 
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
+use primrosebay_state::table::Table;
 use primrosebay_state::time::Time;
 
 use super::counts::Counts;
@@ -141,7 +142,7 @@
 
 #[derive(Debug, Default)]
 pub(super) struct Fleet {
-    names: Vec<(Name, usize)>,
+    names: Table<Name, usize>,
     pub(super) workers: Vec<Worker>,
     unused: Vec<usize>,
     pub(super) racks: Vec<Rack>,
@@ -159,41 +160,38 @@
 
 impl Fleet {
     pub(super) fn find(&self, name: &str) -> Option<usize> {
-        let at = self.names.binary_search_by(|(n, _)| (**n).cmp(name)).ok()?;
-        Some(self.names[at].1)
+        self.names.get(name).copied()
     }
 
     /// Returns the position of the worker, which is created without resources if it is unknown.
     pub(super) fn intern(&mut self, name: &Name) -> usize {
-        match self.names.binary_search_by(|(n, _)| n.cmp(name)) {
-            Ok(at) => self.names[at].1,
-            Err(at) => {
-                let rack = self.rack(&Name::from(""));
-                let id = self.unused.pop().unwrap_or(self.workers.len());
-                let worker = Worker {
-                    name: name.clone(),
-                    rack,
-                    total: Resources::ZERO,
-                    used: Resources::ZERO,
-                    stopping: Resources::ZERO,
-                    claimed: Resources::ZERO,
-                    yielding: Resources::ZERO,
-                    live: false,
-                    usable: true,
-                    tasks: Vec::new(),
-                    hold: None,
-                    free: Resources::ZERO,
-                    plain: Resources::ZERO,
-                };
-                if id == self.workers.len() {
-                    self.workers.push(worker);
-                } else {
-                    self.workers[id] = worker;
-                }
-                self.names.insert(at, (name.clone(), id));
-                id
-            }
+        if let Some(id) = self.find(name) {
+            return id;
+        }
+        let rack = self.rack(&Name::from(""));
+        let id = self.unused.pop().unwrap_or(self.workers.len());
+        let worker = Worker {
+            name: name.clone(),
+            rack,
+            total: Resources::ZERO,
+            used: Resources::ZERO,
+            stopping: Resources::ZERO,
+            claimed: Resources::ZERO,
+            yielding: Resources::ZERO,
+            live: false,
+            usable: true,
+            tasks: Vec::new(),
+            hold: None,
+            free: Resources::ZERO,
+            plain: Resources::ZERO,
+        };
+        if id == self.workers.len() {
+            self.workers.push(worker);
+        } else {
+            self.workers[id] = worker;
         }
+        self.names.insert(name.clone(), id);
+        id
     }
 
     pub(super) fn set(&mut self, id: usize, rack: &Name, total: Resources) {
@@ -232,8 +230,7 @@
         if worker.live || !worker.tasks.is_empty() {
             return;
         }
-        if let Ok(at) = self.names.binary_search_by(|(n, _)| n.cmp(&worker.name)) {
-            self.names.remove(at);
+        if self.names.remove(&worker.name).is_some() {
             self.unused.push(id);
         }
     }
--- a/crates/primrosebay_coordination/src/schedule/share.rs
+++ b/crates/primrosebay_coordination/src/schedule/share.rs
@@ -2,6 +2,7 @@
 
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
+use primrosebay_state::table::Table;
 use primrosebay_state::time::Time;
 
 use super::queue::Queue;
@@ -74,38 +75,35 @@
 /// All teams, found by name.
 #[derive(Debug, Default)]
 pub(super) struct Teams {
-    names: Vec<(Name, usize)>,
+    names: Table<Name, usize>,
     pub(super) items: Vec<Team>,
 }
 
 impl Teams {
     pub(super) fn find(&self, name: &str) -> Option<usize> {
-        let at = self.names.binary_search_by(|(n, _)| (**n).cmp(name)).ok()?;
-        Some(self.names[at].1)
+        self.names.get(name).copied()
     }
 
     /// Returns the position of the team, which is created without allowance if it is unknown.
     pub(super) fn intern(&mut self, name: &Name) -> usize {
-        match self.names.binary_search_by(|(n, _)| n.cmp(name)) {
-            Ok(at) => self.names[at].1,
-            Err(at) => {
-                let id = self.items.len();
-                self.items.push(Team {
-                    name: name.clone(),
-                    share: 0,
-                    allowance: Resources::ZERO,
-                    known: false,
-                    used: Resources::ZERO,
-                    urgent: Resources::ZERO,
-                    claimed: Resources::ZERO,
-                    stopping: Resources::ZERO,
-                    stalled: None,
-                    victims: 0,
-                    queue: Queue::default(),
-                });
-                self.names.insert(at, (name.clone(), id));
-                id
-            }
+        if let Some(id) = self.find(name) {
+            return id;
         }
+        let id = self.items.len();
+        self.items.push(Team {
+            name: name.clone(),
+            share: 0,
+            allowance: Resources::ZERO,
+            known: false,
+            used: Resources::ZERO,
+            urgent: Resources::ZERO,
+            claimed: Resources::ZERO,
+            stopping: Resources::ZERO,
+            stalled: None,
+            victims: 0,
+            queue: Queue::default(),
+        });
+        self.names.insert(name.clone(), id);
+        id
     }
 }
