Keep the logs of a soak that fails, test a member's last line

Cause: the one failure of accepted_job_is_known_at_every_member_at_once could not be traced, because members' output was discarded; and nothing tested that collected log lines are written before a member ends. Change: each member's log is a file, kept if the test panics. A test stops a member and reads its last line.

--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -1,6 +1,6 @@
 //! Member processes with a stand-in for the platform.
 
-use std::fs;
+use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -77,11 +77,13 @@
 }
 
 impl Process {
+    /// Starts the process, which adds to the log of the member's earlier ones.
     fn start(&mut self) {
+        let log = File::options().create(true).append(true).open(self.log());
         let child = Command::new(env!("CARGO_BIN_EXE_primrosebay"))
             .arg("member")
             .env(BOOT_VARIABLE, &self.boot)
-            .stdout(Stdio::null())
+            .stdout(log.unwrap())
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
@@ -89,6 +91,10 @@
         self.paused = false;
     }
 
+    fn log(&self) -> PathBuf {
+        self.boot.with_extension("log")
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
             // The process may have ended by an earlier signal.
@@ -184,6 +190,15 @@
         }
     }
 
+    /// Stops a member as planned and returns its log.
+    pub fn stop_and_read(&mut self, member: usize) -> String {
+        let member = &mut self.members[member];
+        member.signal(Signal::TERM);
+        let mut child = member.child.take().unwrap();
+        child.wait().unwrap();
+        fs::read_to_string(member.log()).unwrap()
+    }
+
     async fn is_ready(&self, address: SocketAddr) -> bool {
         let path = "/api/readyz";
         let call = self
@@ -338,6 +353,10 @@
 
 impl Drop for Cell {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("logs are kept in {}", self.folder.display());
+            return;
+        }
         // The folder is in the system's temporary one, where it may also be left.
         let _ = fs::remove_dir_all(&self.folder);
     }
--- a/crates/primrosebay/tests/soak/main.rs
+++ b/crates/primrosebay/tests/soak/main.rs
@@ -67,6 +67,18 @@
     });
 }
 
+/// Guards against log lines that are lost because the process ends before they are written.
+#[test]
+fn member_that_stops_writes_its_last_line() {
+    task::block_on(async {
+        let mut cell = Cell::start().await;
+        cell.wait_ready().await;
+        let log = cell.stop_and_read(0);
+        assert!(log.ends_with('\n'));
+        assert!(log.lines().last().unwrap().contains("member: stopped"));
+    });
+}
+
 /// Runs the seeds that the environment asks for.
 #[test]
 fn seeds_of_the_environment_break_no_promise() {
