Count and log runs of ended jobs that a leader has not stopped

Cause: when a task of a cancelled job runs on, neither logs nor metrics tell whether the leader does not know of the cancellation, has not ordered the stop, or has ordered it without effect.

Change: lead: summary and the metric `leader` get `stopping` and `unstopped`; a leader logs each ended job that it adopts with tasks on minions. No decision changes.

--- a/crates/primrosebay_cell/src/leader/active.rs
+++ b/crates/primrosebay_cell/src/leader/active.rs
@@ -170,9 +170,13 @@
 
     /// Returns whether any task is or may be on a minion.
     pub(super) fn has_placed_tasks(&self) -> bool {
-        self.tasks
-            .iter()
-            .any(|t| matches!(t.placement, Placement::Minion(_)))
+        self.placed_tasks() > 0
+    }
+
+    /// Returns the number of tasks that are or may be on a minion.
+    pub(super) fn placed_tasks(&self) -> usize {
+        let placed = |t: &&TaskProgress| matches!(t.placement, Placement::Minion(_));
+        self.tasks.iter().filter(placed).count()
     }
 
     /// Ends the job if all its tasks are done or it was cancelled.
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -53,6 +53,10 @@
     pub minions: usize,
     /// Runs whose start, or the answer to it, was lost.
     pub unconfirmed: usize,
+    /// Runs that were ordered to stop in this term and whose end is not known yet.
+    pub stopping: usize,
+    /// Runs of ended jobs that were not ordered to stop in this term.
+    pub unstopped: usize,
     /// Advice calls in flight.
     pub advice_calls: usize,
     /// Steps that could not be started in full in the last pass.
@@ -204,6 +208,11 @@
         }
     }
 
+    /// Returns whether an active job has ended.
+    fn has_ended(&self, key: JobKey) -> bool {
+        self.jobs.get(&key).is_some_and(|j| j.outcome.is_some())
+    }
+
     /// Returns whether the job is or was active in this term.
     fn is_known(&self, key: JobKey) -> bool {
         self.jobs.get(&key).is_some() || self.ended_jobs.get(&key).is_some()
@@ -240,6 +249,13 @@
             moved: Vec::new(),
             dirty: false,
         };
+        if let Some(outcome) = active.outcome {
+            log::info!(
+                job:% = key, outcome:? = outcome, placed = active.placed_tasks(),
+                epoch = self.epoch;
+                "leader: ended job adopted with tasks on minions"
+            );
+        }
         self.adopt_runs(&active, now);
         self.jobs.insert(key, active);
     }
@@ -325,6 +341,14 @@
         let minions = || self.minions.iter().map(|(_, m)| m);
         let runs = || minions().flat_map(|m| &m.runs);
         let usable = || minions().filter(|m| m.is_usable(now.time, &self.settings));
+        let stopping = |r: &&minion::Run| matches!(r.phase, minion::Phase::Stopping(..));
+        let of_ended_job = |name: &Name, r: &minion::Run| {
+            self.placed_run(name, r.task, r.number).is_some() && self.has_ended(r.task.step.job)
+        };
+        let unstopped = |(name, m): (&Name, &Minion)| {
+            let unstopped = m.runs.iter().filter(|r| !stopping(r));
+            unstopped.filter(|r| of_ended_job(name, r)).count()
+        };
         Counts {
             jobs: self.jobs.len(),
             runs: runs().count(),
@@ -333,6 +357,8 @@
             unconfirmed: runs()
                 .filter(|r| r.phase == minion::Phase::Unconfirmed)
                 .count(),
+            stopping: runs().filter(stopping).count(),
+            unstopped: self.minions.iter().map(unstopped).sum(),
             advice_calls: self.advice.pending_calls(),
             blocked: self.blocked,
             used_milli: usable().map(Minion::used_milli).sum(),
--- a/crates/primrosebay_member/src/lead.rs
+++ b/crates/primrosebay_member/src/lead.rs
@@ -230,7 +230,8 @@
         let waits = counts.blocked;
         log::info!(
             epoch = self.epoch, jobs = counts.jobs, runs = counts.runs, usable = counts.usable,
-            minions = counts.minions, unsure = counts.unconfirmed, asking = counts.advice_calls,
+            minions = counts.minions, unsure = counts.unconfirmed, stopping = counts.stopping,
+            unstopped = counts.unstopped, asking = counts.advice_calls,
             used_cores = counts.used_milli / 1000, all_cores = counts.total_milli / 1000,
             wait_limit = waits.limit, wait_advice = waits.advice, wait_adviser = waits.advice_client,
             wait_room = waits.capacity;
--- a/crates/primrosebay_member/src/metrics.rs
+++ b/crates/primrosebay_member/src/metrics.rs
@@ -94,6 +94,8 @@
             ("usable", counts.usable),
             ("minions", counts.minions),
             ("unsure", counts.unconfirmed),
+            ("stopping", counts.stopping),
+            ("unstopped", counts.unstopped),
             ("asking", counts.advice_calls),
         ];
         for (kind, value) in values {
