Add failing tests for runs of ended jobs after a takeover

The tests let the stops of a cancelled and of a failed job get lost, make the outcome durable and replace the leader. The bound is the platform's: 3 s for a cancellation and 0.2 s for a stop.

--- /dev/null
+++ b/crates/primrosebay_cell/tests/leader/cancellation.rs
@@ -0,0 +1,50 @@
+//! Runs of jobs that have ended, across changes of the leader.
+
+use primrosebay_cell::job::JobKey;
+use primrosebay_cell::record::Outcome;
+
+use crate::simulation::{Simulation, cores, job};
+
+/// Time in which the runs of an ended job have to stop while all minions are reachable, in
+/// milliseconds: the platform's bounds for a cancellation (3 s) and for a stop (0.2 s).
+const STOP_BOUND_MS: u64 = 3_200;
+
+fn is_durable(sim: &Simulation, key: JobKey, outcome: Outcome) -> bool {
+    let progress = sim.ledger.progress(key);
+    progress.and_then(|p| p.outcome) == Some(outcome)
+}
+
+/// Guards against tasks of a cancelled job that run on: the stops of the former leader were lost,
+/// and its successor sent none because the outcome was already in the log.
+#[test]
+fn successor_stops_runs_of_cancelled_job() {
+    let mut sim = Simulation::new(1);
+    sim.minions[0].stalled = true;
+    let key = sim.submit(1, "urgent", &job(3, cores(1)));
+    sim.run_until(1_000, |s| s.minions[0].running.len() == 3);
+    sim.minions[0].unreachable = true;
+    sim.cancel(key);
+    sim.run_until(1_000, |s| is_durable(s, key, Outcome::Cancelled));
+    sim.minions[0].unreachable = false;
+    sim.take_over();
+    sim.run_until(STOP_BOUND_MS, |s| s.minions[0].running.is_empty());
+}
+
+/// Guards against tasks of a failed job that run on after a change of the leader, for the same
+/// reason as those of a cancelled job.
+#[test]
+fn successor_stops_runs_of_failed_job() {
+    let mut sim = Simulation::new(2);
+    // Each task needs a whole minion: one fails its task, the other one never completes it.
+    sim.minions[0].failing = true;
+    sim.minions[1].stalled = true;
+    let key = sim.submit(1, "urgent", &job(2, cores(16)));
+    sim.run(2_500);
+    assert_eq!(sim.minions[1].running.len(), 1);
+    sim.minions[1].unreachable = true;
+    sim.run_until(2_000, |s| is_durable(s, key, Outcome::Failed));
+    assert_eq!(sim.minions[1].running.len(), 1);
+    sim.minions[1].unreachable = false;
+    sim.take_over();
+    sim.run_until(STOP_BOUND_MS, |s| s.minions[1].running.is_empty());
+}
--- a/crates/primrosebay_cell/tests/leader/main.rs
+++ b/crates/primrosebay_cell/tests/leader/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the leader with simulated minions, log and advice service, without a network.
 
+mod cancellation;
 mod durability;
 mod load;
 mod minions;
