Stop reported runs of ended jobs in every term

Cause: a leader made the outcome of a job durable while its runs were still on minions, and sent the stops once, when it decided. If a stop was lost (minion out of reach, order left unanswered) and another leader took over before the run had ended, the successor found the outcome in the log, so `cancel` returned early and `record_failure` never ran: nothing stopped the adopted runs, and holds renewed their lease. The same held for failed jobs.

Change: the stop follows from the state instead of the transition. Whenever a minion reports a run that is the current one of its task and whose job has ended, the leader stops it; stop_run repeats the order after stop_retry_ms until the run is gone. So it no longer matters which leader decided, or whether an earlier stop was sent.

--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -248,7 +248,8 @@
         self.reconcile_reported(name, report, now);
     }
 
-    /// Stores reported checkpoints, and stops runs that the leader has not placed on the minion.
+    /// Stores reported checkpoints, and stops runs that should not be running: those that the
+    /// leader has not placed on the minion and those of ended jobs.
     fn reconcile_reported(&mut self, name: &Name, report: &HoldReport, now: Now) {
         for reported in &report.running {
             if let Some((position, _)) = self.placed_run(name, reported.task, reported.run) {
@@ -257,6 +258,10 @@
                     // A checkpoint alone causes no append; the next change of the job includes it.
                     job.tasks[position].checkpoint = reported.checkpoint.clone();
                 }
+                // The job may have ended in an earlier term whose leader did not stop the run.
+                if self.has_ended(reported.task.step.job) {
+                    self.stop_run(name, reported.task, reported.run, now);
+                }
                 continue;
             }
             let Some(minion) = self.minions.get_mut(name) else {
