Test that a new leader stops the runs of a cancelled job

Cause: a minion ran a task of a cancelled job on. The leader had recorded the outcome Cancelled while its stops were lost; the leader that followed found the outcome set and sent no stops.

Change: successor_stops_runs_of_cancelled_job starts six tasks of 30 s on real processes, loses all stops on the minions, cancels the job, waits until the record with the outcome and the placed tasks is in the store, kills the leading member and ends the fault. Once the successor has claimed its term, all runs have to stop within 3.2 s.

--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -10,10 +10,11 @@
 
 use async_std::task;
 use http_types::Method;
+use primrosebay_cell::record::{Claim, Outcome, Placement, Record};
 use primrosebay_platform::BOOT_VARIABLE;
 use primrosebay_platform_standin::{
-    API_KEY, Fault, HOST, MemberAddresses, Minion, PATH_PREFIX, Proxy, RunMonitor, Store,
-    boot_file, config, job_body,
+    API_KEY, Fault, HOST, MemberAddresses, Minion, MinionFault, PATH_PREFIX, Proxy, RunMonitor,
+    Store, boot_file, config, job_body,
 };
 use primrosebay_transport::http_client::Client;
 use rand::Rng;
@@ -89,6 +90,18 @@
     listeners.map(|l| l.local_addr().unwrap())
 }
 
+/// Waits for a condition for at most `timeout` and returns whether it was met.
+pub async fn wait_until(timeout: Duration, is_met: impl Fn() -> bool) -> bool {
+    let deadline = Instant::now() + timeout;
+    while !is_met() {
+        if Instant::now() >= deadline {
+            return false;
+        }
+        task::sleep(Duration::from_millis(10)).await;
+    }
+    true
+}
+
 impl MemberProcess {
     /// Starts a process, which appends to the log file of the member's earlier processes.
     fn start(&mut self) {
@@ -287,6 +300,68 @@
         answer.map(|(status, _)| status)
     }
 
+    /// Submits a job of `tasks` tasks that run for 30 s and waits until all of them have started.
+    pub async fn start_long_job(&self, job: &str, tasks: u32) {
+        let body = job_body(tasks, 30_000, 1_000).into_bytes();
+        let answer = self.call(0, Method::Post, job, Some(body)).await;
+        assert_eq!(answer.map(|(status, _)| status), Some(200));
+        let all_run = || self.running_count(job) == tasks as usize;
+        assert!(wait_until(Duration::from_secs(10), all_run).await);
+    }
+
+    /// Returns the number of runs of the job's tasks that are in progress.
+    pub fn running_count(&self, job: &str) -> usize {
+        self.monitor.lock().unwrap().running_count(job)
+    }
+
+    /// Sets the fault of all minions.
+    pub fn set_minion_faults(&self, fault: MinionFault) {
+        self.minions.iter().for_each(|m| m.set_fault(fault));
+    }
+
+    /// Cancels a job, and waits until the leader has recorded the end of the job and runs that are
+    /// still on minions.
+    pub async fn cancel_with_runs(&self, job: &str) {
+        let answer = self.call(0, Method::Delete, job, None).await;
+        assert_eq!(answer.map(|(status, _)| status), Some(200));
+        let is_recorded = || match self.record(&format!("p{job}")) {
+            Some(Record::Progress(_, progress)) => {
+                let mut tasks = progress.tasks.iter();
+                progress.outcome == Some(Outcome::Cancelled)
+                    && tasks.any(|t| matches!(t.placement, Placement::Minion(_)))
+            }
+            _ => false,
+        };
+        assert!(wait_until(Duration::from_secs(3), is_recorded).await);
+    }
+
+    /// Kills the leading member, ends the faults of the minions and waits until another member
+    /// leads. The killed member stays down.
+    pub async fn replace_leader(&mut self) {
+        let former = self.claim();
+        let member = self.members.iter_mut().find(|m| m.name == *former.node);
+        let mut child = member.unwrap().child.take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+        self.set_minion_faults(MinionFault::None);
+        let is_replaced = || self.claim().epoch > former.epoch;
+        assert!(wait_until(Duration::from_secs(10), is_replaced).await);
+    }
+
+    /// Returns the claim of the latest leader.
+    fn claim(&self) -> Claim {
+        match self.record("leader") {
+            Some(Record::Leader(claim)) => claim,
+            other => panic!("no claim: {other:?}"),
+        }
+    }
+
+    /// Returns the newest record of a key in the cell's stream.
+    fn record(&self, key: &str) -> Option<Record> {
+        let bytes = self.store.cell_record(key)?;
+        Some(Record::decode(&bytes).unwrap())
+    }
+
     /// Injects the fault with the given code into a random member, a random minion or the store, or
     /// ends all faults. Restarts members that have exited.
     pub fn inject_fault(&mut self, fault: u32, rng: &mut SmallRng) {
@@ -303,7 +378,7 @@
             }
             4 => self.store.set_unavailable(true),
             5 => self.store.set_lost_answers(40),
-            6 => self.minions[minion].set_silent(true),
+            6 => self.minions[minion].set_fault(MinionFault::Silent),
             7 => process.proxy.set_fault(match rng.random_range(0..4) {
                 0 => Fault::Delay,
                 1 => Fault::Reset,
@@ -322,7 +397,7 @@
         self.store.set_unavailable(false);
         self.store.set_lost_answers(0);
         for minion in &self.minions {
-            minion.set_silent(false);
+            minion.set_fault(MinionFault::None);
         }
         for process in &mut self.members {
             process.proxy.set_fault(Fault::None);
--- a/crates/primrosebay/tests/soak/main.rs
+++ b/crates/primrosebay/tests/soak/main.rs
@@ -17,7 +17,8 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-use cell::{Cell, FAULT_CODES};
+use cell::{Cell, FAULT_CODES, wait_until};
+use primrosebay_platform_standin::MinionFault;
 
 /// Number of steps in a run. Each step submits a job and may inject a fault.
 const STEPS: u32 = 30;
@@ -29,6 +30,13 @@
 /// additional time that a new leader waits before it restarts the tasks of an unreachable minion.
 const COMPLETION_TIMEOUT: Duration = Duration::from_secs(40);
 
+/// Maximum time from the acknowledgement of a cancellation until the runs of the job are stopped,
+/// without the time that a stop takes. One of the platform's rules.
+const CANCEL_TIME: Duration = Duration::from_secs(3);
+
+/// Maximum time that a minion takes to stop a run.
+const STOP_TIME: Duration = Duration::from_millis(200);
+
 /// Runs the soak test with one seed.
 async fn run(seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -83,6 +91,29 @@
     });
 }
 
+/// Guards against runs of a cancelled job that continue under a new leader. The former leader has
+/// recorded the outcome of the job, its stops were lost, and it was killed before it repeated them
+/// with success.
+#[test]
+fn successor_stops_runs_of_cancelled_job() {
+    task::block_on(async {
+        let mut cell = Cell::start().await;
+        cell.wait_ready().await;
+        let job = "000000000000000a";
+        cell.start_long_job(job, 6).await;
+        cell.set_minion_faults(MinionFault::StopsLost);
+        cell.cancel_with_runs(job).await;
+        assert_eq!(cell.running_count(job), 6, "the stops have no effect");
+        cell.replace_leader().await;
+        let is_stopped = wait_until(CANCEL_TIME + STOP_TIME, || cell.running_count(job) == 0);
+        assert!(
+            is_stopped.await,
+            "{} runs of the cancelled job continue",
+            cell.running_count(job)
+        );
+    });
+}
+
 /// Runs the seeds that are selected by environment variables, if any.
 #[test]
 fn invariants_hold_for_selected_seeds() {
