Refuse header values that are not printable ASCII

The name of a minion is the key of a record that another writer may have written, and goes into a header of every hold. The HTTP library panics on a value that is not ASCII and sends line breaks as they are, which adds lines to the head of the request. It also panics on a response whose header is not ASCII. async-std catches the panic of a task and prints it on standard error only; the leader waits for the answer until its term ends.

Such a value is refused before anything is sent, and a panic of the library counts as a lost response.

Before the change:

invalid_header_value_is_not_sent::case_1 and case_2 (line breaks), case_4 (NUL): the call was sent, Ok(0) invalid_header_value_is_not_sent::case_3, response_with_a_non_ascii_header_is_lost: panicked at http-types-2.12.0/src/headers/headers.rs:54:62: called `Result::unwrap()` on an `Err` value: String slice should be valid ASCII

After it all of them pass.

--- a/crates/primrosebay_transport/src/http_client.rs
+++ b/crates/primrosebay_transport/src/http_client.rs
@@ -1,11 +1,12 @@
 //! An HTTP/1.1 client with a connection pool, for short calls to the platform and to workers.
 
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use async_std::net::TcpStream;
-use futures_lite::future;
+use futures_lite::{FutureExt, future};
 use http_types::{Body, Method, Request, StatusCode, Url};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -16,7 +17,8 @@
 /// Why a call got no usable response.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
-    /// Nothing was sent, so the call had no effect: there was no connection or the URL is invalid.
+    /// Nothing was sent, so the call had no effect: there was no connection, or the URL or a header
+    /// is invalid.
     #[error("cannot connect to {address}: {reason}")]
     NotSent {
         /// The address of the server.
@@ -98,8 +100,9 @@
     /// Sends a request and returns the status and the complete body of the response.
     ///
     /// # Errors
-    /// Returns [`CallError::NotSent`] if no connection could be made, and [`CallError::Lost`] if
-    /// the complete response did not arrive within `timeout` or the connection broke.
+    /// Returns [`CallError::NotSent`] if no connection could be made or a header has characters
+    /// other than printable ASCII, and [`CallError::Lost`] if the complete response did not arrive
+    /// within `timeout`, was malformed, or the connection broke.
     pub async fn bytes(
         &self,
         address: SocketAddr,
@@ -111,6 +114,12 @@
     ) -> Result<(StatusCode, Vec<u8>), CallError> {
         let mut request = request(address, method, path)?;
         for (name, value) in headers {
+            if !is_header_value(value) {
+                return Err(CallError::NotSent {
+                    address,
+                    reason: format!("the value of the header {name} is not printable ASCII"),
+                });
+            }
             request.insert_header(*name, *value);
         }
         if let Some(body) = body {
@@ -126,9 +135,12 @@
             let bytes = response.body_bytes().await?;
             Ok::<_, http_types::Error>((response, bytes))
         };
+        // The HTTP library panics on some responses, such as one with a header that is not ASCII.
+        let exchange = AssertUnwindSafe(exchange).catch_unwind();
         let (response, bytes) = async_std::future::timeout(timeout, exchange)
             .await
             .map_err(|_| lost("timed out".into()))?
+            .map_err(|_| lost("malformed response".into()))?
             .map_err(|e| lost(e.to_string()))?;
         if response
             .header("connection")
@@ -191,6 +203,12 @@
     Ok(Request::new(method, url))
 }
 
+/// Returns whether a header may have this value: printable ASCII, so that the value neither ends the
+/// line nor makes the HTTP library panic.
+fn is_header_value(value: &str) -> bool {
+    value.bytes().all(|b| b == b' ' || b.is_ascii_graphic())
+}
+
 /// Returns whether an idle connection is open and has no unread bytes, which belong to no request.
 async fn is_open(stream: &TcpStream) -> bool {
     let mut buffer = [0; 1];
