Limit the size of responses

An entry of the directory may name the address of any server, and its response was read into memory without a limit. A response above 16 MiB counts as lost; the largest regular one is a page of records of about 1.4 MB.

Before the change, in response_above_the_size_limit_is_lost: Ok for a response with a length and for a chunked one.

--- a/crates/primrosebay_transport/src/http_client.rs
+++ b/crates/primrosebay_transport/src/http_client.rs
@@ -6,14 +6,18 @@
 use std::time::Duration;
 
 use async_std::net::TcpStream;
-use futures_lite::{FutureExt, future};
-use http_types::{Body, Method, Request, StatusCode, Url};
+use futures_lite::{AsyncReadExt, FutureExt, future};
+use http_types::{Body, Method, Request, Response, StatusCode, Url};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 /// Maximum number of idle connections that are kept for each address.
 const MAX_IDLE: usize = 8;
 
+/// Maximum size of the body of a response, in bytes. The largest regular one is a page of records
+/// of 1 MB, which base64 makes a third larger; 16 MiB leaves a factor of ten.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
 /// Why a call got no usable response.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -102,7 +106,7 @@
     /// # Errors
     /// Returns [`CallError::NotSent`] if no connection could be made or a header has characters
     /// other than printable ASCII, and [`CallError::Lost`] if the complete response did not arrive
-    /// within `timeout`, was malformed, or the connection broke.
+    /// within `timeout`, was malformed or too large, or the connection broke.
     pub async fn bytes(
         &self,
         address: SocketAddr,
@@ -132,7 +136,7 @@
         // could deliver the late response to a later call.
         let exchange = async {
             let mut response = async_h1::connect(stream.clone(), request).await?;
-            let bytes = response.body_bytes().await?;
+            let bytes = read_body(&mut response).await?;
             Ok::<_, http_types::Error>((response, bytes))
         };
         // The HTTP library panics on some responses, such as one with a header that is not ASCII.
@@ -209,6 +213,20 @@
     value.bytes().all(|b| b == b' ' || b.is_ascii_graphic())
 }
 
+/// Reads the body of a response of up to [`MAX_RESPONSE_BYTES`].
+async fn read_body(response: &mut Response) -> http_types::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    let limit = MAX_RESPONSE_BYTES as u64;
+    let mut body = response.take_body().take(limit + 1);
+    body.read_to_end(&mut bytes).await?;
+    http_types::ensure!(
+        bytes.len() <= MAX_RESPONSE_BYTES,
+        "the response is larger than {} bytes",
+        MAX_RESPONSE_BYTES
+    );
+    Ok(bytes)
+}
+
 /// Returns whether an idle connection is open and has no unread bytes, which belong to no request.
 async fn is_open(stream: &TcpStream) -> bool {
     let mut buffer = [0; 1];
--- a/crates/primrosebay_transport/tests/http_client.rs
+++ b/crates/primrosebay_transport/tests/http_client.rs
@@ -79,3 +79,15 @@
         assert!(matches!(result, Err(CallError::Lost { .. })), "{result:?}");
     });
 }
+
+/// Guards against memory use without a limit: an address in the directory may belong to any server.
+#[rstest]
+#[case("HTTP/1.1 200 OK\r\nContent-Length: 67108864\r\n\r\n")]
+#[case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4000000\r\n")]
+fn response_above_the_size_limit_is_lost(#[case] head: &'static str) {
+    task::block_on(async {
+        let address = start_server(head, 64 << 20).await;
+        let result = call(address, None).await;
+        assert!(matches!(result, Err(CallError::Lost { .. })), "{result:?}");
+    });
+}
