Reject jobs whose number of tasks overflows

The number of tasks of all occurrences was multiplied without a check. A job of 200 bytes, with steps of 2^33 tasks in total and 2^31 occurrences, wrapped to 0 tasks in a release build and was accepted; every leader then allocates memory for all of its tasks. In a debug build the call panicked and was not answered.

The product saturates, so the job is rejected as too large.

Before the change:

job_with_too_many_tasks_is_invalid::case_2, release: left: Ok(()), right: Err(TooLarge) case_2 and case_4, debug: panicked at job.rs:189:12: attempt to multiply with overflow

After it all cases pass in both builds.

--- a/crates/primrosebay_cell/src/job.rs
+++ b/crates/primrosebay_cell/src/job.rs
@@ -186,7 +186,7 @@
             return Err(SpecError::Empty);
         }
         let tasks: u64 = self.steps.iter().map(|s| u64::from(s.count)).sum();
-        if tasks * u64::from(self.occurrences()) > MAX_TASKS {
+        if tasks.saturating_mul(u64::from(self.occurrences())) > MAX_TASKS {
             return Err(SpecError::TooLarge);
         }
         for (i, step) in self.steps.iter().enumerate() {
