Saturate the sums of a job's estimates and due times

A caller chooses the estimates, the first due time and the interval of a job. Their sums overflowed: in a debug build every leader panicked when it added the job, after which its instance neither led nor claimed the leadership again; in a release build the critical path wrapped.

The sums saturate.

--- a/crates/primrosebay_cell/src/job.rs
+++ b/crates/primrosebay_cell/src/job.rs
@@ -227,7 +227,8 @@
     #[must_use]
     pub fn due_ms(&self, occurrence: u32) -> u64 {
         self.repeat.map_or(0, |r| {
-            r.first_ms + u64::from(occurrence).saturating_mul(r.every_ms)
+            let delay_ms = u64::from(occurrence).saturating_mul(r.every_ms);
+            r.first_ms.saturating_add(delay_ms)
         })
     }
 
@@ -239,7 +240,8 @@
         for step in &self.steps {
             let start = step.after.iter().filter_map(|a| ends.get(*a as usize));
             let start = start.max().copied().unwrap_or(0);
-            ends.push(start + step.estimate_ms + overhead_ms);
+            let duration = step.estimate_ms.saturating_add(overhead_ms);
+            ends.push(start.saturating_add(duration));
         }
         ends.into_iter().max().unwrap_or(0)
     }
@@ -251,7 +253,7 @@
         // Steps depend only on earlier ones, so a step's dependents are processed before the step.
         let mut paths = vec![0; self.steps.len()];
         for (i, step) in self.steps.iter().enumerate().rev() {
-            paths[i] += step.estimate_ms;
+            paths[i] = step.estimate_ms.saturating_add(paths[i]);
             for before in &step.after {
                 let before = *before as usize;
                 paths[before] = paths[before].max(paths[i]);
