--- a/crates/primrosebay_transport/src/http_client.rs
+++ b/crates/primrosebay_transport/src/http_client.rs
@@ -1,22 +1,28 @@
 //! An HTTP/1.1 client with a connection pool, for short calls to the platform and to workers.
 
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use async_std::net::TcpStream;
-use futures_lite::future;
-use http_types::{Body, Method, Request, StatusCode, Url};
+use futures_lite::{AsyncReadExt, FutureExt, future};
+use http_types::{Body, Method, Request, Response, StatusCode, Url};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 /// Maximum number of idle connections that are kept for each address.
 const MAX_IDLE: usize = 8;
 
+/// Maximum size of the body of a response, in bytes. The largest regular one is a page of records
+/// of 1 MB, which base64 makes a third larger; 16 MiB leaves a factor of ten.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
 /// Why a call got no usable response.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
-    /// Nothing was sent, so the call had no effect: there was no connection or the URL is invalid.
+    /// Nothing was sent, so the call had no effect: there was no connection, or the URL or a header
+    /// is invalid.
     #[error("cannot connect to {address}: {reason}")]
     NotSent {
         /// The address of the server.
@@ -98,8 +104,9 @@
     /// Sends a request and returns the status and the complete body of the response.
     ///
     /// # Errors
-    /// Returns [`CallError::NotSent`] if no connection could be made, and [`CallError::Lost`] if
-    /// the complete response did not arrive within `timeout` or the connection broke.
+    /// Returns [`CallError::NotSent`] if no connection could be made or a header has characters
+    /// other than printable ASCII, and [`CallError::Lost`] if the complete response did not arrive
+    /// within `timeout`, was malformed or too large, or the connection broke.
     pub async fn bytes(
         &self,
         address: SocketAddr,
@@ -111,6 +118,12 @@
     ) -> Result<(StatusCode, Vec<u8>), CallError> {
         let mut request = request(address, method, path)?;
         for (name, value) in headers {
+            if !is_header_value(value) {
+                return Err(CallError::NotSent {
+                    address,
+                    reason: format!("the value of the header {name} is not printable ASCII"),
+                });
+            }
             request.insert_header(*name, *value);
         }
         if let Some(body) = body {
@@ -123,12 +136,15 @@
         // could deliver the late response to a later call.
         let exchange = async {
             let mut response = async_h1::connect(stream.clone(), request).await?;
-            let bytes = response.body_bytes().await?;
+            let bytes = read_body(&mut response).await?;
             Ok::<_, http_types::Error>((response, bytes))
         };
+        // The HTTP library panics on some responses, such as one with a header that is not ASCII.
+        let exchange = AssertUnwindSafe(exchange).catch_unwind();
         let (response, bytes) = async_std::future::timeout(timeout, exchange)
             .await
             .map_err(|_| lost("timed out".into()))?
+            .map_err(|_| lost("malformed response".into()))?
             .map_err(|e| lost(e.to_string()))?;
         if response
             .header("connection")
@@ -191,6 +207,26 @@
     Ok(Request::new(method, url))
 }
 
+/// Returns whether a header may have this value: printable ASCII, so that the value neither ends the
+/// line nor makes the HTTP library panic.
+fn is_header_value(value: &str) -> bool {
+    value.bytes().all(|b| b == b' ' || b.is_ascii_graphic())
+}
+
+/// Reads the body of a response of up to [`MAX_RESPONSE_BYTES`].
+async fn read_body(response: &mut Response) -> http_types::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    let limit = MAX_RESPONSE_BYTES as u64;
+    let mut body = response.take_body().take(limit + 1);
+    body.read_to_end(&mut bytes).await?;
+    http_types::ensure!(
+        bytes.len() <= MAX_RESPONSE_BYTES,
+        "the response is larger than {} bytes",
+        MAX_RESPONSE_BYTES
+    );
+    Ok(bytes)
+}
+
 /// Returns whether an idle connection is open and has no unread bytes, which belong to no request.
 async fn is_open(stream: &TcpStream) -> bool {
     let mut buffer = [0; 1];
