Show a cancelled job as cancelled when its last attempt succeeds

Callers who asked the coordinator of the job's zone got the outcome done for a job whose cancellation had been acknowledged; all other instances, and candidates of the same zone, said cancelled.

Cause: when an attempt of a cancelled or failed job succeeded before the stop reached it, the coordinator set the task to done in its memory but appended no record of it, and it acknowledged the worker's report, since the recorded cancellation already makes the end durable. The state that was shown did not follow from the state that is stored.

Evidence, before the change: cancelled_job_whose_last_attempt_succeeds_is_cancelled_for_all_readers candidate 0, left: Some(Done), right: Some(Cancelled)

The task of a closing job now always gets the outcome cancelled, which is what each reader of the log derives. The 200 random sequences and the scripted scenarios pass.

--- a/crates/primrosebay_coordination/src/zone/tasks.rs
+++ b/crates/primrosebay_coordination/src/zone/tasks.rs
@@ -147,15 +147,12 @@
         self.detach(now, id, &worker);
         self.record_result(now, &worker, id.job, end);
         if closing {
-            let outcome = if end == AttemptEnd::Done {
-                Outcome::Done
-            } else {
-                Outcome::Cancelled
-            };
+            // No record of this end will follow, so the task gets the outcome that every reader of
+            // the log derives, even if the attempt succeeded before the stop reached it.
             self.set_state(
                 id,
                 State::Ended {
-                    outcome,
+                    outcome: Outcome::Cancelled,
                     recorded: false,
                 },
             );
