Throttle a task that a predecessor left over its allocation

Callers would see tasks slowed down by a neighbour that uses more than it was allocated, for as long as that task runs, if the coordinator changed between the worker's report and the stop.

Cause: a worker reports excess usage when it changes, so the report can reach a coordinator that is lost before it throttles and evicts the task. The successor gets the report again when it claims the worker, but took the attempt over without a look at its usage: the throttling followed from the change of the usage, not from the usage.

Evidence, before the change, script excess_usage_and_takeover: expected: greedy runs, attempts 2 actual: greedy runs, attempts 1 (30 s after the takeover)

A successor now checks the usage in the report with which it takes an attempt over.

--- a/crates/primrosebay_coordination/src/zone/reports.rs
+++ b/crates/primrosebay_coordination/src/zone/reports.rs
@@ -107,7 +107,12 @@
                 active.running = true;
                 self.check_usage(now, report);
             }
-            (None, State::Inherited) => self.adopt(now, worker, report.attempt),
+            (None, State::Inherited) => {
+                self.adopt(now, worker, report.attempt);
+                // A worker reports excess usage when it changes, which may have been to a
+                // predecessor.
+                self.check_usage(now, report);
+            }
             (None, _) => self.add_stale(worker, report),
             (Some(end), _) if current => self.on_attempt_end(now, id, end),
             (Some(AttemptEnd::NotRun), _) if inherited => {}
