Apply records that precede the record of their job

Callers could see a job run, and show as pending or running, although its cancellation had been acknowledged.

Cause: a coordinator ignored the cancellation or the move of a job that it did not know. An instance that begins with such a log then started the cancelled job.

Evidence, before the change: cancellation_recorded_before_its_job_takes_effect left: None, right: Some(Cancelled) snapshot_does_not_revive_a_cancelled_job left: None, right: Some(Cancelled)

Whether a move is void is still decided by the terms that are recorded before it.

--- a/crates/primrosebay_coordination/src/zone/log.rs
+++ b/crates/primrosebay_coordination/src/zone/log.rs
@@ -17,23 +17,25 @@
         self.next_offset = offset + 1;
         self.log_available = true;
         match &record.body {
-            Body::Accepted { job, zone, spec } => self.apply_accepted(now, *job, zone, spec),
+            Body::Accepted { job, zone, spec } => {
+                self.apply_accepted(now, *job, zone, spec);
+                self.apply_early(now, *job);
+            }
             Body::Starting { task } => {
                 if let Some(task) = self.jobs.task_mut(*task) {
                     task.start_recorded = true;
                 }
             }
             Body::Finished { task, outcome } => self.apply_finished(now, *task, *outcome),
-            Body::Cancelled { job } => self.apply_cancelled(now, *job),
-            Body::Moved {
-                job,
-                from,
-                epoch,
-                zone,
-                ended,
-            } => {
-                if self.apply_moved(*job, from, *epoch, zone) {
-                    self.reset_moved_tasks(now, *job, ended);
+            Body::Cancelled { job } | Body::Moved { job, .. } => {
+                // Whether a move is void depends on the terms recorded before it.
+                if self.is_superseded(&record.body) {
+                    return;
+                }
+                if self.jobs.all.get(job).is_some() {
+                    self.apply_change(now, &record.body);
+                } else {
+                    self.early_records.add(offset, *job, record.body.clone());
                 }
             }
             Body::Opened {
@@ -80,6 +82,40 @@
         }
     }
 
+    /// Applies the records of the job `id` that were read before it was known.
+    pub(super) fn apply_early(&mut self, now: Time, id: JobId) {
+        for body in self.early_records.take(id) {
+            self.apply_change(now, &body);
+        }
+    }
+
+    /// Applies the cancellation or the move of a known job.
+    fn apply_change(&mut self, now: Time, body: &Body) {
+        match body {
+            Body::Cancelled { job } => self.apply_cancelled(now, *job),
+            Body::Moved {
+                job,
+                from,
+                zone,
+                ended,
+                ..
+            } if self.apply_moved(*job, from, zone) => {
+                self.reset_moved_tasks(now, *job, ended);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns whether a move was recorded after a later term of the zone that gives the job away:
+    /// the coordinator of that term keeps the job.
+    fn is_superseded(&self, body: &Body) -> bool {
+        let Body::Moved { from, epoch, .. } = body else {
+            return false;
+        };
+        let latest = self.recorded_epochs.get::<Name>(from);
+        latest.is_some_and(|latest| epoch < latest)
+    }
+
     pub(super) fn apply_finished(&mut self, now: Time, id: TaskId, outcome: Outcome) {
         let Some((_, task)) = self.jobs.task(id) else {
             return;
@@ -125,14 +161,12 @@
         }
     }
 
-    /// Sets the new home of a job and returns true. Returns false if `from` is not its home, or if
-    /// the log has a later term of `from`: the coordinator of that term keeps the job.
-    fn apply_moved(&mut self, id: JobId, from: &Name, epoch: u64, zone: &Name) -> bool {
-        let latest = self.recorded_epochs.get::<Name>(from).copied().unwrap_or(0);
+    /// Sets the new home of a job and returns true. Returns false if `from` is not its home.
+    fn apply_moved(&mut self, id: JobId, from: &Name, zone: &Name) -> bool {
         let Some(job) = self.jobs.all.get_mut(&id) else {
             return false;
         };
-        if job.home != *from || epoch < latest {
+        if job.home != *from {
             return false;
         }
         job.home = zone.clone();
--- a/crates/primrosebay_coordination/src/zone/mod.rs
+++ b/crates/primrosebay_coordination/src/zone/mod.rs
@@ -1,6 +1,7 @@
 //! The coordinator of one zone: a state machine that takes timestamped events and returns commands.
 
 mod advance;
+mod early;
 mod jobs;
 mod lease;
 mod log;
@@ -34,6 +35,7 @@
 pub use self::term::Phase;
 pub use self::view::{Authority, Readiness, Stage, WorkerView};
 
+use self::early::EarlyRecords;
 use self::jobs::Jobs;
 use self::member::Member;
 use self::recovery::Recovery;
@@ -177,6 +179,8 @@
     terms: Terms,
     recovery: Recovery,
     jobs: Jobs,
+    /// Records of jobs whose own record has not been read.
+    early_records: EarlyRecords,
     scheduler: Scheduler,
     /// Share and allowance of each team.
     teams: Table<Name, (u32, Resources)>,
@@ -220,6 +224,7 @@
             terms: Terms::default(),
             recovery: Recovery::default(),
             jobs: Jobs::default(),
+            early_records: EarlyRecords::default(),
             scheduler: Scheduler::new(crate::schedule::Settings::default(), seed),
             teams: Table::default(),
             last_sequence: 0,
--- a/crates/primrosebay_coordination/src/zone/snapshot.rs
+++ b/crates/primrosebay_coordination/src/zone/snapshot.rs
@@ -86,6 +86,7 @@
                     if *cancelled {
                         self.apply_cancelled(now, *job);
                     }
+                    self.apply_early(now, *job);
                 }
                 SnapshotItem::Job { .. } => {}
             }
--- a/crates/primrosebay_coordination/src/zone/tasks.rs
+++ b/crates/primrosebay_coordination/src/zone/tasks.rs
@@ -69,6 +69,7 @@
         }
         self.adopt_orphans(now, id);
         self.submit(now, id);
+        self.apply_early(now, id);
     }
 
     /// Submits the blocked tasks of a job to the scheduler unless the job has to wait.
--- a/crates/primrosebay_coordination/tests/zone/handover.rs
+++ b/crates/primrosebay_coordination/tests/zone/handover.rs
@@ -2,12 +2,14 @@
 //! by another coordinator.
 
 use primrosebay_coordination::zone::Event;
-use primrosebay_state::id::JobId;
+use primrosebay_state::id::{Incarnation, JobId, RecordId};
 use primrosebay_state::job::JobSpec;
-use primrosebay_state::record::Outcome;
+use primrosebay_state::record::{Body, JobSnapshotPart, Outcome, Record};
 
 use crate::simulation::{Simulation, cores};
 
+const NODES: usize = 4;
+
 /// Returns a cell in which candidate 0 coordinates zone `a` and candidate 3 zone `b`.
 fn cell() -> Simulation {
     let mut sim = Simulation::new(7, &[("a", 3, 4), ("b", 1, 2)], 4, 12);
@@ -24,6 +26,36 @@
     }
 }
 
+fn record(sequence: u64, body: Body) -> Record {
+    let incarnation = Incarnation(1);
+    Record {
+        id: RecordId {
+            incarnation,
+            sequence,
+        },
+        body,
+    }
+}
+
+/// Returns the record of a snapshot of zone `a` by candidate 0.
+fn snapshot(sim: &Simulation) -> Body {
+    let coordinator = sim.nodes[0].coordinator.as_ref();
+    Body::Snapshot(JobSnapshotPart {
+        zone: "a".into(),
+        items: coordinator.expect("candidate 0 is up").snapshot(),
+    })
+}
+
+/// Replaces all instances by new ones, which find only `records` in the log.
+fn restart_with(sim: &mut Simulation, records: impl IntoIterator<Item = Body>) {
+    (0..NODES).for_each(|node| sim.kill_node(node));
+    sim.log = (1..)
+        .zip(records)
+        .map(|(sequence, body)| record(sequence, body))
+        .collect();
+    (0..NODES).for_each(|node| sim.start_node(node));
+}
+
 fn cancel(sim: &mut Simulation, job: JobId) {
     sim.broadcast("a", &Event::Cancel { job });
 }
@@ -56,3 +88,44 @@
         assert_eq!(view.outcome, Some(Outcome::Cancelled), "candidate {number}");
     }
 }
+
+/// Guards against a cancellation that is lost because its record precedes that of its job. Peers
+/// that hold copies for a dead instance append them in any order.
+#[test]
+fn cancellation_recorded_before_its_job_takes_effect() {
+    let mut sim = cell();
+    let incarnation = Incarnation(1);
+    let job = JobId {
+        incarnation,
+        sequence: 1,
+    };
+    let accepted = Body::Accepted {
+        job,
+        zone: "a".into(),
+        spec: spec("early", 60_000),
+    };
+    restart_with(&mut sim, [Body::Cancelled { job }, accepted]);
+    sim.run(30_000);
+    assert_eq!(sim.outcome(job), Some(Outcome::Cancelled));
+    assert_eq!(running(&sim, job), 0);
+}
+
+/// Guards against a cancelled job that is started again by an instance that begins with an older
+/// snapshot. The snapshot is built before the cancellation and reaches the log after it.
+#[test]
+fn snapshot_does_not_revive_a_cancelled_job() {
+    let mut sim = cell();
+    let job = sim
+        .submit("a", spec("gone", 60_000))
+        .expect("a coordinator");
+    sim.run(1_000);
+    assert_eq!(running(&sim, job), 1);
+    let snapshot = snapshot(&sim);
+    cancel(&mut sim, job);
+    sim.run(5_000);
+    assert_eq!(running(&sim, job), 0);
+    restart_with(&mut sim, [Body::Cancelled { job }, snapshot]);
+    sim.run(30_000);
+    assert_eq!(sim.outcome(job), Some(Outcome::Cancelled));
+    assert_eq!(running(&sim, job), 0);
+}
