--- a/crates/primrosebay_coordination/src/zone/snapshot.rs
+++ b/crates/primrosebay_coordination/src/zone/snapshot.rs
@@ -20,9 +20,13 @@
                 zone: zone.clone(),
                 epoch: *epoch,
             });
-        let live = self.jobs.all.iter().filter(|(_, job)| {
-            job.logged && job.home == self.zone && job.moving_to.is_none() && !job.is_ended()
-        });
+        // A job that is being moved is included: if the record of the move precedes the snapshot
+        // in the log, readers apply it to the job of the snapshot.
+        let live = self
+            .jobs
+            .all
+            .iter()
+            .filter(|(_, job)| job.logged && job.home == self.zone && !job.is_ended());
         let jobs = live.map(|(id, job)| {
             let mut ended = Vec::new();
             let mut starting = Vec::new();
--- a/crates/primrosebay_coordination/tests/zone/handover.rs
+++ b/crates/primrosebay_coordination/tests/zone/handover.rs
@@ -129,3 +129,47 @@
     assert_eq!(sim.outcome(job), Some(Outcome::Cancelled));
     assert_eq!(running(&sim, job), 0);
 }
+
+/// Guards against the loss of a job whose move to another zone was requested but not recorded when
+/// the log dropped the records before a snapshot.
+#[test]
+fn snapshot_has_jobs_whose_move_is_not_recorded() {
+    let mut sim = cell();
+    let job = sim
+        .submit("a", spec("moving", 10_000))
+        .expect("a coordinator");
+    sim.run(1_000);
+    let worker = sim.worker("moving/0").expect("the task has started");
+    sim.stall(0, worker);
+    let zone = "b".into();
+    sim.broadcast("a", &Event::Move { job, zone });
+    sim.run(2_500);
+    let snapshot = snapshot(&sim);
+    restart_with(&mut sim, [snapshot]);
+    sim.run(60_000);
+    assert_eq!(sim.outcome(job), Some(Outcome::Done));
+}
+
+/// Guards against a job that two zones run because a snapshot of its previous home reached the log
+/// after the record of its move.
+#[test]
+fn snapshot_does_not_undo_a_recorded_move() {
+    let mut sim = cell();
+    let job = sim
+        .submit("a", spec("moved", 10_000))
+        .expect("a coordinator");
+    sim.run(1_000);
+    let snapshot = snapshot(&sim);
+    let zone = "b".into();
+    sim.broadcast("a", &Event::Move { job, zone });
+    sim.run(5_000);
+    let moved = sim.log.iter().map(|record| record.body.clone());
+    let moved = moved.filter(|body| matches!(body, Body::Moved { .. }));
+    let moved: Vec<_> = moved.collect();
+    assert_eq!(moved.len(), 1);
+    restart_with(&mut sim, moved.into_iter().chain([snapshot]));
+    sim.run(60_000);
+    assert_eq!(&*sim.home(job), "b");
+    assert_eq!(sim.outcome(job), Some(Outcome::Done));
+    assert!(sim.violations.is_empty(), "{}", sim.summary());
+}
