--- a/crates/primrosebay_coordination/src/zone/snapshot.rs
+++ b/crates/primrosebay_coordination/src/zone/snapshot.rs
@@ -1,16 +1,16 @@
 //! Snapshots of the zone's live jobs.
 
-use primrosebay_state::id::TaskId;
+use primrosebay_state::id::{JobId, TaskId};
 use primrosebay_state::record::{JobSnapshotPart, SnapshotItem};
 use primrosebay_state::time::Time;
 
 use super::Coordinator;
-use super::jobs::State;
+use super::jobs::{Job, State};
 
 impl Coordinator {
-    /// Returns the items that a reader needs if the records of the zone's live jobs have been
-    /// dropped from the log before it starts. Jobs that are not in the log yet are left out,
-    /// because their own records will follow.
+    /// Returns the items that a reader needs if the records of the zone's live jobs, and of the
+    /// ended jobs that these wait for, have been dropped from the log before it starts. Jobs that
+    /// are not in the log yet are left out, because their own records will follow.
     #[must_use]
     pub fn snapshot(&self) -> Vec<SnapshotItem> {
         let terms = self
@@ -22,12 +22,20 @@
             });
         // A job that is being moved is included: if the record of the move precedes the snapshot
         // in the log, readers apply it to the job of the snapshot.
-        let live = self
-            .jobs
-            .all
-            .iter()
-            .filter(|(_, job)| job.logged && job.home == self.zone && !job.is_ended());
-        let jobs = live.map(|(id, job)| {
+        let live = |job: &Job| job.logged && job.home == self.zone && !job.is_ended();
+        // An ended job that a live one waits for is included, because the live one starts only if
+        // the outcome of the other is known.
+        let jobs = self.jobs.all.iter().map(|(_, job)| job);
+        let mut awaited: Vec<JobId> = jobs
+            .filter(|job| live(job) && !job.spec.after.is_empty())
+            .filter_map(|job| self.jobs.id_by_name(&job.spec.team, &job.spec.after))
+            .collect();
+        awaited.sort_unstable();
+        let included = self.jobs.all.iter().filter(|(id, job)| {
+            let is_awaited = job.logged && job.is_ended() && awaited.binary_search(id).is_ok();
+            live(job) || is_awaited
+        });
+        let jobs = included.map(|(id, job)| {
             let mut ended = Vec::new();
             let mut starting = Vec::new();
             for (index, task) in (0..).zip(&job.tasks) {
--- a/crates/primrosebay_coordination/tests/zone/handover.rs
+++ b/crates/primrosebay_coordination/tests/zone/handover.rs
@@ -2,6 +2,7 @@
 //! by another coordinator.
 
 use primrosebay_coordination::zone::Event;
+use primrosebay_state::config::ZoneState;
 use primrosebay_state::id::{Incarnation, JobId, RecordId};
 use primrosebay_state::job::JobSpec;
 use primrosebay_state::record::{Body, JobSnapshotPart, Outcome, Record};
@@ -173,3 +174,29 @@
     assert_eq!(sim.outcome(job), Some(Outcome::Done));
     assert!(sim.violations.is_empty(), "{}", sim.summary());
 }
+
+/// Guards against a job that waits for ever for a job that has succeeded, after the log dropped
+/// the records of the latter.
+#[test]
+fn snapshot_has_the_outcome_that_a_job_waits_for() {
+    let mut sim = cell();
+    let first = sim
+        .submit("a", spec("first", 1_000))
+        .expect("a coordinator");
+    sim.run(4_000);
+    assert_eq!(sim.outcome(first), Some(Outcome::Done));
+    sim.set_zone("a", ZoneState::Out);
+    sim.run(2_500);
+    let second = JobSpec {
+        after: "first".into(),
+        ..spec("second", 1_000)
+    };
+    let second = sim.submit("a", second).expect("a coordinator");
+    sim.run(1_000);
+    assert_eq!(sim.outcome(second), None);
+    let snapshot = snapshot(&sim);
+    restart_with(&mut sim, [snapshot]);
+    sim.set_zone("a", ZoneState::In);
+    sim.run(60_000);
+    assert_eq!(sim.outcome(second), Some(Outcome::Done));
+}
--- a/crates/primrosebay_state/src/record.rs
+++ b/crates/primrosebay_state/src/record.rs
@@ -109,11 +109,11 @@
     Snapshot(JobSnapshotPart),
 }
 
-/// A part of a snapshot of the unfinished jobs of a zone. Each part can be applied without the
-/// others.
+/// A part of a snapshot of the unfinished jobs of a zone and of the jobs that they wait for. Each
+/// part can be applied without the others.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobSnapshotPart {
-    /// The home zone of the jobs.
+    /// The home zone of the unfinished jobs.
     pub zone: Name,
     /// The terms and the jobs in this part.
     pub items: Vec<SnapshotItem>,
@@ -130,11 +130,11 @@
         /// The epoch of the term.
         epoch: u64,
     },
-    /// A job that has not ended.
+    /// A job that has not ended, or an ended job that such a job waits for.
     Job {
         /// The identifier of the job.
         job: JobId,
-        /// The home zone, which is that of the snapshot.
+        /// The home zone. That of a job that has not ended is the zone of the snapshot.
         zone: Name,
         /// The job as the caller submitted it.
         spec: Box<JobSpec>,
