Stop the rest of a broken gang in every term

Callers would see a gang that does not run again for as long as one of its tasks stays on a minion, which holds its resources without working.

Cause: the same class as the runs of ended jobs. That a task of a gang has to be started again is stored in the log; the stops of the other tasks were sent once, by the leader that decided. If they were lost and another leader took over, nothing stopped these runs, and their lease was renewed.

Evidence: successor_stops_runs_of_broken_gang failed before with "not done after 3200 ms".

Change: a run that is reported although its gang has a task to start again is stopped like one of an ended job. `unstopped` counts both.

--- a/crates/primrosebay_cell/src/leader/active.rs
+++ b/crates/primrosebay_cell/src/leader/active.rs
@@ -87,6 +87,14 @@
             .all(|t| t.placement == Placement::Done)
     }
 
+    /// Returns whether the current runs of a step have to stop: the job has ended, or a task of the
+    /// gang has to be started again.
+    pub(super) fn must_stop(&self, key: StepKey) -> bool {
+        let is_pending = |t: &TaskProgress| t.placement == Placement::Pending;
+        let gang = self.step(key).is_some_and(|s| s.gang);
+        self.outcome.is_some() || gang && self.tasks[self.task_range(key)].iter().any(is_pending)
+    }
+
     /// Returns the steps with tasks that can be started: due, with all dependencies done and, for a
     /// gang, with all tasks pending.
     pub(super) fn ready_steps(&self, now: Now, early_ms: u64) -> Vec<StepKey> {
--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -249,7 +249,7 @@
     }
 
     /// Stores reported checkpoints, and stops runs that should not be running: those that the
-    /// leader has not placed on the minion and those of ended jobs.
+    /// leader has not placed on the minion and those of ended jobs and broken gangs.
     fn reconcile_reported(&mut self, name: &Name, report: &HoldReport, now: Now) {
         for reported in &report.running {
             if let Some((position, _)) = self.placed_run(name, reported.task, reported.run) {
@@ -258,8 +258,8 @@
                     // A checkpoint alone causes no append; the next change of the job includes it.
                     job.tasks[position].checkpoint = reported.checkpoint.clone();
                 }
-                // The job may have ended in an earlier term whose leader did not stop the run.
-                if self.has_ended(reported.task.step.job) {
+                // The decision may be that of an earlier leader, whose stop had no effect.
+                if self.must_stop(reported.task.step) {
                     self.stop_run(name, reported.task, reported.run, now);
                 }
                 continue;
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -55,7 +55,7 @@
     pub unconfirmed: usize,
     /// Runs that were ordered to stop in this term and whose end is not known yet.
     pub stopping: usize,
-    /// Runs of ended jobs that were not ordered to stop in this term.
+    /// Runs of ended jobs and broken gangs that were not ordered to stop in this term.
     pub unstopped: usize,
     /// Advice calls in flight.
     pub advice_calls: usize,
@@ -208,9 +208,9 @@
         }
     }
 
-    /// Returns whether an active job has ended.
-    fn has_ended(&self, key: JobKey) -> bool {
-        self.jobs.get(&key).is_some_and(|j| j.outcome.is_some())
+    /// Returns whether the current runs of a step have to stop.
+    fn must_stop(&self, step: StepKey) -> bool {
+        self.jobs.get(&step.job).is_some_and(|j| j.must_stop(step))
     }
 
     /// Returns whether the job is or was active in this term.
@@ -342,12 +342,12 @@
         let runs = || minions().flat_map(|m| &m.runs);
         let usable = || minions().filter(|m| m.is_usable(now.time, &self.settings));
         let stopping = |r: &&minion::Run| matches!(r.phase, minion::Phase::Stopping(..));
-        let of_ended_job = |name: &Name, r: &minion::Run| {
-            self.placed_run(name, r.task, r.number).is_some() && self.has_ended(r.task.step.job)
+        let must_stop = |name: &Name, r: &minion::Run| {
+            self.placed_run(name, r.task, r.number).is_some() && self.must_stop(r.task.step)
         };
         let unstopped = |(name, m): (&Name, &Minion)| {
             let unstopped = m.runs.iter().filter(|r| !stopping(r));
-            unstopped.filter(|r| of_ended_job(name, r)).count()
+            unstopped.filter(|r| must_stop(name, r)).count()
         };
         Counts {
             jobs: self.jobs.len(),
--- a/crates/primrosebay_cell/tests/leader/cancellation.rs
+++ b/crates/primrosebay_cell/tests/leader/cancellation.rs
@@ -1,7 +1,7 @@
-//! Runs of jobs that have ended, across changes of the leader.
+//! Runs that have to stop because of a decision of a former leader.
 
 use primrosebay_cell::job::JobKey;
-use primrosebay_cell::record::Outcome;
+use primrosebay_cell::record::{Outcome, Placement};
 
 use crate::simulation::{Simulation, cores, job};
 
@@ -48,3 +48,29 @@
     sim.take_over();
     sim.run_until(STOP_BOUND_MS, |s| s.minions[1].running.is_empty());
 }
+
+/// Guards against tasks of a gang that stay on their minions after the gang has lost a task: the
+/// stops of the former leader were lost, its successor sent none, and the gang never ran again.
+#[test]
+fn successor_stops_runs_of_broken_gang() {
+    let mut sim = Simulation::new(2);
+    sim.minions[0].stalled = true;
+    sim.minions[1].stalled = true;
+    let mut spec = job(2, cores(16));
+    spec.steps[0].gang = true;
+    let key = sim.submit(1, "urgent", &spec);
+    sim.run_until(1_000, |s| s.starts.len() == 2);
+    sim.minions[1].unreachable = true;
+    sim.minions[0].running.clear();
+    sim.minions[0].started_ms += 1;
+    let is_broken = |s: &Simulation| {
+        let progress = s.ledger.progress(key).expect("the gang was placed");
+        let mut tasks = progress.tasks.iter();
+        tasks.any(|t| t.placement == Placement::Pending)
+    };
+    sim.run_until(1_000, is_broken);
+    sim.minions[1].unreachable = false;
+    sim.take_over();
+    sim.run_until(STOP_BOUND_MS, |s| s.minions[1].running.is_empty());
+    sim.run_until(STOP_BOUND_MS, |s| s.starts.len() == 4);
+}
