Acknowledge ends of a restarted minion only when they are durable

A task could run again after a run of it had ended done and that end had been acknowledged.

Cause: the acknowledgement of an end waits for its batch, and then acknowledges the end's number, limited by the highest number that was applied. If the minion restarts while the batch is in flight, the numbers start anew: the end 57 of the earlier incarnation then acknowledged the end 1 of the present one, whose record was not yet in any batch. The minion forgets an acknowledged end, and if the leader is lost before the next batch, a successor finds neither a record of the end nor the end and starts the task again. It needs a start that is carried out by the new incarnation while the batch is in flight.

Evidence, before the change: ends_of_a_new_incarnation_are_acknowledged_when_they_are_durable left: 1, right: 0 (the acknowledged number)

An acknowledgement now stays below the first end whose effect is in no batch yet, so that it follows from what is durable.

--- a/crates/primrosebay_cell/src/leader/commit.rs
+++ b/crates/primrosebay_cell/src/leader/commit.rs
@@ -1,6 +1,7 @@
 //! Batches of records and the actions deferred until these are durable.
 
 use primrosebay_state::Name;
+use primrosebay_state::table::Table;
 use primrosebay_state::time::Time;
 
 use super::Leader;
@@ -58,11 +59,16 @@
         };
         self.confirmed_at = self.confirmed_at.max(sent);
         let broken = self.broken_gangs(&deferred, now);
+        let pending_ends = self.first_pending_ends();
         for action in deferred {
             match action {
                 Deferred::Ack { minion, sequence } => {
+                    // The end may be one of an earlier incarnation of the minion, whose numbers say
+                    // nothing about the ends of the present one.
+                    let first = pending_ends.get(&minion);
+                    let durable = first.map_or(sequence, |first| sequence.min(first - 1));
                     if let Some(minion) = self.minions.get_mut(&minion) {
-                        minion.acked_end = minion.acked_end.max(sequence.min(minion.applied_end));
+                        minion.acked_end = minion.acked_end.max(durable.min(minion.applied_end));
                         if minion.acked_end == minion.applied_end {
                             minion.next_hold = now.time;
                         }
@@ -85,6 +91,19 @@
         true
     }
 
+    /// Returns, for each minion with ended runs whose effect is in no batch yet, the lowest number
+    /// of these.
+    fn first_pending_ends(&self) -> Table<Name, u64> {
+        let mut first: Table<Name, u64> = Table::default();
+        for action in &self.deferred {
+            if let Deferred::Ack { minion, sequence } = action {
+                let lowest = first.or_insert(minion.clone(), *sequence);
+                *lowest = (*lowest).min(*sequence);
+            }
+        }
+        first
+    }
+
     /// Returns the gangs with a task that can no longer be started.
     fn broken_gangs(&self, deferred: &[Deferred], now: Now) -> Vec<StepKey> {
         let mut broken = Vec::new();
