--- a/crates/primrosebay_cell/tests/leader/main.rs
+++ b/crates/primrosebay_cell/tests/leader/main.rs
@@ -2,6 +2,7 @@
 
 mod cancellation;
 mod durability;
+mod handover;
 mod load;
 mod minions;
 mod random;
