--- a/crates/primrosebay_cell/src/leader/active.rs
+++ b/crates/primrosebay_cell/src/leader/active.rs
@@ -128,32 +128,6 @@
         ready
     }
 
-    /// Returns the gangs of due occurrences with a task on a minion although another one is
-    /// pending.
-    pub(super) fn partial_gangs(&self, now: Now, early_ms: u64) -> Vec<StepKey> {
-        let mut partial = Vec::new();
-        if !self.spec.steps.iter().any(|s| s.gang) {
-            return partial;
-        }
-        let is_due = |occurrence: &u32| self.spec.due_ms(*occurrence) <= now.wall_ms + early_ms;
-        for occurrence in (0..self.spec.occurrences()).take_while(is_due) {
-            for (i, _) in self.spec.steps.iter().enumerate().filter(|(_, s)| s.gang) {
-                let key = StepKey {
-                    job: self.key,
-                    occurrence,
-                    step: u32::try_from(i).unwrap_or(u32::MAX),
-                };
-                let tasks = &self.tasks[self.task_range(key)];
-                let pending = |t: &TaskProgress| t.placement == Placement::Pending;
-                let placed = |t: &TaskProgress| matches!(t.placement, Placement::Minion(_));
-                if tasks.iter().any(pending) && tasks.iter().any(placed) {
-                    partial.push(key);
-                }
-            }
-        }
-        partial
-    }
-
     /// Returns the time by which an occurrence has to end to meet its latency objective, in Unix
     /// milliseconds.
     pub(super) fn deadline_ms(&self, queue: &Queue, occurrence: u32) -> u64 {
--- a/crates/primrosebay_cell/src/leader/runs.rs
+++ b/crates/primrosebay_cell/src/leader/runs.rs
@@ -159,7 +159,6 @@
         }
         self.advice.expire_calls(now.time);
         self.expire_silent(now);
-        self.stop_partial_gangs(now);
         self.evict_draining(now);
         self.remove_stale(now);
     }
@@ -183,29 +182,6 @@
         }
     }
 
-    /// Stops the runs of gangs of which a task is pending. The leader that lost the task may have
-    /// been lost itself before its stops of the other tasks took effect.
-    fn stop_partial_gangs(&mut self, now: Now) {
-        let early_ms = self.settings.early_start_ms;
-        let jobs = self.jobs.iter().map(|(_, job)| job);
-        let partial: Vec<StepKey> = jobs
-            .flat_map(|job| job.partial_gangs(now, early_ms))
-            .collect();
-        if partial.is_empty() {
-            return;
-        }
-        let mut stop = Vec::new();
-        for (name, minion) in self.minions.iter() {
-            let runs = minion.runs.iter();
-            let running = runs.filter(|r| matches!(r.phase, Phase::Running(_)));
-            let running = running.filter(|r| partial.contains(&r.task.step));
-            stop.extend(running.map(|r| (name.clone(), r.task, r.number)));
-        }
-        for (name, task, run) in stop {
-            self.stop_run(&name, task, run, now);
-        }
-    }
-
     /// Stops runs on minions that are about to shut down, so that they save checkpoints.
     fn evict_draining(&mut self, now: Now) {
         let mut stop = Vec::new();
