Simulate the way of a cancellation under faults

The simulation of the leader answers every command at once, so it does not reach the states in which a cancellation is stored but its stops are lost.

Add a second simulated cell whose commands take time, get lost or are carried out 2 s to 12 s later, with takeovers, overlapping leaders, restarted, moved, unlisted and draining minions and a log that is down. A random test checks that runs of ended jobs stop within 3.2 s of a calm stretch, and the other invariants that callers and minions can observe.

--- a/crates/primrosebay_cell/tests/leader/main.rs
+++ b/crates/primrosebay_cell/tests/leader/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the leader with simulated minions, log and advice service, without a network.
 
 mod durability;
+mod ended_jobs;
 mod load;
 mod minions;
+mod network;
 mod random;
 mod simulation;
