Acknowledge nothing to a minion that may have restarted

What callers saw: a task that was done ran a second time after its minion had restarted under the same name, although its end had been acknowledged.

Cause: a restarted minion numbers its ended runs from 1 again. Until it answers its first hold the leader does not know of the restart, sends it starts for up to 2.2 s and acknowledges, with the first hold, the ends of the previous incarnation. Ends of the new incarnation up to that number were removed before the leader had seen them; the run then counted as missing and its task was started again.

Fix: a hold that follows a failed one acknowledges nothing. A restart breaks the waiting hold, or lets the next one fail, so the first hold that a new incarnation answers follows a failed one. Ends that are reported again are ignored by their numbers.

Evidence: the new test fails before the change.

--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -41,11 +41,18 @@
             } else {
                 0
             };
+            // A restarted minion numbers its ended runs from 1 again, and would remove those up to
+            // the acknowledged number although the leader has not seen them.
+            let acked = if minion.hold_failed {
+                0
+            } else {
+                minion.acked_end
+            };
             self.commands.push(Command::Hold {
                 minion: name.clone(),
                 address: minion.entry.address.clone(),
                 until_ms,
-                acked: minion.acked_end,
+                acked,
                 wait_ms,
             });
         }
@@ -64,6 +71,7 @@
                 self.deposed = true;
             }
             HoldAnswer::Incarnation | HoldAnswer::Failed => {
+                minion.hold_failed = true;
                 minion.next_hold = now.time + self.settings.retry_ms;
             }
         }
@@ -85,6 +93,7 @@
         let was_silent = minion.is_silent(now.time, &self.settings);
         minion.started_ms = report.started_ms;
         minion.fenced = true;
+        minion.hold_failed = false;
         minion.last_seen = Some(now.time);
         minion.clock = Some((now.time, report.clock_ms));
         if was_silent {
--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -65,6 +65,8 @@
     /// Time by which all runs of the minion have ended if it receives no further command.
     pub(super) expiry: Time,
     pub(super) hold_pending: bool,
+    /// Whether the last hold failed, so that the minion may have restarted since its last answer.
+    pub(super) hold_failed: bool,
     pub(super) next_hold: Time,
     /// Sequence number of the last ended run that the leader has applied.
     pub(super) applied_end: u64,
@@ -91,6 +93,7 @@
             clock: None,
             expiry,
             hold_pending: false,
+            hold_failed: false,
             next_hold: now,
             applied_end: 0,
             acked_end: 0,
--- a/crates/primrosebay_cell/tests/leader/main.rs
+++ b/crates/primrosebay_cell/tests/leader/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the leader with simulated minions, log and advice service, without a network.
 
+mod acknowledgements;
 mod durability;
 mod ended_jobs;
 mod load;
