--- a/crates/primrosebay_cell/tests/leader/main.rs
+++ b/crates/primrosebay_cell/tests/leader/main.rs
@@ -1,9 +1,12 @@
 //! Tests of the leader with simulated minions, log and advice service, without a network.
 
+mod acknowledgements;
 mod cancellation;
 mod durability;
+mod ended_jobs;
 mod handover;
 mod load;
 mod minions;
+mod network;
 mod random;
 mod simulation;
