Saturate the leader's sums over foreign numbers

Capacities, clocks and drain times of minions, the estimates of jobs, the objectives and priorities of queues, the timing of advice and the run numbers of records come from other programs. Sums with them overflowed. In a debug build the leader panicked: async-std ends the task of the election and keeps the process, which answers as ready, holds its callers' records until they time out and never leads again, and the next leader panics on the same number. In a release build the total capacity and the end of a lease wrapped.

The sums saturate.

--- a/crates/primrosebay_cell/src/leader/active.rs
+++ b/crates/primrosebay_cell/src/leader/active.rs
@@ -95,7 +95,7 @@
             return ready;
         }
         for occurrence in 0..self.spec.occurrences() {
-            if self.spec.due_ms(occurrence) > now.wall_ms + early_ms {
+            if self.spec.due_ms(occurrence) > now.wall_ms.saturating_add(early_ms) {
                 break;
             }
             for (i, step) in self.spec.steps.iter().enumerate() {
@@ -124,7 +124,7 @@
     /// milliseconds.
     pub(super) fn deadline_ms(&self, queue: &Queue, occurrence: u32) -> u64 {
         let from = self.accepted_ms.max(self.spec.due_ms(occurrence));
-        from + self.objective_ms(queue)
+        from.saturating_add(self.objective_ms(queue))
     }
 
     /// Returns the time at which the job ends if the step starts now and its dependents follow
@@ -135,7 +135,7 @@
             .get(step.step as usize)
             .copied()
             .unwrap_or(0);
-        now.wall_ms + START_LATENCY_MS + path
+        (now.wall_ms + START_LATENCY_MS).saturating_add(path)
     }
 
     /// Returns the latency objective of the job, in milliseconds.
@@ -143,12 +143,14 @@
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         clippy::cast_precision_loss,
-        reason = "run times are far below 2^52 milliseconds"
+        reason = "run times are below 2^52 milliseconds, and larger ones saturate"
     )]
     pub(super) fn objective_ms(&self, queue: &Queue) -> u64 {
         let advice = queue.advice.map_or(0, |a| a.call_ms(OBJECTIVE_MINIONS));
         let path = self.spec.critical_path_ms(advice) as f64;
-        queue.target_ms + (path * queue.stretch) as u64
+        queue
+            .target_ms
+            .saturating_add((path * queue.stretch) as u64)
     }
 
     /// Returns the state to append to the log.
--- a/crates/primrosebay_cell/src/leader/advice.rs
+++ b/crates/primrosebay_cell/src/leader/advice.rs
@@ -244,8 +244,8 @@
         let index = state.pick_client(cost_ms, late, now.time, &self.settings)?;
         let queued = state.clients[index].calls.iter().map(|c| c.ends).max();
         let starts_at = queued.unwrap_or(now.time).max(now.time);
-        let expected_ms = starts_at.since(now.time) + cost_ms;
-        let timeout_ms = expected_ms + self.settings.advice_grace_ms;
+        let expected_ms = starts_at.since(now.time).saturating_add(cost_ms);
+        let timeout_ms = expected_ms.saturating_add(self.settings.advice_grace_ms);
         state.clients[index].calls.push(Call {
             step,
             ends: starts_at + cost_ms,
--- a/crates/primrosebay_cell/src/leader/commit.rs
+++ b/crates/primrosebay_cell/src/leader/commit.rs
@@ -140,7 +140,8 @@
         let Some(minion) = self.minions.get_mut(name) else {
             return;
         };
-        let until_ms = minion.min_clock(now.time).unwrap_or(0) + self.settings.start_ttl_ms;
+        let clock = minion.min_clock(now.time).unwrap_or(0);
+        let until_ms = clock.saturating_add(self.settings.start_ttl_ms);
         let expiry = now.time + self.settings.upper_ms(self.settings.start_ttl_ms);
         minion.expiry = minion.expiry.max(expiry);
         let address = minion.entry.address.clone();
--- a/crates/primrosebay_cell/src/leader/dispatch.rs
+++ b/crates/primrosebay_cell/src/leader/dispatch.rs
@@ -45,7 +45,7 @@
         let runs = job.tasks[job.task_range(request.step)]
             .iter()
             .map(|t| t.run);
-        Some(runs.max().unwrap_or(0) + 1)
+        Some(runs.max().unwrap_or(0).saturating_add(1))
     }
 
     /// Returns the chosen minions with the number of tasks to start on each.
@@ -114,7 +114,7 @@
         else {
             return;
         };
-        state.run = gang_run.unwrap_or(state.run + 1);
+        state.run = gang_run.unwrap_or(state.run.saturating_add(1));
         state.placement = Placement::Minion(name.clone());
         let run = state.run;
         job.dirty = true;
--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -28,7 +28,7 @@
             // postpone the time after which its tasks may be restarted elsewhere.
             let renew = renew && !minion.is_silent(now.time, &self.settings);
             let clock = minion.min_clock(now.time).filter(|_| renew);
-            let until_ms = clock.map(|c| c + self.settings.lease_ms);
+            let until_ms = clock.map(|c| c.saturating_add(self.settings.lease_ms));
             if until_ms.is_some() {
                 let expiry = now.time + self.settings.upper_ms(self.settings.lease_ms);
                 minion.expiry = minion.expiry.max(expiry);
@@ -328,7 +328,8 @@
             }
             job.counted_runs.push((counter, run));
         }
-        job.tasks[counter].failures += 1;
+        let failures = &mut job.tasks[counter].failures;
+        *failures = failures.saturating_add(1);
         let attempts = self.queues.get(&job.queue).map_or(u32::MAX, |q| q.attempts);
         if !long_running && job.tasks[counter].failures >= attempts && job.outcome.is_none() {
             job.end(Outcome::Failed, now);
--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -105,7 +105,7 @@
     /// read.
     pub(super) fn min_clock(&self, now: Time) -> Option<u64> {
         let (read, clock) = self.clock?;
-        Some(clock + now.since(read))
+        Some(clock.saturating_add(now.since(read)))
     }
 
     pub(super) fn is_silent(&self, now: Time, settings: &Settings) -> bool {
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -335,8 +335,12 @@
                 .count(),
             advice_calls: self.advice.pending_calls(),
             blocked: self.blocked,
-            used_milli: usable().map(Minion::used_milli).sum(),
-            total_milli: usable().map(|m| m.entry.capacity.cores_milli).sum(),
+            used_milli: usable()
+                .map(Minion::used_milli)
+                .fold(0, u64::saturating_add),
+            total_milli: usable()
+                .map(|m| m.entry.capacity.cores_milli)
+                .fold(0, u64::saturating_add),
         }
     }
 }
--- a/crates/primrosebay_cell/src/leader/schedule.rs
+++ b/crates/primrosebay_cell/src/leader/schedule.rs
@@ -117,7 +117,8 @@
             let objective = job.objective_ms(queue);
             for step in job.ready_steps(now, self.settings.early_start_ms) {
                 let deadline = job.deadline_ms(queue, step.occurrence);
-                let last = deadline + (EXPIRY_OBJECTIVES - 1) * objective;
+                let grace = objective.saturating_mul(EXPIRY_OBJECTIVES - 1);
+                let last = deadline.saturating_add(grace);
                 let class = if now.wall_ms > last {
                     EXPIRED_CLASS
                 } else if job.expected_end_ms(step, now) > deadline {
@@ -125,7 +126,8 @@
                 } else {
                     0
                 };
-                ready.push(((class + queue.priority, job.over_share, deadline), step));
+                let class = queue.priority.saturating_add(class);
+                ready.push(((class, job.over_share, deadline), step));
             }
         }
         ready
--- a/crates/primrosebay_cell/src/leader/stragglers.rs
+++ b/crates/primrosebay_cell/src/leader/stragglers.rs
@@ -70,7 +70,10 @@
             .and_then(|j| j.step(run.task.step))
             .filter(|s| !s.long_running)
             .map_or(0, |s| s.estimate_ms);
-        estimate > 0 && now.time.since(since) > estimate * OVERDUE_FACTOR + OVERDUE_MARGIN_MS
+        let limit = estimate
+            .saturating_mul(OVERDUE_FACTOR)
+            .saturating_add(OVERDUE_MARGIN_MS);
+        estimate > 0 && now.time.since(since) > limit
     }
 
     /// Returns whether an overdue task should be restarted elsewhere, and marks it as moved. A task
