Use no minion whose entry was replaced by an unreadable one

A record of the directory that cannot be decoded was skipped. Each such record also wrote a log line, at any rate that its writer chose.

Before the change:

minion_with_an_unreadable_entry_gets_no_starts_until_it_is_good_again (with the variant, but without effect): assertion failed: sim.starts[2..].iter().all(|s| s.minion != odd)

--- a/crates/primrosebay_cell/src/leader/command.rs
+++ b/crates/primrosebay_cell/src/leader/command.rs
@@ -216,6 +216,8 @@
     Listed(DirectoryEntry),
     /// The minion with this name was removed. Its runs may still be in progress.
     Removed(Name),
+    /// The entry under this name was replaced by one that names no minion to use.
+    Unreadable(Name),
 }
 
 /// Time of an event on the local clocks.
--- a/crates/primrosebay_cell/src/leader/directory.rs
+++ b/crates/primrosebay_cell/src/leader/directory.rs
@@ -35,6 +35,14 @@
                     log::info!(minion:% = name, runs = minion.runs.len(); "leader: minion removed from directory");
                 }
             }
+            DirectoryChange::Unreadable(name) => {
+                if let Some(minion) = self.minions.get_mut(&name) {
+                    if std::mem::take(&mut minion.has_entry) {
+                        log::warn!(minion:% = name, runs = minion.runs.len(); "leader: entry of minion replaced by an unreadable one");
+                    }
+                    minion.unlisted_since = minion.unlisted_since.or(Some(now.time));
+                }
+            }
         }
     }
 
@@ -66,6 +74,7 @@
             return;
         };
         minion.unlisted_since = None;
+        minion.has_entry = true;
         match (entry.drain_ms, minion.drains_at) {
             (None, _) => minion.drains_at = None,
             (Some(ms), None) => {
--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -51,6 +51,9 @@
     pub(super) entry: DirectoryEntry,
     /// Time at which the minion disappeared from the directory.
     pub(super) unlisted_since: Option<Time>,
+    /// Whether the latest entry under the minion's name was readable. Unlike an entry that may have
+    /// expired while the directory was down, an unreadable one gets no time to return.
+    pub(super) has_entry: bool,
     /// Time at which the draining minion may shut down.
     pub(super) drains_at: Option<Time>,
     /// Whether the minion has answered a hold in this term, so that it rejects commands of earlier
@@ -84,6 +87,7 @@
         Self {
             entry,
             unlisted_since: None,
+            has_entry: true,
             drains_at,
             fenced: false,
             started_ms,
@@ -119,6 +123,7 @@
             .unlisted_since
             .is_none_or(|at| now.since(at) < settings.unlisted_ms);
         listed
+            && self.has_entry
             && self.fenced
             && self.drains_at.is_none()
             && !self.is_silent(now, settings)
--- a/crates/primrosebay_cell/tests/leader/extreme_entries.rs
+++ b/crates/primrosebay_cell/tests/leader/extreme_entries.rs
@@ -284,3 +284,27 @@
     sim.ledger.remove(key);
     assert!(sim.ledger.submission(job).is_some());
 }
+
+/// Guards against starts on a minion whose entry another writer has replaced, and against a minion
+/// that is not used any more once its entry is good again.
+#[test]
+fn minion_with_an_unreadable_entry_gets_no_starts_until_it_is_good_again() {
+    let mut sim = Simulation::new(2);
+    let running = sim.submit(1, "urgent", &job(2, cores(16)));
+    sim.run(200);
+    assert_eq!(sim.starts.len(), 2);
+    let (odd, now) = (sim.minions[0].name.clone(), now_at(sim.now));
+    sim.leader
+        .on_directory(DirectoryChange::Unreadable(odd.clone()), now);
+    let next = sim.submit(2, "urgent", &job(2, cores(16)));
+    sim.run_until(6_000, |s| s.is_completed(running) && s.is_completed(next));
+    // The run that was there goes on: four tasks need four starts.
+    assert_eq!(sim.starts.len(), 4);
+    assert!(sim.starts[2..].iter().all(|s| s.minion != odd));
+    let entry = sim.entry(0);
+    list(&mut sim, entry);
+    let last = sim.submit(3, "urgent", &job(2, cores(16)));
+    sim.run(200);
+    assert!(sim.starts[4..].iter().any(|s| s.minion == odd));
+    sim.run_until(3_000, |s| s.is_completed(last));
+}
--- a/crates/primrosebay_member/src/follow.rs
+++ b/crates/primrosebay_member/src/follow.rs
@@ -1,7 +1,7 @@
 //! Follows the cell's stream and applies its records to the ledger.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 use primrosebay_cell::job::JobKey;
@@ -147,7 +147,9 @@
     let decoded = match Record::decode(&value) {
         Ok(decoded) => decoded,
         Err(e) => {
-            log::warn!(key:% = record.key, offset = record.offset, reason:% = e; "follow: undecodable record skipped");
+            if let Some(left_out) = cell.odd_records.admit(Instant::now()) {
+                log::warn!(key:% = record.key, offset = record.offset, reason:% = e, left_out; "follow: undecodable record skipped");
+            }
             return;
         }
     };
--- a/crates/primrosebay_member/src/lead.rs
+++ b/crates/primrosebay_member/src/lead.rs
@@ -16,6 +16,7 @@
 use primrosebay_state::time::Time;
 
 use crate::commands;
+use crate::log_limit::LogLimit;
 use crate::peer;
 use crate::platform::{AppendError, AppendId, Platform, ReadError, Stream};
 use crate::shared::Shared;
@@ -453,6 +454,7 @@
 async fn follow_directory<P: Platform>(shared: Arc<Shared<P>>, events: Sender<Event>) {
     let mut next: Option<u64> = None;
     let mut unreachable = false;
+    let mut log_limit = LogLimit::default();
     loop {
         let wait = Duration::from_secs(1);
         let read = match next {
@@ -464,18 +466,20 @@
                 if std::mem::take(&mut unreachable) {
                     log::info!("lead: directory is readable again");
                 }
+                let platform = &shared.platform;
+                let mut changes = platform.directory_changes(&read.records, &mut log_limit);
                 if next.is_none() {
-                    let entries = shared.platform.directory(&read.records);
+                    let listed =
+                        changes.extract_if(.., |c| matches!(c, DirectoryChange::Listed(_)));
+                    let entries = listed.filter_map(|change| match change {
+                        DirectoryChange::Listed(entry) => Some(entry),
+                        _ => None,
+                    });
+                    let entries = entries.collect();
                     let _ = events.send(Event::DirectoryLoaded(entries)).await;
-                } else {
-                    for record in &read.records {
-                        match shared.platform.directory_change(record) {
-                            Ok(change) => drop(events.send(Event::DirectoryChanged(change)).await),
-                            Err(e) => {
-                                log::warn!(key:% = record.key, reason:% = e; "lead: undecodable directory record skipped");
-                            }
-                        }
-                    }
+                }
+                for change in changes {
+                    let _ = events.send(Event::DirectoryChanged(change)).await;
                 }
                 next = Some(read.next.max(next.unwrap_or(0)));
                 task::sleep(shared.settings.directory_pause).await;
--- a/crates/primrosebay_member/src/lib.rs
+++ b/crates/primrosebay_member/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod election_timeout;
 mod follow;
 mod lead;
+pub mod log_limit;
 pub mod metrics;
 pub mod node;
 mod operators;
--- a/crates/primrosebay_member/src/operators.rs
+++ b/crates/primrosebay_member/src/operators.rs
@@ -1,7 +1,7 @@
 //! Follows the operators' stream: configuration and evacuated availability zones.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 
@@ -89,7 +89,9 @@
         }
         Ok(OperatorChange::Other) => {}
         Err(e) => {
-            log::warn!(key:% = record.key, offset = record.offset, reason:% = e; "operators: undecodable record skipped");
+            if let Some(left_out) = operators.odd_records.admit(Instant::now()) {
+                log::warn!(key:% = record.key, offset = record.offset, reason:% = e, left_out; "operators: undecodable record skipped");
+            }
         }
     }
 }
--- a/crates/primrosebay_member/src/platform.rs
+++ b/crates/primrosebay_member/src/platform.rs
@@ -2,15 +2,15 @@
 
 use std::fmt::Debug;
 use std::future::Future;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use primrosebay_cell::config::Config;
 use primrosebay_cell::job::{StepKey, TaskKey};
-use primrosebay_cell::leader::{
-    Advice, DirectoryChange, DirectoryEntry, HoldAnswer, Start, StartAnswer,
-};
+use primrosebay_cell::leader::{Advice, DirectoryChange, HoldAnswer, Start, StartAnswer};
 use primrosebay_state::Name;
 
+use crate::log_limit::LogLimit;
+
 /// A compacted stream of the log, which retains at least the newest record of each key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stream {
@@ -170,19 +170,21 @@
     /// Returns the reason why the record cannot be decoded.
     fn directory_change(&self, record: &LogRecord) -> Result<DirectoryChange, String>;
 
-    /// Decodes the newest records of [`Stream::Directory`] into the list of all minions. Skips and
-    /// logs records that cannot be decoded.
-    fn directory(&self, records: &[LogRecord]) -> Vec<DirectoryEntry> {
-        let mut entries = Vec::new();
-        for record in records {
-            match self.directory_change(record) {
-                Ok(DirectoryChange::Listed(entry)) => entries.push(entry),
-                Ok(DirectoryChange::Removed(_)) => {}
-                Err(e) => {
-                    log::warn!(key:% = record.key, reason:% = e; "platform: undecodable directory record skipped");
+    /// Decodes records of [`Stream::Directory`]. A record that cannot be decoded names no minion to
+    /// use, and is logged as far as `log_limit` allows.
+    fn directory_changes(
+        &self,
+        records: &[LogRecord],
+        log_limit: &mut LogLimit,
+    ) -> Vec<DirectoryChange> {
+        let changes = records.iter().map(|record| {
+            self.directory_change(record).unwrap_or_else(|e| {
+                if let Some(left_out) = log_limit.admit(Instant::now()) {
+                    log::warn!(key:% = record.key, offset = record.offset, reason:% = e, left_out; "platform: undecodable directory record, names no minion to use");
                 }
-            }
-        }
-        entries
+                DirectoryChange::Unreadable(record.key.as_str().into())
+            })
+        });
+        changes.collect()
     }
 }
--- a/crates/primrosebay_member/src/shared.rs
+++ b/crates/primrosebay_member/src/shared.rs
@@ -14,6 +14,7 @@
 use primrosebay_transport::http_client::Client;
 
 use crate::lead::Event;
+use crate::log_limit::LogLimit;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::submit::PendingRecord;
@@ -34,6 +35,8 @@
     /// Whether a claim of this instance has failed, or a term of it has ended, since the last
     /// record of a leader.
     pub(crate) contested: bool,
+    /// Limits the log lines about records that cannot be decoded.
+    pub(crate) odd_records: LogLimit,
 }
 
 /// The state read from the operators' stream.
@@ -44,6 +47,8 @@
     pub(crate) evacuated: Vec<Name>,
     /// When the last read that reached the end of the stream was sent.
     pub(crate) caught_up: Option<Time>,
+    /// Limits the log lines about records that cannot be decoded.
+    pub(crate) odd_records: LogLimit,
 }
 
 /// The shared state of an instance on the platform `P`.
