Call no minion whose service no queue uses

The leader called every listed minion, four times a second if it did not answer. A thousand entries of another writer with a service that the configuration does not name meant thousands of failing calls a second, and no task can run there.

A minion without runs is called only if a queue uses its service, from the configuration that names it on.

Before the change, minion_of_an_unknown_service_is_not_called: assertion failed: !leader.tick(now).iter().any(is_odd). After it the test passes.

--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -9,6 +9,7 @@
 use super::command::{Command, End, EndedRun, HoldAnswer, HoldReport, Now};
 use super::commit::Deferred;
 use super::minion::{Phase, Run};
+use crate::config::Queue;
 use crate::job::{JobKey, TaskKey};
 use crate::record::{Outcome, Placement};
 
@@ -23,6 +24,12 @@
             if minion.hold_pending || !has_address || now.time < minion.next_hold {
                 continue;
             }
+            // No task can be placed on a minion whose service no queue names. Its entry may be that
+            // of another writer, and each call to it would fail.
+            let is_used = |q: &Queue| q.service == minion.entry.service;
+            if minion.runs.is_empty() && !self.queues.iter().any(|(_, q)| is_used(q)) {
+                continue;
+            }
             minion.hold_pending = true;
             // A hold to a silent minion does not renew its lease. Unanswered renewals would
             // postpone the time after which its tasks may be restarted elsewhere.
--- a/crates/primrosebay_cell/tests/leader/extreme_entries.rs
+++ b/crates/primrosebay_cell/tests/leader/extreme_entries.rs
@@ -308,3 +308,27 @@
     assert!(sim.starts[4..].iter().any(|s| s.minion == odd));
     sim.run_until(3_000, |s| s.is_completed(last));
 }
+
+/// Guards against calls to entries of other writers, up to four a second to each, whose service no
+/// queue uses.
+#[test]
+fn minion_of_an_unknown_service_is_not_called() {
+    let (mut leader, _) = leader_with_minion(0);
+    let entry = DirectoryEntry {
+        name: "odd".into(),
+        service: "unknown".into(),
+        ..Simulation::new(1).entry(0)
+    };
+    let now = now_at(1_100);
+    leader.on_directory(DirectoryChange::Listed(entry), now);
+    let is_odd = |c: &Command| matches!(c, Command::Hold { minion, .. } if &**minion == "odd");
+    assert!(!leader.tick(now).iter().any(is_odd));
+    let mut other = queue("other", 1);
+    other.service = "unknown".into();
+    let queues = vec![queue("urgent", 0), other];
+    leader.set_config(&Config {
+        queues,
+        ..Config::default()
+    });
+    assert!(leader.tick(now_at(1_200)).iter().any(is_odd));
+}
