--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -9,6 +9,7 @@
 use super::command::{Command, End, EndedRun, HoldAnswer, HoldReport, Now};
 use super::commit::Deferred;
 use super::minion::{Phase, Run};
+use crate::config::Queue;
 use crate::job::{JobKey, TaskKey};
 use crate::record::{Outcome, Placement};
 
@@ -23,12 +24,18 @@
             if minion.hold_pending || !has_address || now.time < minion.next_hold {
                 continue;
             }
+            // No task can be placed on a minion whose service no queue names. Its entry may be that
+            // of another writer, and each call to it would fail.
+            let is_used = |q: &Queue| q.service == minion.entry.service;
+            if minion.runs.is_empty() && !self.queues.iter().any(|(_, q)| is_used(q)) {
+                continue;
+            }
             minion.hold_pending = true;
             // A hold to a silent minion does not renew its lease. Unanswered renewals would
             // postpone the time after which its tasks may be restarted elsewhere.
             let renew = renew && !minion.is_silent(now.time, &self.settings);
             let clock = minion.min_clock(now.time).filter(|_| renew);
-            let until_ms = clock.map(|c| c + self.settings.lease_ms);
+            let until_ms = clock.map(|c| c.saturating_add(self.settings.lease_ms));
             if until_ms.is_some() {
                 let expiry = now.time + self.settings.upper_ms(self.settings.lease_ms);
                 minion.expiry = minion.expiry.max(expiry);
@@ -342,7 +349,8 @@
             }
             job.counted_runs.push((counter, run));
         }
-        job.tasks[counter].failures += 1;
+        let failures = &mut job.tasks[counter].failures;
+        *failures = failures.saturating_add(1);
         let attempts = self.queues.get(&job.queue).map_or(u32::MAX, |q| q.attempts);
         if !long_running && job.tasks[counter].failures >= attempts && job.outcome.is_none() {
             job.end(Outcome::Failed, now);
--- a/crates/primrosebay_cell/tests/leader/main.rs
+++ b/crates/primrosebay_cell/tests/leader/main.rs
@@ -4,6 +4,7 @@
 mod cancellation;
 mod durability;
 mod ended_jobs;
+mod extreme_entries;
 mod handover;
 mod load;
 mod minions;
