Let cancellations take effect while the log is down

While the log is down a cancellation was acknowledged as soon as peers held its record, but the job was not cancelled: it stayed as it was until the log was back.

Cause: the record of a cancellation reaches the coordinator of the job's zone only by being read from the log. The acknowledgement depends on the record being durable, which it is as copies at peers, where no coordinator looks at it. The call that cancels a job at a peer existed but nobody sent it.

Evidence, before the change, with the log down: cancellation_held_by_peers_takes_effect_without_the_log case 1 (sent to the coordinator) and 2 (sent to another instance): the job is not cancelled (20 s)

If peers hold the record, the instance that took the call now passes the cancellation to the coordinator, here or at a peer, before it answers. With the log up nothing changes.

Limit: a coordinator that takes over during the outage learns of the cancellation when the log is back, unless it took the call itself. It starts no inherited task before that, but keeps a task alive whose stop was not carried out.

--- a/crates/primrosebay_entry/src/jobs.rs
+++ b/crates/primrosebay_entry/src/jobs.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use async_std::task;
+use primrosebay_coordination::zone::Event;
 use primrosebay_protocol::api::{Failure, JobView, Submitted};
 use primrosebay_protocol::code::Code;
 use primrosebay_protocol::log::JOBS_STREAM;
@@ -156,11 +157,47 @@
         let job = self.find_job(id, caller).map_err(Failure::new)?;
         let body = Body::Cancelled { job: id };
         match self.publisher.persist(JOBS_STREAM, body).await {
-            Ok(_) => Ok(job),
+            Ok(Durability::Logged(_)) => Ok(job),
+            // The coordinator of the home zone cannot read the record while the log is down.
+            Ok(Durability::Held) => {
+                self.deliver_cancellation(&job, caller).await;
+                Ok(job)
+            }
             Err(error) => Err(Failure::new(failure_code(error))),
         }
     }
 
+    /// Passes the cancellation of a job to the coordinator of its home zone. If that is not
+    /// reachable, the cancellation takes effect once its record is read from the log.
+    async fn deliver_cancellation(&self, job: &JobView, caller: &Caller) {
+        if self.cancel_here(job) {
+            return;
+        }
+        if let Some(coordinator) = self.remote_coordinator(&job.zone) {
+            let request = Request::Cancel {
+                id: job.id,
+                caller: caller.clone(),
+            };
+            if let Err(failure) = self.forward(&coordinator, &request).await {
+                log::warn!(
+                    "jobs: cancellation of {} not delivered to {coordinator}: code {}",
+                    job.id,
+                    failure.code
+                );
+            }
+        }
+    }
+
+    /// Cancels a job if this instance coordinates its home zone, and returns whether it does. The
+    /// coordinator appends a record of its own.
+    fn cancel_here(&self, job: &JobView) -> bool {
+        let zone = self.zone(&job.zone).filter(|zone| zone.epoch().is_some());
+        if let Some(zone) = &zone {
+            zone.handle(Event::Cancel { job: job.id });
+        }
+        zone.is_some()
+    }
+
     /// Makes a job durable, and feeds it to the coordinator of its home zone if that runs here.
     async fn accept(&self, id: JobId, zone: Name, spec: JobSpec) -> Result<Submitted, Failure> {
         // The coordinator of every zone reads the whole jobs stream, so any of them knows all
--- a/crates/primrosebay_entry/src/jobs/forwarded.rs
+++ b/crates/primrosebay_entry/src/jobs/forwarded.rs
@@ -2,12 +2,14 @@
 
 use primrosebay_protocol::api::{Failure, JobView};
 use primrosebay_protocol::code::Code;
+use primrosebay_protocol::log::JOBS_STREAM;
 use primrosebay_protocol::peer::{Caller, Document, Response};
 use primrosebay_state::Name;
 use primrosebay_state::id::JobId;
 use primrosebay_state::job::JobSpec;
+use primrosebay_state::record::Body;
 
-use super::MAX_PAGE_JOBS;
+use super::{MAX_PAGE_JOBS, failure_code};
 use crate::shared::Shared;
 
 impl Shared {
@@ -39,11 +41,18 @@
             .map_or_else(Response::Refused, |job| job_response(&job))
     }
 
-    /// Records the cancellation of a job.
+    /// Cancels a job whose home zone this instance coordinates. Other cancellations are recorded
+    /// only.
     pub(crate) async fn answer_cancel(&self, id: JobId, caller: &Caller) -> Response {
-        match self.cancel_job(id, caller).await {
-            Ok(job) => job_response(&job),
-            Err(failure) => failure_response(&failure),
+        match self.find_job(id, caller) {
+            Ok(job) if self.cancel_here(&job) => return job_response(&job),
+            Ok(_) => {}
+            Err(code) => return Response::Refused(code),
+        }
+        let body = Body::Cancelled { job: id };
+        match self.publisher.persist(JOBS_STREAM, body).await {
+            Ok(_) => self.answer_read(id, caller),
+            Err(error) => Response::Refused(failure_code(error)),
         }
     }
 
--- a/crates/primrosebay_entry/tests/peers.rs
+++ b/crates/primrosebay_entry/tests/peers.rs
@@ -9,6 +9,7 @@
 use tide::http::{Method, Request, Url};
 
 use primrosebay_coordination::publisher::SeenRecords;
+use primrosebay_coordination::zone::Coordinator;
 use primrosebay_entry::instance::Instance;
 use primrosebay_entry::peers::PeerSetup;
 use primrosebay_entry::publisher::{Durability, PublishError};
@@ -23,7 +24,7 @@
 use primrosebay_state::config::{Change, Resource, ZoneState};
 use primrosebay_state::id::{Incarnation, JobId, RecordId};
 use primrosebay_state::job::JobSpec;
-use primrosebay_state::record::Body;
+use primrosebay_state::record::{Body, Outcome};
 use primrosebay_state::resources::Resources;
 use primrosebay_transport::http_server::{Limits, Server};
 use primrosebay_transport::log::{HttpLog, Log};
@@ -399,6 +400,59 @@
     });
 }
 
+/// Guards against a cancellation that is acknowledged while only peers hold its record, but has no
+/// effect before the log is back. It is sent to the coordinator of the job's zone, or to another
+/// instance.
+#[rstest]
+#[case::coordinator(0)]
+#[case::other_instance(1)]
+fn cancellation_held_by_peers_takes_effect_without_the_log(#[case] at: usize) {
+    block_on(async {
+        let platform = Platform::start().await;
+        let worker = listen(Arc::new(WorkerService::new(1, Resources::ZERO)).app()).await;
+        let item = instance_item("worker", Role::Worker, "a", worker.address());
+        platform.add_to_list(item).await;
+        let cell = platform.start_cell(&["a", "b", "c"]).await;
+        let zone = cell[0].shared().zone("a").unwrap();
+        let knows_coordinator = |instance: &Instance| {
+            let peers = instance.shared().peers().unwrap();
+            peers.coordinator("a").is_some()
+        };
+        wait_until("no coordinator is known", || {
+            zone.epoch().is_some() && cell[1..].iter().all(knows_coordinator)
+        })
+        .await;
+        let caller = Caller {
+            team: "shop".into(),
+            operator: false,
+            config: 0,
+        };
+        let spec = JobSpec {
+            name: "rebuild".into(),
+            team: "shop".into(),
+            ..JobSpec::default()
+        };
+        let home = "a".into();
+        let submitted = cell[0]
+            .shared()
+            .submit_to(&home, job(1), caller.clone(), spec);
+        submitted.await.unwrap();
+        let knows = |instance: &Instance| {
+            let zones = instance.shared().zones();
+            let known = |c: &Coordinator| c.job(job(1)).is_some();
+            zones.iter().all(|zone| zone.read(known))
+        };
+        wait_until("the job is not known", || cell.iter().all(knows)).await;
+        platform.set_log_down(true);
+        cell[at].shared().cancel_job(job(1), &caller).await.unwrap();
+        let outcome = || zone.read(|coordinator| coordinator.job(job(1)).unwrap().outcome);
+        wait_until("the job is not cancelled", || {
+            outcome() == Some(Outcome::Cancelled)
+        })
+        .await;
+    });
+}
+
 /// Guards against a record identifier that is used by two processes or for two records.
 #[test]
 fn record_identifiers_are_unique() {
