Keep removed queues for a later leader

An accepted job could stay pending for ever, if its queue was removed from the configuration and the leader changed before the job started.

Cause: a leader keeps the queues and accounts of earlier versions, since their accepted jobs still run, but only in its own memory. A successor was given the newest version alone, found no queue for the job and skipped it; the limits of removed accounts and the number of attempts of removed queues were lost in the same way.

Every instance now keeps the queues and accounts of the versions that it has read, and leads by these. Routing and keys still follow the newest version alone. The test covers the merged configuration and the leader; no test runs a whole instance through such a change.

Limit: an instance that started after the removal does not know the queue. For that the settings of a queue have to be in the log of the cell.

--- a/crates/primrosebay_cell/src/config.rs
+++ b/crates/primrosebay_cell/src/config.rs
@@ -105,6 +105,21 @@
         queues.max_by_key(|q| q.prefix.len())
     }
 
+    /// Returns this version with the queues and accounts of an earlier one that it lacks. Jobs that
+    /// were accepted on a queue since removed are scheduled by it.
+    #[must_use]
+    pub fn with_removed(&self, earlier: &Self) -> Self {
+        let mut config = self.clone();
+        let removed = earlier.queues.iter();
+        let removed = removed.filter(|queue| self.queue(&queue.name).is_none());
+        config.queues.extend(removed.cloned());
+        let removed = earlier.accounts.iter();
+        let removed = removed.filter(|account| self.account(&account.name).is_none());
+        config.accounts.extend(removed.cloned());
+        config.accounts.sort_by(|a, b| a.name.cmp(&b.name));
+        config
+    }
+
     /// Returns the queue with this name, if any.
     #[must_use]
     pub fn queue(&self, name: &str) -> Option<&Queue> {
--- a/crates/primrosebay_cell/tests/leader/handover.rs
+++ b/crates/primrosebay_cell/tests/leader/handover.rs
@@ -149,3 +149,21 @@
     hold(&mut leader, 2_700, 2, None, Some((2, 1)));
     assert_eq!(acknowledged(&mut leader, 3_500), 1);
 }
+
+/// Guards against an accepted job that never starts after a change of the leader, because its
+/// queue was removed from the configuration after the job was accepted. The successor has read the
+/// version that had the queue.
+#[test]
+fn successor_starts_jobs_of_a_removed_queue() {
+    let mut sim = Simulation::new(1);
+    sim.minions[0].unreachable = true;
+    sim.run(3_000);
+    let key = sim.submit(1, "batch", &job(1, cores(1)));
+    let mut newer = sim.config.clone();
+    newer.version += 1;
+    newer.queues.retain(|queue| &*queue.name != "batch");
+    sim.config = newer.with_removed(&sim.config);
+    sim.take_over();
+    sim.minions[0].unreachable = false;
+    sim.run_until(5_000, |s| s.is_completed(key));
+}
--- a/crates/primrosebay_member/src/lead.rs
+++ b/crates/primrosebay_member/src/lead.rs
@@ -317,7 +317,7 @@
 
     fn apply_operators(&mut self) {
         let operators = self.shared.operators();
-        if let Some(config) = &operators.config {
+        if let Some(config) = &operators.scheduling {
             self.leader.set_config(config);
         }
         self.leader.set_evacuated(operators.evacuated.clone());
--- a/crates/primrosebay_member/src/operators.rs
+++ b/crates/primrosebay_member/src/operators.rs
@@ -75,6 +75,11 @@
                 accounts = config.accounts.len(), keys = config.keys.len();
                 "operators: configuration applied"
             );
+            let scheduling = match &operators.scheduling {
+                Some(earlier) => config.with_removed(earlier),
+                None => config.clone(),
+            };
+            operators.scheduling = Some(scheduling);
             operators.config = Some(Arc::new(config));
         }
         Ok(OperatorChange::Evacuated(zone)) => {
--- a/crates/primrosebay_member/src/shared.rs
+++ b/crates/primrosebay_member/src/shared.rs
@@ -40,6 +40,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct OperatorState {
     pub(crate) config: Option<Arc<Config>>,
+    /// The current configuration with the queues and accounts that earlier versions had. A leader
+    /// schedules by it, since accepted jobs of a removed queue still run.
+    pub(crate) scheduling: Option<Config>,
     /// Evacuated availability zones, in which no task may be started; sorted.
     pub(crate) evacuated: Vec<Name>,
     /// When the last read that reached the end of the stream was sent.
