Check that records of the cell's stream come from an instance

Any bytes that begin with the version of the encoding may decode: 1,000 bytes of value 1 under any key cancelled the job 1. A submission with too many tasks made every leader run out of memory, and after a claim of the highest term no instance could claim a higher one.

A record is read only under its own key, with a valid job and a term of at most 2^53.

Before the change (Record::read without checks):

record_under_another_key_is_refused: assertion failed: Record::read("odd", &[1; 1_000]).is_err() submission_that_is_not_valid_is_refused: all 4 cases claim_of_an_extreme_term_is_refused: failed

and in the test with processes: job 1 is Some("{\"state\":\"cancelled\"}"). After it all pass.

--- a/crates/primrosebay_cell/src/record.rs
+++ b/crates/primrosebay_cell/src/record.rs
@@ -8,7 +8,11 @@
 use primrosebay_state::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::job::{JobKey, JobSpec};
+use crate::job::{JobKey, JobSpec, SpecError};
+
+/// Highest term of a claim. Fencing tokens above 2^53 are not exact in JSON implementations that
+/// store numbers as floating point; at 1,000 for each claim, claims never come near it.
+pub const MAX_EPOCH: u64 = 1 << 53;
 
 /// Version of the encoding, stored in the first byte of each record.
 const VERSION: u8 = 1;
@@ -131,6 +135,15 @@
     /// The record has no bytes.
     #[error("record is empty")]
     Empty,
+    /// The record belongs under the key that this holds.
+    #[error("record is not stored under its key {0}")]
+    Key(String),
+    /// No instance can have accepted the job.
+    #[error("record holds an invalid job: {0}")]
+    Job(#[from] SpecError),
+    /// No instance can have claimed the term.
+    #[error("record is of the term {0}, which is higher than {MAX_EPOCH}")]
+    Epoch(u64),
 }
 
 impl Record {
@@ -165,4 +178,29 @@
             Some((other, _)) => Err(RecordError::Version(*other)),
         }
     }
+
+    /// Decodes the record that the log holds under `key`, and checks that an instance may have
+    /// written it.
+    ///
+    /// # Errors
+    /// Returns an error if the bytes cannot be decoded, belong under another key, or hold a job or
+    /// a term that no instance accepts.
+    pub fn read(key: &str, bytes: &[u8]) -> Result<Self, RecordError> {
+        let record = Self::decode(bytes)?;
+        let expected = record.key();
+        if key != expected {
+            return Err(RecordError::Key(expected));
+        }
+        match &record {
+            Self::Submitted(_, submission) => submission.spec.validate()?,
+            Self::Leader(claim) if claim.epoch > MAX_EPOCH => {
+                return Err(RecordError::Epoch(claim.epoch));
+            }
+            Self::Progress(_, progress) if progress.epoch > MAX_EPOCH => {
+                return Err(RecordError::Epoch(progress.epoch));
+            }
+            _ => {}
+        }
+        Ok(record)
+    }
 }
--- /dev/null
+++ b/crates/primrosebay_cell/tests/odd_records.rs
@@ -0,0 +1,95 @@
+//! Records of other writers in the cell's own stream.
+
+use std::sync::Arc;
+
+use primrosebay_cell::job::{JobKey, JobSpec, Repeat, Step};
+use primrosebay_cell::record::{Claim, MAX_EPOCH, Member, Record, Submission};
+use rstest::rstest;
+
+fn submission(count: u32, times: u32) -> Record {
+    let step = Step {
+        count,
+        ..Step::default()
+    };
+    let spec = JobSpec {
+        steps: vec![step],
+        repeat: Some(Repeat {
+            first_ms: 0,
+            every_ms: 1,
+            times,
+        }),
+        ..JobSpec::default()
+    };
+    Record::Submitted(
+        JobKey(1),
+        Submission {
+            queue: "queue".into(),
+            account: None,
+            spec: Arc::new(spec),
+            accepted_ms: 1,
+        },
+    )
+}
+
+fn claim(epoch: u64) -> Record {
+    Record::Leader(Claim {
+        epoch,
+        node: "node".into(),
+        batch: 1,
+        resigned: false,
+    })
+}
+
+/// Guards against a record that is refused although an instance wrote it.
+#[test]
+fn own_records_are_read() {
+    let member = Member {
+        address: "10.0.0.1:1".into(),
+        cores_milli: 1,
+        secret: "secret".into(),
+    };
+    let records = [
+        submission(1, 0),
+        submission(40, 100),
+        Record::Cancelled(JobKey(1)),
+        claim(1),
+        claim(MAX_EPOCH),
+        Record::Member("node".into(), member),
+    ];
+    for record in records {
+        let bytes = record.encode().expect("encodable");
+        let read = Record::read(&record.key(), &bytes).expect("an instance wrote it");
+        assert_eq!(read, record);
+    }
+}
+
+/// Guards against bytes of another writer that happen to decode: 1,000 bytes of value 1 under any
+/// key cancelled the job 1.
+#[test]
+fn record_under_another_key_is_refused() {
+    assert!(Record::read("odd", &[1; 1_000]).is_err());
+    assert!(Record::read("c0000000000000001", &[1; 3]).is_ok());
+    assert!(Record::read("c0000000000000002", &[1; 3]).is_err());
+}
+
+/// Guards against a leader that runs out of memory on a submission that no instance accepted.
+#[rstest]
+#[case(0, 1)]
+#[case(4_001, 1)]
+#[case(2, u32::MAX)]
+#[case(u32::MAX, u32::MAX)]
+fn submission_that_is_not_valid_is_refused(#[case] count: u32, #[case] times: u32) {
+    let record = submission(count, times);
+    let bytes = record.encode().expect("encodable");
+    assert!(Record::read(&record.key(), &bytes).is_err());
+}
+
+/// Guards against a claim after which no instance can claim a higher term.
+#[test]
+fn claim_of_an_extreme_term_is_refused() {
+    for epoch in [MAX_EPOCH + 1, u64::MAX] {
+        let record = claim(epoch);
+        let bytes = record.encode().expect("encodable");
+        assert!(Record::read(&record.key(), &bytes).is_err());
+    }
+}
--- a/crates/primrosebay_member/src/follow.rs
+++ b/crates/primrosebay_member/src/follow.rs
@@ -144,7 +144,7 @@
         cell.ledger.remove(&record.key);
         return;
     };
-    let decoded = match Record::decode(&value) {
+    let decoded = match Record::read(&record.key, &value) {
         Ok(decoded) => decoded,
         Err(e) => {
             if let Some(left_out) = cell.odd_records.admit(Instant::now()) {
