Test member processes with records of other writers

Three member processes follow a store with odd keys and values in all three streams: before they start, alone and among good ones, while they follow, 1,000 at once, rewritten again and again, and in place of a good entry that then returns. No process may end or panic, all members stay ready, accepted jobs complete, and the log stays bounded.

--- /dev/null
+++ b/crates/primrosebay/tests/odd_entries.rs
@@ -0,0 +1,376 @@
+//! Member processes over a store with records of other writers: no process ends, the members stay
+//! ready, and accepted jobs complete on the good minions.
+
+use std::fs::{self, File};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use http_types::Method;
+use primrosebay_platform::BOOT_VARIABLE;
+use primrosebay_platform_standin::{
+    API_KEY, HOST, MemberAddresses, Minion, PATH_PREFIX, RunMonitor, Store, boot_file, config,
+    job_body,
+};
+use primrosebay_transport::http_client::Client;
+
+const MEMBERS: usize = 3;
+
+/// Maximum time until a member is ready or a job has completed. Covers the election of a leader and
+/// the lease of a minion on a busy machine.
+const WAIT: Duration = Duration::from_secs(40);
+
+/// Topics of the store that members follow.
+const TOPICS: [&str; 3] = ["keyed.servers", "keyed.op", "keyed.cell"];
+
+/// Maximum number of lines about records that cannot be decoded in the log of one member: 10 in 10 s
+/// for each stream, and the test takes less than 100 s.
+const MAX_ODD_LINES: usize = 300;
+
+/// A member and its process.
+#[derive(Debug)]
+struct Member {
+    addresses: MemberAddresses,
+    settings_file: PathBuf,
+    child: Child,
+}
+
+impl Member {
+    fn start(directory: &std::path::Path, number: usize, store: SocketAddr) -> Self {
+        let octet = |n: u32| u8::try_from(n % 250).unwrap_or(0);
+        let last = octet(u32::try_from(number).unwrap_or(0));
+        let ip = Ipv4Addr::new(127, 1 + octet(std::process::id()), 251, 1 + last);
+        let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).unwrap());
+        let [front, ready, internal] = listeners.map(|l| l.local_addr().unwrap());
+        let addresses = MemberAddresses {
+            front,
+            ready,
+            internal,
+            store,
+        };
+        let settings_file = directory.join(format!("member-{number}"));
+        let text = boot_file(&format!("member-{number}"), addresses);
+        fs::write(&settings_file, text).unwrap();
+        let log = |kind| File::create(settings_file.with_extension(kind)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_primrosebay"))
+            .arg("member")
+            .env(BOOT_VARIABLE, &settings_file)
+            .stdout(log("log"))
+            .stderr(log("err"))
+            .spawn()
+            .unwrap();
+        Self {
+            addresses,
+            settings_file,
+            child,
+        }
+    }
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct Cell {
+    store: Store,
+    members: Vec<Member>,
+    directory: PathBuf,
+    client: Client,
+    jobs: u64,
+}
+
+impl Cell {
+    async fn is_ready(&self, member: usize) -> bool {
+        let address = self.members[member].addresses.ready;
+        let (path, timeout) = ("/api/readyz", Duration::from_secs(1));
+        let call = self
+            .client
+            .bytes(address, Method::Get, path, &[], None, timeout);
+        call.await.is_ok_and(|(status, _)| status.is_success())
+    }
+
+    /// Waits until all members are ready.
+    async fn wait_ready(&mut self) {
+        let deadline = Instant::now() + WAIT;
+        for member in 0..self.members.len() {
+            while !self.is_ready(member).await {
+                assert!(Instant::now() < deadline, "member {member} is not ready");
+                self.assert_running();
+                task::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    /// Asserts that no process has ended or panicked.
+    fn assert_running(&mut self) {
+        for (i, member) in self.members.iter_mut().enumerate() {
+            let status = member.child.try_wait().unwrap();
+            assert!(status.is_none(), "member {i} ended: {status:?}");
+            let errors = fs::read_to_string(member.settings_file.with_extension("err")).unwrap();
+            assert!(!errors.contains("panicked"), "member {i}: {errors}");
+        }
+    }
+
+    async fn call(&self, method: Method, job: u64, body: Option<Vec<u8>>) -> Option<String> {
+        let member = usize::try_from(job).unwrap_or(0) % self.members.len();
+        let address = self.members[member].addresses.front;
+        let path = format!("{PATH_PREFIX}{job:016x}");
+        let headers = [("Host", HOST), ("Credential", API_KEY)];
+        let call = self.client.bytes(
+            address,
+            method,
+            &path,
+            &headers,
+            body,
+            Duration::from_secs(4),
+        );
+        let (status, bytes) = call.await.ok()?;
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        status.is_success().then_some(text)
+    }
+
+    /// Submits jobs to all members and waits until they are completed. Asserts meanwhile that no
+    /// process ends and that the members stay ready.
+    async fn complete_jobs(&mut self) {
+        let deadline = Instant::now() + WAIT;
+        let first = self.jobs + 1;
+        self.jobs += 2 * MEMBERS as u64;
+        for job in first..=self.jobs {
+            let body = job_body(2, 200, 500).into_bytes();
+            while self
+                .call(Method::Post, job, Some(body.clone()))
+                .await
+                .is_none()
+            {
+                assert!(Instant::now() < deadline, "job {job} is not accepted");
+                task::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        for job in first..=self.jobs {
+            loop {
+                let state = self.call(Method::Get, job, None).await;
+                if state.as_ref().is_some_and(|s| s.contains("completed")) {
+                    break;
+                }
+                assert!(Instant::now() < deadline, "job {job} is {state:?}");
+                self.assert_running();
+                for member in 0..self.members.len() {
+                    assert!(self.is_ready(member).await, "member {member} is not ready");
+                }
+                task::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    /// Writes all odd records to all topics. The names of the keys begin with `prefix`.
+    fn write_odd_records(&self, prefix: &str) {
+        for topic in TOPICS {
+            for (i, value) in odd_values().iter().enumerate() {
+                let key = format!("{prefix}-{i}");
+                self.store.put_bytes(topic, key.as_bytes(), value);
+            }
+            for key in odd_keys() {
+                self.store.put_bytes(topic, &key, b"{\"a\":1}");
+                self.store.put_bytes(topic, &key, GOOD_ENTRY.as_bytes());
+            }
+        }
+        for zone in odd_keys() {
+            let key = [b"evacuate/", &zone[..zone.len().min(200)]].concat();
+            self.store.put_bytes("keyed.op", &key, b"[[[");
+        }
+    }
+}
+
+/// An entry that is good but for its address, at which nothing listens.
+const GOOD_ENTRY: &str = r#"{"service":"service","address":"127.0.0.1:1","zone":"zone-a",
+  "state":"ready","capacity":{"cpu":4000,"memMb":100000},"labels":["kind","rack"],"born":1}"#;
+
+fn nested(levels: usize) -> String {
+    "[".repeat(levels) + &"]".repeat(levels)
+}
+
+fn odd_values() -> Vec<Vec<u8>> {
+    let numbers = [
+        "1e400",
+        "-1",
+        "1.5",
+        "18446744073709551615",
+        "18446744073709551616",
+        "9223372036854775808",
+        "1000000000000000000000000000000",
+        "\"1\"",
+        "null",
+    ];
+    let mut values: Vec<Vec<u8>> = Vec::new();
+    for number in numbers {
+        values.push(GOOD_ENTRY.replace("4000", number).into_bytes());
+        values.push(
+            GOOD_ENTRY
+                .replace("\"born\":1", &format!("\"born\":{number}"))
+                .into_bytes(),
+        );
+        let draining = format!("\"draining\",\"drainRemainingMs\":{number}");
+        values.push(GOOD_ENTRY.replace("\"ready\"", &draining).into_bytes());
+        values.push(format!("{{\"version\":{number},\"routes\":[]}}").into_bytes());
+    }
+    for port in ["0", "65536", "99999", "-1", ""] {
+        values.push(
+            GOOD_ENTRY
+                .replace(":1\"", &format!(":{port}\""))
+                .into_bytes(),
+        );
+    }
+    for address in [
+        "0.0.0.0:1",
+        "[::]:1",
+        "224.0.0.1:1",
+        "host.example:1",
+        "[::1]:1",
+        "",
+    ] {
+        values.push(GOOD_ENTRY.replace("127.0.0.1:1", address).into_bytes());
+    }
+    for levels in [100, 130, 10_000, 100_000] {
+        values.push(nested(levels).into_bytes());
+        values.push(GOOD_ENTRY.replace("4000", &nested(levels)).into_bytes());
+        values.push(
+            GOOD_ENTRY
+                .replacen('{', &format!("{{\"a\":{},", nested(levels)), 1)
+                .into_bytes(),
+        );
+        values.push("{\"a\":".repeat(levels).into_bytes());
+    }
+    values.push(GOOD_ENTRY.replace("ready", "asleep").into_bytes());
+    values.push(
+        GOOD_ENTRY
+            .replace("\"service\",", "\"other\",")
+            .into_bytes(),
+    );
+    values.push(
+        GOOD_ENTRY
+            .replace("kind", &"x".repeat(100_000))
+            .into_bytes(),
+    );
+    values.push(
+        GOOD_ENTRY
+            .replace("\"ready\"", &format!("\"{}\"", "x".repeat(100_000)))
+            .into_bytes(),
+    );
+    values.push(vec![b'['; 262_144]);
+    values.push(vec![0xff; 262_144]);
+    values.push(vec![1; 1_000]);
+    values.push(vec![0xff, 0xfe]);
+    // The first bytes of records of the cell's own stream, in the current encoding.
+    values.extend((0..6).map(|kind| [&[1, kind][..], &[0xff; 12]].concat()));
+    values
+}
+
+fn odd_keys() -> Vec<Vec<u8>> {
+    let keys: [&[u8]; 16] = [
+        b"",
+        b"a&b",
+        b"a#b",
+        b"a b",
+        b"a%zz",
+        b"a\r\nX-Other: 1",
+        b"a\"b",
+        b"a/../b",
+        b"a\0b",
+        "\u{e9}".as_bytes(),
+        "m\u{1f600}".as_bytes(),
+        b"\xff\xfe",
+        b"m\xff",
+        b"config2",
+        b"leader2",
+        &[b'k'; 255],
+    ];
+    keys.map(<[u8]>::to_vec).into()
+}
+
+/// Guards against a member that ends, is no longer ready, or stops following a stream because of a
+/// record of another writer, and against a log that is flooded by such records.
+#[test]
+fn odd_entries_do_not_disturb_the_cell() {
+    task::block_on(async {
+        let directory = format!("primrosebay-odd-{}", std::process::id());
+        let directory = std::env::temp_dir().join(directory);
+        fs::create_dir_all(&directory).unwrap();
+        let mut cell = Cell {
+            store: Store::start().await.unwrap(),
+            members: Vec::new(),
+            directory,
+            client: Client::new(),
+            jobs: 0,
+        };
+        // Odd entries are there alone before the members start.
+        cell.store
+            .put_bytes("keyed.op", b"config", &vec![b'['; 200_000]);
+        cell.write_odd_records("early");
+        cell.store.put_operator_record("config", &config(1));
+        for i in 0..MEMBERS {
+            let member = Member::start(&cell.directory, i, cell.store.address());
+            cell.members.push(member);
+        }
+        cell.wait_ready().await;
+        let monitor = Arc::new(Mutex::new(RunMonitor::default()));
+        let mut minions = Vec::new();
+        for i in 0..2 {
+            let name = format!("minion-{i}");
+            let minion = Minion::start(&name, &cell.store, Arc::clone(&monitor)).await;
+            minions.push(minion.unwrap());
+        }
+        cell.complete_jobs().await;
+        // Odd entries arrive while the members follow the streams.
+        cell.write_odd_records("late");
+        cell.store
+            .put_bytes("keyed.op", b"config", b"{\"version\":1e400}");
+        for i in 0..1_000 {
+            let key = format!("many-{i}");
+            cell.store
+                .put_bytes("keyed.servers", key.as_bytes(), b"{\"a\":");
+        }
+        cell.complete_jobs().await;
+        // Odd entries replace a good one, which then returns.
+        for value in odd_values() {
+            cell.store.put_bytes("keyed.servers", b"minion-0", &value);
+            for topic in TOPICS {
+                cell.store.put_bytes(topic, b"rewritten", &value);
+            }
+            task::sleep(Duration::from_millis(30)).await;
+        }
+        cell.store.put_bytes("keyed.servers", b"minion-0", b"\xff");
+        cell.complete_jobs().await;
+        minions[0].announce(&cell.store);
+        cell.complete_jobs().await;
+        // New processes read all of it, and one of them leads.
+        cell.store.put_operator_record("config", &config(2));
+        cell.members.clear();
+        for i in 0..MEMBERS {
+            let member = Member::start(&cell.directory, MEMBERS + i, cell.store.address());
+            cell.members.push(member);
+        }
+        cell.wait_ready().await;
+        cell.complete_jobs().await;
+        let violations = monitor.lock().unwrap().violations.clone();
+        assert!(violations.is_empty(), "{violations:?}");
+        for i in 0..2 * MEMBERS {
+            let log = cell
+                .directory
+                .join(format!("member-{i}"))
+                .with_extension("log");
+            let text = fs::read_to_string(log).unwrap();
+            let is_odd = |l: &&str| l.contains("undecodable") || l.contains("malformed");
+            let lines = text.lines().filter(is_odd).count();
+            assert!(lines <= MAX_ODD_LINES, "{lines} lines of member {i}");
+            let longest = text.lines().map(str::len).max().unwrap_or(0);
+            assert!(longest <= 2_000, "a line of {longest} bytes of member {i}");
+        }
+        fs::remove_dir_all(&cell.directory).unwrap();
+    });
+}
