Hold the state of a minion's directory entry in one value

Whether the entry is listed, missing or unreadable is one state with a time, which the new type says. No behaviour changes: the tests of the leader pass (76).

--- a/crates/primrosebay_cell/src/leader/directory.rs
+++ b/crates/primrosebay_cell/src/leader/directory.rs
@@ -6,7 +6,7 @@
 
 use super::Leader;
 use super::command::{DirectoryChange, DirectoryEntry, Now};
-use super::minion::Minion;
+use super::minion::{Listing, Minion};
 
 /// Returns a placeholder for a minion that is known only from task records.
 pub(super) fn placeholder(name: Name) -> DirectoryEntry {
@@ -29,18 +29,19 @@
             DirectoryChange::Listed(entry) => self.on_listed(entry, now),
             DirectoryChange::Removed(name) => {
                 if let Some(minion) = self.minions.get_mut(&name)
-                    && minion.unlisted_since.is_none()
+                    && minion.listing.absent_since().is_none()
                 {
-                    minion.unlisted_since = Some(now.time);
+                    minion.listing = Listing::Missing(now.time);
                     log::info!(minion:% = name, runs = minion.runs.len(); "leader: minion removed from directory");
                 }
             }
             DirectoryChange::Unreadable(name) => {
-                if let Some(minion) = self.minions.get_mut(&name) {
-                    if std::mem::take(&mut minion.has_entry) {
-                        log::warn!(minion:% = name, runs = minion.runs.len(); "leader: entry of minion replaced by an unreadable one");
-                    }
-                    minion.unlisted_since = minion.unlisted_since.or(Some(now.time));
+                if let Some(minion) = self.minions.get_mut(&name)
+                    && !matches!(minion.listing, Listing::Unreadable(_))
+                {
+                    let since = minion.listing.absent_since().unwrap_or(now.time);
+                    minion.listing = Listing::Unreadable(since);
+                    log::warn!(minion:% = name, runs = minion.runs.len(); "leader: entry of minion replaced by an unreadable one");
                 }
             }
         }
@@ -73,8 +74,7 @@
             self.minions.insert(entry.name, minion);
             return;
         };
-        minion.unlisted_since = None;
-        minion.has_entry = true;
+        minion.listing = Listing::Listed;
         match (entry.drain_ms, minion.drains_at) {
             (None, _) => minion.drains_at = None,
             (Some(ms), None) => {
@@ -95,7 +95,8 @@
         let settings = &self.settings;
         self.minions.retain(|name, m| {
             let stale = m
-                .unlisted_since
+                .listing
+                .absent_since()
                 .is_some_and(|at| now.time.since(at) > 2 * settings.unlisted_ms)
                 && m.is_silent(now.time, settings)
                 && m.runs.is_empty()
--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -46,14 +46,31 @@
     pub(super) until: Time,
 }
 
+/// State of a minion's entry in the directory.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Listing {
+    Listed,
+    /// The entry disappeared at this time. It may have expired while the directory was down, so the
+    /// minion stays in use for some time.
+    Missing(Time),
+    /// The entry was replaced at this time by an unreadable one, which names no minion to use.
+    Unreadable(Time),
+}
+
+impl Listing {
+    /// Returns the time since which there is no readable entry; none if there is one.
+    pub(super) fn absent_since(self) -> Option<Time> {
+        match self {
+            Self::Listed => None,
+            Self::Missing(at) | Self::Unreadable(at) => Some(at),
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct Minion {
     pub(super) entry: DirectoryEntry,
-    /// Time at which the minion disappeared from the directory.
-    pub(super) unlisted_since: Option<Time>,
-    /// Whether the latest entry under the minion's name was readable. Unlike an entry that may have
-    /// expired while the directory was down, an unreadable one gets no time to return.
-    pub(super) has_entry: bool,
+    pub(super) listing: Listing,
     /// Time at which the draining minion may shut down.
     pub(super) drains_at: Option<Time>,
     /// Whether the minion has answered a hold in this term, so that it rejects commands of earlier
@@ -88,8 +105,7 @@
         let started_ms = entry.started_ms;
         Self {
             entry,
-            unlisted_since: None,
-            has_entry: true,
+            listing: Listing::Listed,
             drains_at,
             fenced: false,
             started_ms,
@@ -129,11 +145,12 @@
 
     /// Returns whether the minion accepts new tasks.
     pub(super) fn is_usable(&self, now: Time, settings: &Settings) -> bool {
-        let listed = self
-            .unlisted_since
-            .is_none_or(|at| now.since(at) < settings.unlisted_ms);
+        let listed = match self.listing {
+            Listing::Listed => true,
+            Listing::Missing(at) => now.since(at) < settings.unlisted_ms,
+            Listing::Unreadable(_) => false,
+        };
         listed
-            && self.has_entry
             && self.fenced
             && self.drains_at.is_none()
             && !self.may_have_restarted()
