Keep the permission to start tasks in step with the authority

While the log is down, a zone could start nothing until the log was back, although its coordinator had authority and a current configuration. In the other direction a coordinator could start tasks in a new tenure before the fence of that tenure was read back, so that a team could get more than its upper limit.

Cause: whether tasks may start depends on the authority, the fence and the freshness, but the coordinator was told only when the configuration was read or the freshness changed. With the log up this happens with each poll; with the log down a value that was computed while the authority had lapsed, or before it lapsed, stayed.

--- a/crates/primrosebay_entry/src/zones.rs
+++ b/crates/primrosebay_entry/src/zones.rs
@@ -243,7 +243,7 @@
     /// The configuration and the pending transfers are read under the coordinator's lock, so that
     /// an allowance lowered by [`Zone::reserve_transfers`] is not raised again by an older reading.
     pub fn update_config(self: &Arc<Self>, shared: &Shared) {
-        let may_start = self.is_fenced() && shared.allows(Work::Start);
+        let may_start = self.is_allowed(shared);
         let commands: Vec<Command> = {
             let mut coordinator = self.lock();
             let config = shared.config();
@@ -259,6 +259,20 @@
         self.execute(commands);
     }
 
+    /// Returns whether the coordinator may start tasks.
+    fn is_allowed(&self, shared: &Shared) -> bool {
+        self.is_fenced() && shared.allows(Work::Start)
+    }
+
+    /// Tells the coordinator whether it may start tasks, if that has changed. It changes with the
+    /// authority of this instance, to which no update of the configuration belongs.
+    fn update_permission(self: &Arc<Self>, shared: &Shared) {
+        let may_start = self.is_allowed(shared);
+        if self.read(Coordinator::may_start) != may_start {
+            self.handle(Event::MayStart(may_start));
+        }
+    }
+
     /// Returns whether this instance has authority and the fence of its tenure was read back, so
     /// that no transfer by a predecessor can still take effect.
     pub(crate) fn is_fenced(&self) -> bool {
@@ -359,7 +373,9 @@
 }
 
 async fn tick(zone: Arc<Zone>) {
-    while zone.shared.strong_count() > 0 {
+    while let Some(shared) = zone.shared() {
+        zone.update_permission(&shared);
+        drop(shared);
         zone.handle(Event::Tick);
         task::sleep(TICK).await;
     }
--- a/crates/primrosebay_entry/tests/cell/mod.rs
+++ b/crates/primrosebay_entry/tests/cell/mod.rs
@@ -213,6 +213,16 @@
         cell
     }
 
+    /// Stops the worker of a cell that was started with one.
+    pub async fn stop_worker(&mut self) {
+        assert!(
+            self.real_clock,
+            "only cells on the real clock have a worker"
+        );
+        // The server of the instance list is the first one.
+        self.servers.remove(1).close().await;
+    }
+
     /// Starts an instance in `zone` and waits until it has read the log and the instance list.
     pub async fn add(&mut self, zone: &str) {
         let (fault, refused) = (Arc::new(AtomicU8::new(0)), Arc::default());
--- a/crates/primrosebay_entry/tests/operators.rs
+++ b/crates/primrosebay_entry/tests/operators.rs
@@ -11,7 +11,7 @@
 
 use async_std::task;
 use primrosebay_coordination::freshness::{Freshness, Status};
-use primrosebay_coordination::zone::Coordinator;
+use primrosebay_coordination::zone::{Coordinator, Event};
 use primrosebay_entry::configuration::Configuration;
 use primrosebay_protocol::api::{Failure, Submitted, WatchLine};
 use primrosebay_protocol::code::Code;
@@ -385,6 +385,53 @@
     });
 }
 
+/// Starts a cell in which no instance reaches the log and the permission of zone `a` to start tasks
+/// has been updated for the last time.
+async fn cell_without_log() -> Cell {
+    let cell = Cell::with_worker(&["a", "b", "c"]).await;
+    cell.seed().await;
+    let zone = cell.nodes[0].shared().zone("a").expect("its own zone");
+    cell.wait(|_| zone.read(Coordinator::may_start)).await;
+    for node in &cell.nodes {
+        node.set_fault(Fault::Down);
+    }
+    cell.wait(|cell| cell.nodes[0].shared().status() == Status::Outage)
+        .await;
+    // The change of the status leads to one more update.
+    for _ in 0..500 {
+        cell.exchange_heartbeats();
+        task::sleep(Duration::from_millis(1)).await;
+    }
+    cell
+}
+
+/// Guards against a zone that starts nothing until the log is back. While its coordinator lacked
+/// authority for a moment, an update of the configuration took the permission to start tasks away.
+#[test]
+fn permission_to_start_returns_without_the_log() {
+    block_on(async {
+        let cell = cell_without_log().await;
+        let zone = cell.nodes[0].shared().zone("a").expect("its own zone");
+        cell.wait(|_| zone.epoch().is_some()).await;
+        zone.handle(Event::MayStart(false));
+        cell.wait(|_| zone.read(Coordinator::may_start)).await;
+    });
+}
+
+/// Guards against a coordinator that keeps the permission to start tasks from an earlier tenure and
+/// so starts tasks before the fence of its new tenure was read back.
+#[test]
+fn permission_to_start_ends_with_the_authority() {
+    block_on(async {
+        let mut cell = cell_without_log().await;
+        let zone = cell.nodes[0].shared().zone("a").expect("its own zone");
+        assert!(zone.read(Coordinator::may_start));
+        cell.stop_worker().await;
+        cell.wait(|_| zone.epoch().is_none()).await;
+        cell.wait(|_| !zone.read(Coordinator::may_start)).await;
+    });
+}
+
 /// Guards against tasks that start in a zone that operators took out of service, or at an instance
 /// whose configuration is too stale to tell.
 #[test]
