--- a/crates/primrosebay/tests/odd_entries.rs
+++ b/crates/primrosebay/tests/odd_entries.rs
@@ -42,7 +42,12 @@
     fn start(directory: &std::path::Path, number: usize, store: SocketAddr) -> Self {
         let octet = |n: u32| u8::try_from(n % 250).unwrap_or(0);
         let last = octet(u32::try_from(number).unwrap_or(0));
-        let ip = Ipv4Addr::new(127, 1 + octet(std::process::id()), 251, 1 + last);
+        let third = if directory.to_string_lossy().contains("large") {
+            252
+        } else {
+            251
+        };
+        let ip = Ipv4Addr::new(127, 1 + octet(std::process::id()), third, 1 + last);
         let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).unwrap());
         let [front, ready, internal] = listeners.map(|l| l.local_addr().unwrap());
         let addresses = MemberAddresses {
@@ -86,6 +91,28 @@
 }
 
 impl Cell {
+    /// Starts a store. `name` is unique among the tests of this file.
+    async fn start(name: &str) -> Self {
+        let directory = format!("primrosebay-{name}-{}", std::process::id());
+        let directory = std::env::temp_dir().join(directory);
+        fs::create_dir_all(&directory).unwrap();
+        Self {
+            store: Store::start().await.unwrap(),
+            members: Vec::new(),
+            directory,
+            client: Client::new(),
+            jobs: 0,
+        }
+    }
+
+    /// Starts the members with the numbers from `first` on.
+    fn start_members(&mut self, first: usize) {
+        for number in first..first + MEMBERS {
+            let member = Member::start(&self.directory, number, self.store.address());
+            self.members.push(member);
+        }
+    }
+
     async fn is_ready(&self, member: usize) -> bool {
         let address = self.members[member].addresses.ready;
         let (path, timeout) = ("/api/readyz", Duration::from_secs(1));
@@ -136,8 +163,8 @@
     }
 
     /// Submits jobs to all members and waits until they are completed. Asserts meanwhile that no
-    /// process ends and that the members stay ready.
-    async fn complete_jobs(&mut self) {
+    /// process ends and, if `stays_ready`, that the members stay ready.
+    async fn complete_jobs(&mut self, stays_ready: bool) {
         let deadline = Instant::now() + WAIT;
         let first = self.jobs + 1;
         self.jobs += 2 * MEMBERS as u64;
@@ -161,7 +188,8 @@
                 assert!(Instant::now() < deadline, "job {job} is {state:?}");
                 self.assert_running();
                 for member in 0..self.members.len() {
-                    assert!(self.is_ready(member).await, "member {member} is not ready");
+                    let is_ready = !stays_ready || self.is_ready(member).await;
+                    assert!(is_ready, "member {member} is not ready");
                 }
                 task::sleep(Duration::from_millis(50)).await;
             }
@@ -298,25 +326,13 @@
 #[test]
 fn odd_entries_do_not_disturb_the_cell() {
     task::block_on(async {
-        let directory = format!("primrosebay-odd-{}", std::process::id());
-        let directory = std::env::temp_dir().join(directory);
-        fs::create_dir_all(&directory).unwrap();
-        let mut cell = Cell {
-            store: Store::start().await.unwrap(),
-            members: Vec::new(),
-            directory,
-            client: Client::new(),
-            jobs: 0,
-        };
+        let mut cell = Cell::start("odd").await;
         // Odd entries are there alone before the members start.
         cell.store
             .put_bytes("keyed.op", b"config", &vec![b'['; 200_000]);
         cell.write_odd_records("early");
         cell.store.put_operator_record("config", &config(1));
-        for i in 0..MEMBERS {
-            let member = Member::start(&cell.directory, i, cell.store.address());
-            cell.members.push(member);
-        }
+        cell.start_members(0);
         cell.wait_ready().await;
         let monitor = Arc::new(Mutex::new(RunMonitor::default()));
         let mut minions = Vec::new();
@@ -325,7 +341,7 @@
             let minion = Minion::start(&name, &cell.store, Arc::clone(&monitor)).await;
             minions.push(minion.unwrap());
         }
-        cell.complete_jobs().await;
+        cell.complete_jobs(true).await;
         // Odd entries arrive while the members follow the streams.
         cell.write_odd_records("late");
         cell.store
@@ -335,7 +351,7 @@
             cell.store
                 .put_bytes("keyed.servers", key.as_bytes(), b"{\"a\":");
         }
-        cell.complete_jobs().await;
+        cell.complete_jobs(true).await;
         // Odd entries replace a good one, which then returns.
         for value in odd_values() {
             cell.store.put_bytes("keyed.servers", b"minion-0", &value);
@@ -345,18 +361,15 @@
             task::sleep(Duration::from_millis(30)).await;
         }
         cell.store.put_bytes("keyed.servers", b"minion-0", b"\xff");
-        cell.complete_jobs().await;
+        cell.complete_jobs(true).await;
         minions[0].announce(&cell.store);
-        cell.complete_jobs().await;
+        cell.complete_jobs(true).await;
         // New processes read all of it, and one of them leads.
         cell.store.put_operator_record("config", &config(2));
         cell.members.clear();
-        for i in 0..MEMBERS {
-            let member = Member::start(&cell.directory, MEMBERS + i, cell.store.address());
-            cell.members.push(member);
-        }
+        cell.start_members(MEMBERS);
         cell.wait_ready().await;
-        cell.complete_jobs().await;
+        cell.complete_jobs(true).await;
         let violations = monitor.lock().unwrap().violations.clone();
         assert!(violations.is_empty(), "{violations:?}");
         for i in 0..2 * MEMBERS {
@@ -374,3 +387,46 @@
         fs::remove_dir_all(&cell.directory).unwrap();
     });
 }
+
+/// Number of large odd entries: a quarter of 1,000, since the stand-in takes a tenth of a second for
+/// a page of four in a debug build.
+const LARGE_ENTRIES: usize = 250;
+
+/// Maximum memory of a member with this many large odd entries, in kB: a quarter of the 260 MB above
+/// which the platform ends a small instance.
+const MAX_MEMORY_KB: u64 = 65_000;
+
+/// Guards against a member that ends because large records of other writers fill its memory.
+#[test]
+fn large_odd_entries_do_not_fill_the_memory() {
+    task::block_on(async {
+        let mut cell = Cell::start("large").await;
+        cell.store.put_operator_record("config", &config(1));
+        let value = vec![b'['; 262_144];
+        for i in 0..LARGE_ENTRIES {
+            let key = format!("large-{i}");
+            cell.store
+                .put_bytes("keyed.servers", key.as_bytes(), &value);
+        }
+        for i in 0..20 {
+            let key = format!("evacuate/zone-{i}");
+            cell.store.put_bytes("keyed.op", key.as_bytes(), &value);
+        }
+        cell.start_members(0);
+        cell.wait_ready().await;
+        let monitor = Arc::new(Mutex::new(RunMonitor::default()));
+        let _minion = Minion::start("minion-0", &cell.store, monitor).await;
+        // The stand-in answers no other call while it encodes a page of large records, so that the
+        // members may lose their readiness.
+        cell.complete_jobs(false).await;
+        for member in &cell.members {
+            let path = format!("/proc/{}/status", member.child.id());
+            let status = fs::read_to_string(path).unwrap();
+            let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
+            let memory: u64 = line.split_whitespace().nth(1).unwrap().parse().unwrap();
+            println!("peak memory: {memory} kB");
+            assert!(memory <= MAX_MEMORY_KB, "{memory} kB");
+        }
+        fs::remove_dir_all(&cell.directory).unwrap();
+    });
+}
