Acknowledge an end only to the incarnation that reported it

What callers would see: a task that is done runs again after its minion has restarted and the leader has changed.

Cause: the acknowledgement of an end waits until the batch with its effect is durable, and names the end only by its number. If the minion restarts meanwhile and the new incarnation reports an end with a number that is not higher, the older batch acknowledged that end before its own effect was durable. A successor then finds neither the run nor its end.

Fix: the waiting acknowledgement names the start time of the incarnation, and has no effect for another one.

--- a/crates/primrosebay_cell/src/leader/commit.rs
+++ b/crates/primrosebay_cell/src/leader/commit.rs
@@ -20,8 +20,12 @@
         ticket: Option<Name>,
     },
     /// Acknowledges the ended runs of a minion up to this sequence number, so that the minion may
-    /// forget them.
-    Ack { minion: Name, sequence: u64 },
+    /// forget them. A later incarnation of the minion numbers its ended runs anew.
+    Ack {
+        minion: Name,
+        started_ms: u64,
+        sequence: u64,
+    },
 }
 
 impl Leader {
@@ -60,9 +64,14 @@
         let broken = self.broken_gangs(&deferred, now);
         for action in deferred {
             match action {
-                Deferred::Ack { minion, sequence } => {
-                    if let Some(minion) = self.minions.get_mut(&minion) {
-                        minion.acked_end = minion.acked_end.max(sequence.min(minion.applied_end));
+                Deferred::Ack {
+                    minion,
+                    started_ms,
+                    sequence,
+                } => {
+                    let minion = self.minions.get_mut(&minion);
+                    if let Some(minion) = minion.filter(|m| m.started_ms == started_ms) {
+                        minion.acked_end = minion.acked_end.max(sequence);
                         if minion.acked_end == minion.applied_end {
                             minion.next_hold = now.time;
                         }
--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -126,13 +126,14 @@
                 continue;
             }
             minion.applied_end = end.sequence;
-            let sequence = end.sequence;
+            let (started_ms, sequence) = (minion.started_ms, end.sequence);
             minion
                 .runs
                 .retain(|r| r.task != end.task || r.number != end.run);
             self.orphans.retain(|t| *t != end.task);
             self.deferred.push(Deferred::Ack {
                 minion: name.clone(),
+                started_ms,
                 sequence,
             });
             self.apply_end(name, end, now);
