Vary the size of the random cell and repeat takeovers

Cells of two and three minions put more load on each, so that tasks wait and are preempted. Two to four takeovers in a row leave runs that several leaders have inherited.

--- a/crates/primrosebay_cell/tests/leader/ended_jobs.rs
+++ b/crates/primrosebay_cell/tests/leader/ended_jobs.rs
@@ -14,9 +14,6 @@
 use crate::network::{Cell, Chances};
 use crate::simulation::cores;
 
-/// Number of minions of a cell.
-const MINIONS: usize = 6;
-
 /// Maximum time until all jobs have ended after the last fault, in milliseconds.
 const COMPLETION_MS: u64 = 180_000;
 
@@ -68,8 +65,8 @@
 }
 
 fn inject_fault(cell: &mut Cell) {
-    let index = cell.rng.random_range(0..MINIONS);
-    match cell.rng.random_range(0..16) {
+    let index = cell.rng.random_range(0..cell.minions.len());
+    match cell.rng.random_range(0..18) {
         0..3 => {
             let gap = [0, 50, 900, 2_000][cell.rng.random_range(0..4)];
             let overlap = [0, 0, 300, 5_000][cell.rng.random_range(0..4)];
@@ -95,6 +92,13 @@
         }
         13 => cell.faults.log_down = !cell.faults.log_down,
         14 => cell.faults.commit_ms = cell.rng.random_range(0..1_500),
+        15 | 16 => {
+            for _ in 0..cell.rng.random_range(2..5) {
+                cell.take_over(0, 0);
+                let pause = cell.rng.random_range(20..800);
+                cell.run(pause);
+            }
+        }
         _ => cell.faults.read_ms = cell.rng.random_range(0..1_000),
     }
 }
@@ -123,7 +127,7 @@
 
 /// Runs a random sequence: phases with faults, with calm stretches between some of them.
 fn run(seed: u64) {
-    let mut cell = Cell::new(MINIONS, seed);
+    let mut cell = Cell::new([2, 3, 6][(seed % 3) as usize], seed);
     for _ in 0..cell.rng.random_range(3..6) {
         submit_some(&mut cell, 5);
         for _ in 0..cell.rng.random_range(1..10) {
