--- a/crates/primrosebay_cell/src/leader/commit.rs
+++ b/crates/primrosebay_cell/src/leader/commit.rs
@@ -1,7 +1,6 @@
 //! Batches of records and the actions deferred until these are durable.
 
 use primrosebay_state::Name;
-use primrosebay_state::table::Table;
 use primrosebay_state::time::Time;
 
 use super::Leader;
@@ -21,8 +20,12 @@
         ticket: Option<Name>,
     },
     /// Acknowledges the ended runs of a minion up to this sequence number, so that the minion may
-    /// forget them.
-    Ack { minion: Name, sequence: u64 },
+    /// forget them. A later incarnation of the minion numbers its ended runs anew.
+    Ack {
+        minion: Name,
+        started_ms: u64,
+        sequence: u64,
+    },
 }
 
 impl Leader {
@@ -59,16 +62,16 @@
         };
         self.confirmed_at = self.confirmed_at.max(sent);
         let broken = self.broken_gangs(&deferred, now);
-        let pending_ends = self.first_pending_ends();
         for action in deferred {
             match action {
-                Deferred::Ack { minion, sequence } => {
-                    // The end may be one of an earlier incarnation of the minion, whose numbers say
-                    // nothing about the ends of the present one.
-                    let first = pending_ends.get(&minion);
-                    let durable = first.map_or(sequence, |first| sequence.min(first - 1));
-                    if let Some(minion) = self.minions.get_mut(&minion) {
-                        minion.acked_end = minion.acked_end.max(durable.min(minion.applied_end));
+                Deferred::Ack {
+                    minion,
+                    started_ms,
+                    sequence,
+                } => {
+                    let minion = self.minions.get_mut(&minion);
+                    if let Some(minion) = minion.filter(|m| m.started_ms == started_ms) {
+                        minion.acked_end = minion.acked_end.max(sequence);
                         if minion.acked_end == minion.applied_end {
                             minion.next_hold = now.time;
                         }
@@ -91,19 +94,6 @@
         true
     }
 
-    /// Returns, for each minion with ended runs whose effect is in no batch yet, the lowest number
-    /// of these.
-    fn first_pending_ends(&self) -> Table<Name, u64> {
-        let mut first: Table<Name, u64> = Table::default();
-        for action in &self.deferred {
-            if let Deferred::Ack { minion, sequence } = action {
-                let lowest = first.or_insert(minion.clone(), *sequence);
-                *lowest = (*lowest).min(*sequence);
-            }
-        }
-        first
-    }
-
     /// Returns the gangs with a task that can no longer be started.
     fn broken_gangs(&self, deferred: &[Deferred], now: Now) -> Vec<StepKey> {
         let mut broken = Vec::new();
