Start jobs that wait for a job of another zone

A job with `after` never started if the job that it names had its home in another zone.

Cause: the ends of tasks are recorded in a stream for each zone, and a coordinator read only the stream of its own zone. It knew the awaited job from the common stream, but never that it had succeeded, so the stored outcome had no effect on the other zone.

While a job of its zone waits for one of another zone, the reader of a coordinator now reads that zone's stream too and feeds the ends of the jobs that have their home there. The stream is read again from its start whenever such a wait begins, so nothing depends on the moment at which the awaited job ended.

Limit: if the log has dropped the ends of the awaited job before the waiting job is read, the latter still waits.

--- a/crates/primrosebay_coordination/src/zone/view.rs
+++ b/crates/primrosebay_coordination/src/zone/view.rs
@@ -107,6 +107,32 @@
         self.jobs.all.get(&id).map(|job| job.view(id))
     }
 
+    /// Returns the home zone of the job `id`, or nothing if it is unknown.
+    #[must_use]
+    pub fn home(&self, id: JobId) -> Option<&Name> {
+        self.jobs.all.get(&id).map(|job| &job.home)
+    }
+
+    /// Returns the other zones with jobs that have not ended and that jobs of this zone wait for,
+    /// sorted.
+    #[must_use]
+    pub fn awaited_zones(&self) -> Vec<Name> {
+        let waiting = self
+            .dependents
+            .iter()
+            .filter_map(|id| self.jobs.all.get(id));
+        let awaited = waiting
+            .filter(|job| !job.is_ended())
+            .filter_map(|job| self.jobs.by_name(&job.spec.team, &job.spec.after));
+        let mut zones: Vec<_> = awaited
+            .filter(|job| job.home != self.zone && !job.is_ended())
+            .map(|job| job.home.clone())
+            .collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
+    }
+
     /// Returns the first job of `team` that the log has under `name`, whatever its home zone.
     #[must_use]
     pub fn job_by_name(&self, team: &Name, name: &Name) -> Option<JobView> {
--- a/crates/primrosebay_entry/src/zone_reader.rs
+++ b/crates/primrosebay_entry/src/zone_reader.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use async_std::task;
-use primrosebay_coordination::zone::Event;
+use primrosebay_coordination::zone::{Coordinator, Event};
 use primrosebay_protocol::log::{JOBS_STREAM, LogEntry};
+use primrosebay_state::Name;
 use primrosebay_state::id::Incarnation;
 use primrosebay_state::record::Body;
 
@@ -22,13 +23,16 @@
 ///
 /// A task record can be applied only after the record of its job, which was appended earlier. The
 /// tasks stream is therefore read first, and its records are applied after the jobs stream has been
-/// read to its end.
+/// read to its end. The same holds for the tasks streams of other zones, which are read only while
+/// a job of this zone waits for one of theirs.
 #[derive(Debug)]
 struct ZoneReader {
     zone: Arc<Zone>,
     jobs: StreamReader,
     tasks: StreamReader,
-    /// The number of records of both streams fed so far, which the coordinator takes as the offset
+    /// The tasks streams of other zones with jobs that jobs of this zone wait for.
+    awaited: Vec<(Name, StreamReader)>,
+    /// The number of records of all streams fed so far, which the coordinator takes as the offset
     /// of the next one.
     position: u64,
 }
@@ -38,6 +42,7 @@
     let mut reader = ZoneReader {
         jobs: StreamReader::new(JOBS_STREAM),
         tasks: StreamReader::new(&tasks_stream(&zone.name)),
+        awaited: Vec::new(),
         zone,
         position: 0,
     };
@@ -52,9 +57,10 @@
 }
 
 impl ZoneReader {
-    /// Reads both streams to their ends once and feeds their records. Returns whether the reads
-    /// succeeded.
+    /// Reads the streams to their ends once and feeds their records. Returns whether the reads of
+    /// the zone's own streams succeeded.
     async fn read_streams(&mut self, shared: &Shared) -> bool {
+        self.read_awaited(shared).await;
         let succeeded = self.tasks.read_to_end(shared, Duration::ZERO).await
             && self.jobs.read_to_end(shared, JOBS_WAIT).await;
         if !succeeded {
@@ -73,6 +79,7 @@
             }
             Some(opening) => self.feed_opening(shared, jobs, opening).await,
         }
+        self.feed_awaited();
         self.zone.set_jobs_read(next);
         self.zone.handle(Event::LogEnd {
             offset: self.position,
@@ -80,6 +87,40 @@
         true
     }
 
+    /// Reads the tasks streams of the zones with jobs that jobs of this zone wait for. A failed read
+    /// is repeated in the next round.
+    async fn read_awaited(&mut self, shared: &Shared) {
+        let zones = self.zone.read(Coordinator::awaited_zones);
+        self.awaited
+            .retain(|(name, _)| zones.binary_search(name).is_ok());
+        for name in zones {
+            if !self.awaited.iter().any(|(known, _)| *known == name) {
+                let reader = StreamReader::new(&tasks_stream(&name));
+                self.awaited.push((name, reader));
+            }
+        }
+        for (_, reader) in &mut self.awaited {
+            reader.read_to_end(shared, Duration::ZERO).await;
+        }
+    }
+
+    /// Feeds the ends of tasks of other zones. Records of jobs that have moved away from their
+    /// stream's zone are left out, since the record of the move has their ends.
+    fn feed_awaited(&mut self) {
+        let mut ends = Vec::new();
+        for (name, reader) in &mut self.awaited {
+            let mut entries = reader.take();
+            self.zone.read(|coordinator| {
+                entries.retain(|entry| match &entry.record.body {
+                    Body::Finished { task, .. } => coordinator.home(task.job) == Some(&*name),
+                    _ => false,
+                });
+            });
+            ends.extend(entries);
+        }
+        self.feed(ends);
+    }
+
     /// Feeds job records that have this instance's own `Opened` record at index `opening`.
     ///
     /// Once that record is applied, the coordinator assumes that it knows everything that its
--- a/crates/primrosebay_entry/tests/cell/mod.rs
+++ b/crates/primrosebay_entry/tests/cell/mod.rs
@@ -213,6 +213,27 @@
         cell
     }
 
+    /// Adds a worker that runs tasks in `zone` to a cell that was started with one.
+    pub async fn add_worker(&mut self, zone: &str) {
+        let service = Arc::new(WorkerService::new(2, worker().resources));
+        let server = listen(service.app()).await;
+        let instance = list::Instance {
+            name: format!("worker-{zone}").into(),
+            zone: zone.into(),
+            address: server.address().to_string().into(),
+            ..worker()
+        };
+        let path = format!("/instances/{}", instance.name);
+        let body = serde_json::to_vec(&instance).expect("instances are encodable");
+        let limit = Duration::from_secs(20);
+        let answer = self
+            .client
+            .bytes(self.list, Method::Put, &path, &[], Some(body), limit);
+        let (status, _) = answer.await.expect("an answer");
+        assert!(status.is_success());
+        self.servers.push(server);
+    }
+
     /// Stops the worker of a cell that was started with one.
     pub async fn stop_worker(&mut self) {
         assert!(
--- a/crates/primrosebay_entry/tests/operators.rs
+++ b/crates/primrosebay_entry/tests/operators.rs
@@ -20,7 +20,7 @@
 use primrosebay_standin::log::Settings;
 use primrosebay_state::config::Config;
 use primrosebay_state::id::JobId;
-use primrosebay_state::record::Body;
+use primrosebay_state::record::{Body, Outcome};
 use primrosebay_state::time::Time;
 use rstest::rstest;
 use tide::http::Method::{Delete, Get, Post, Put};
@@ -493,6 +493,39 @@
     });
 }
 
+/// Guards against a job that waits for ever for a job of another zone that has succeeded.
+#[test]
+fn job_starts_after_a_job_of_another_zone() {
+    block_on(async {
+        let mut cell = Cell::with_worker(&["a", "b"]).await;
+        cell.add_worker("b").await;
+        cell.seed().await;
+        for node in &cell.nodes {
+            let zone = node.shared().zone(&node.shared().setup.zone);
+            let zone = zone.expect("its own zone");
+            cell.wait(|_| zone.read(Coordinator::may_start)).await;
+        }
+        let submit = async |at: usize, zone: &str, name: &str, after: &str| {
+            let head = format!(r#"{{"name":"{name}","zones":["{zone}"],"after":"{after}","#);
+            let job = head + r#""run_ms":1,"resources":{"cores_milli":1}}"#;
+            let (status, body) = cell.call(at, "a-key", Post, "/v1/jobs", job).await;
+            assert_eq!(status, 201, "{body}");
+            serde_json::from_str::<Submitted>(&body).expect("an id").id
+        };
+        let outcome = |at: usize, id: JobId| {
+            let shared = cell.nodes[at].shared();
+            let zone = shared.zone(&shared.setup.zone).expect("its own zone");
+            zone.read(|coordinator| coordinator.job(id)?.outcome)
+        };
+        let first = submit(0, "a", "first", "").await;
+        cell.wait(|_| outcome(0, first) == Some(Outcome::Done))
+            .await;
+        let second = submit(1, "b", "second", "first").await;
+        cell.wait(|_| outcome(1, second) == Some(Outcome::Done))
+            .await;
+    });
+}
+
 /// Guards against a change that is reported as accepted although no quorum of zones has applied it.
 #[test]
 fn change_without_a_quorum_is_pending() {
