--- a/crates/primrosebay_member/src/lead.rs
+++ b/crates/primrosebay_member/src/lead.rs
@@ -204,7 +204,7 @@
             let cell = self.shared.cell();
             let members = cell.ledger.members().map(|(_, m)| m);
             members
-                .filter(|m| m.cores_milli >= 2 * own)
+                .filter(|m| m.cores_milli / 2 >= own)
                 .cloned()
                 .collect()
         };
