Stop members during stretches of the soak without faults

Cause: the check that a stopping member answers the requests that it has read holds only without other faults, and the random series left hardly any such time.

Change: every other stretch without faults stops two members by SIGTERM, sends SIGHUP to one and writes a configuration, from 3.2 s after the last fault on.

--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -23,7 +23,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::callers::{Answer, Callers, Cancellation, Job};
-use crate::faults::{Action, random_series};
+use crate::faults::{Action, planned_series, random_series};
 
 /// Percentage of answers that the store loses under [`Action::LoseAnswers`].
 const LOST_PERCENT: u32 = 40;
@@ -388,8 +388,17 @@
 
     /// Schedules a random series of faults and planned changes.
     pub fn schedule(&mut self, rng: &mut SmallRng) {
-        let now = Instant::now();
         let series = random_series(self.members.len(), self.minions.len(), rng);
+        self.add_scheduled(series);
+    }
+
+    /// Schedules planned changes for a stretch without faults.
+    pub fn schedule_planned(&mut self, stretch: usize) {
+        self.add_scheduled(planned_series(self.members.len(), stretch));
+    }
+
+    fn add_scheduled(&mut self, series: Vec<(u64, Action)>) {
+        let now = Instant::now();
         let series = series.into_iter();
         self.scheduled
             .extend(series.map(|(ms, action)| (now + Duration::from_millis(ms), action)));
--- a/crates/primrosebay/tests/soak/faults.rs
+++ b/crates/primrosebay/tests/soak/faults.rs
@@ -47,6 +47,18 @@
     }
 }
 
+/// Returns the planned changes of a stretch without faults, each with its delay in milliseconds. They
+/// begin when members count as undisturbed, so that a stopping member may lose no request.
+pub fn planned_series(members: usize, stretch: usize) -> Vec<(u64, Action)> {
+    let (a, b) = (stretch % members, (stretch + 1) % members);
+    vec![
+        (3_200, Action::Signal(a, Sig::TERM)),
+        (3_400, Action::Signal(b, Sig::HUP)),
+        (3_500, Action::Configure),
+        (4_600, Action::Signal(b, Sig::TERM)),
+    ]
+}
+
 /// Returns a random series of actions for a cell of the given size, each with its delay in
 /// milliseconds.
 pub fn random_series(members: usize, minions: usize, rng: &mut SmallRng) -> Vec<(u64, Action)> {
--- a/crates/primrosebay/tests/soak/main.rs
+++ b/crates/primrosebay/tests/soak/main.rs
@@ -33,7 +33,7 @@
 const MAX_PAUSE_MS: u64 = 400;
 
 /// Duration of a stretch without faults during a run, longer than the time after a fault until the
-/// runs of cancelled jobs have to be stopped.
+/// runs of cancelled jobs have to be stopped. Every other stretch has planned changes.
 const CALM_TIME: Duration = Duration::from_millis(6_500);
 
 /// Maximum time until all jobs complete after the last fault has ended. Covers the lease and the
@@ -46,13 +46,17 @@
     let mut cell = Cell::start(size).await;
     cell.wait_ready().await;
     cell.hold_connections(&mut rng);
-    let mut calm_until = Instant::now();
+    let (mut calm_until, mut stretches) = (Instant::now(), 0);
     for _ in 0..STEPS {
         cell.submit(&mut rng);
         let (is_calm, is_fault) = (rng.random_bool(0.03), rng.random_bool(0.6));
         if Instant::now() >= calm_until && is_calm {
             cell.clear_faults();
             calm_until = Instant::now() + CALM_TIME;
+            if stretches % 2 == 0 {
+                cell.schedule_planned(stretches);
+            }
+            stretches += 1;
         } else if Instant::now() >= calm_until && is_fault {
             cell.schedule(&mut rng);
         }
