--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -23,7 +23,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::callers::{Answer, Callers, Cancellation, Job};
-use crate::faults::{Action, random_series};
+use crate::faults::{Action, planned_series, random_series};
 
 /// Percentage of answers that the store loses under [`Action::LoseAnswers`].
 const LOST_PERCENT: u32 = 40;
@@ -388,8 +388,17 @@
 
     /// Schedules a random series of faults and planned changes.
     pub fn schedule(&mut self, rng: &mut SmallRng) {
-        let now = Instant::now();
         let series = random_series(self.members.len(), self.minions.len(), rng);
+        self.add_scheduled(series);
+    }
+
+    /// Schedules planned changes for a stretch without faults.
+    pub fn schedule_planned(&mut self, stretch: usize) {
+        self.add_scheduled(planned_series(self.members.len(), stretch));
+    }
+
+    fn add_scheduled(&mut self, series: Vec<(u64, Action)>) {
+        let now = Instant::now();
         let series = series.into_iter();
         self.scheduled
             .extend(series.map(|(ms, action)| (now + Duration::from_millis(ms), action)));
@@ -517,8 +526,18 @@
     pub async fn wait_for_completion(&mut self, seed: u64, timeout: Duration) {
         let deadline = Instant::now() + timeout;
         self.callers.stopping.store(true, Ordering::Relaxed);
-        for caller in std::mem::take(&mut self.tasks) {
-            caller.await;
+        let callers = std::mem::take(&mut self.tasks);
+        let ended = Arc::new(AtomicBool::new(false));
+        let is_ended = Arc::clone(&ended);
+        task::spawn(async move {
+            for caller in callers {
+                caller.await;
+            }
+            ended.store(true, Ordering::Relaxed);
+        });
+        while !is_ended.load(Ordering::Relaxed) {
+            self.run_for(POLL_INTERVAL).await;
+            assert!(Instant::now() < deadline, "seed {seed}: callers wait");
         }
         let jobs = self.callers.jobs.lock().unwrap().clone();
         let accepted = jobs.into_iter().filter(|j| {
