Submit odd jobs in the test with odd entries

Callers submit jobs with huge and nested values to the member processes. Each is answered with its status, and the accepted ones stay active when the next leader adds them.

--- a/crates/primrosebay/tests/odd_entries.rs
+++ b/crates/primrosebay/tests/odd_entries.rs
@@ -162,6 +162,27 @@
         status.is_success().then_some(text)
     }
 
+    /// Submits jobs with odd bodies, each of which has to be answered with its status.
+    async fn submit_odd_jobs(&mut self) {
+        for (i, (body, expected)) in odd_jobs().into_iter().enumerate() {
+            let address = self.members[i % MEMBERS].addresses.front;
+            let path = format!("{PATH_PREFIX}{:016x}", 0xf000 + i);
+            let headers = [("Host", HOST), ("Credential", API_KEY)];
+            let shown = body[..body.len().min(200)].to_string();
+            let body = Some(body.into_bytes());
+            let timeout = Duration::from_secs(4);
+            let call = self
+                .client
+                .bytes(address, Method::Post, &path, &headers, body, timeout);
+            let status = call.await.map(|(status, _)| u16::from(status));
+            assert!(
+                matches!(status, Ok(s) if s == expected),
+                "{shown}: {status:?}"
+            );
+        }
+        self.assert_running();
+    }
+
     /// Submits jobs to all members and waits until they are completed. Asserts meanwhile that no
     /// process ends and, if `stays_ready`, that the members stay ready.
     async fn complete_jobs(&mut self, stays_ready: bool) {
@@ -299,6 +320,36 @@
     values
 }
 
+/// Returns bodies of jobs with the status with which each is answered.
+fn odd_jobs() -> Vec<(String, u16)> {
+    let step = |fields: &str| {
+        format!("{{\"spec\":\"1 1\",\"steps\":[{{\"count\":1,\"cpu\":1,{fields}}}]}}")
+    };
+    let repeated = |count: u32, times: u32| {
+        let step = format!("{{\"count\":{count}}}");
+        format!(
+            "{{\"steps\":[{step},{step}],\"repeatCount\":{times},\"firstMs\":1e300,\"intervalMs\":1e300}}"
+        )
+    };
+    vec![
+        (step("\"memMb\":9223372036854775808"), 200),
+        (step("\"estimateMs\":1e300"), 200),
+        (step("\"estimateMs\":18446744073709551615"), 200),
+        (step("\"estimateMs\":-1e300"), 200),
+        (step("\"maxPerServer\":4294967295"), 200),
+        (repeated(1, 2_000), 200),
+        (repeated(1 << 31, 1 << 31), 400),
+        (repeated(u32::MAX, u32::MAX), 400),
+        (step("\"estimateMs\":1e400"), 400),
+        (step("\"gpu\":18446744073709551616"), 400),
+        (step("\"dependsOn\":[4294967295]"), 400),
+        (step(&format!("\"dependsOn\":{}", nested(10_000))), 400),
+        (step(&format!("\"other\":{}", nested(10_000))), 400),
+        (nested(100_000), 400),
+        (String::new(), 400),
+    ]
+}
+
 fn odd_keys() -> Vec<Vec<u8>> {
     let keys: [&[u8]; 16] = [
         b"",
@@ -342,6 +393,9 @@
             minions.push(minion.unwrap());
         }
         cell.complete_jobs(true).await;
+        // Callers submit odd jobs. Those that are accepted stay active, and later leaders add them.
+        cell.submit_odd_jobs().await;
+        cell.complete_jobs(true).await;
         // Odd entries arrive while the members follow the streams.
         cell.write_odd_records("late");
         cell.store
