--- a/crates/primrosebay_cell/tests/leader/ended_jobs.rs
+++ b/crates/primrosebay_cell/tests/leader/ended_jobs.rs
@@ -72,7 +72,10 @@
             let overlap = [0, 0, 300, 5_000][cell.rng.random_range(0..4)];
             cell.take_over(gap, overlap);
         }
-        3 => cell.faults.start = random_chances(cell),
+        3 => {
+            cell.faults.start = random_chances(cell);
+            cell.faults.refused = cell.rng.random_range(0.0..0.5);
+        }
         4..6 => cell.faults.stop = random_chances(cell),
         6 => cell.faults.hold = random_chances(cell),
         7 => {
@@ -183,7 +186,9 @@
 /// Guards against runs that go on after their job was cancelled or has failed, and against the
 /// other faults that [`Cell`] detects.
 #[rstest]
-fn runs_of_ended_jobs_stop_under_faults(#[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64) {
+fn runs_of_ended_jobs_stop_under_faults(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 18, 20, 22, 29, 47)] seed: u64,
+) {
     if std::env::var_os("PRIMROSEBAY_CELL_SEED").is_none() {
         run(seed);
     }
--- a/crates/primrosebay_cell/tests/leader/network.rs
+++ b/crates/primrosebay_cell/tests/leader/network.rs
@@ -67,6 +67,8 @@
     pub start: Chances,
     pub stop: Chances,
     pub hold: Chances,
+    /// Probability that an unhealthy minion refuses a start.
+    pub refused: f64,
     /// Whether no append reaches the log.
     pub log_down: bool,
     /// Maximum time until the leader learns that a batch is durable, in milliseconds.
@@ -799,6 +801,10 @@
     fn start(&mut self, index: usize, start: &Start) -> StartAnswer {
         let (now, task) = (self.now, start.task);
         let (amount, gang) = (self.step_of(task).amount, self.step_of(task).gang);
+        if self.rng.random_bool(self.faults.refused) {
+            self.last_failure = now;
+            return StartAnswer::Refused(Refusal::Unhealthy);
+        }
         let minion = &mut self.minions[index];
         let same = |r: &Running| r.task == task && r.run == start.run;
         if start.until_ms < minion.clock(now) {
