--- a/crates/primrosebay_cell/tests/leader/network.rs
+++ b/crates/primrosebay_cell/tests/leader/network.rs
@@ -2,8 +2,8 @@
 //! send commands at the same time, as after a takeover that the old leader has not noticed.
 //!
 //! Each step checks what callers and minions can observe: no task runs twice, no minion exceeds its
-//! resources, no task starts after its end was acknowledged or before the steps on which it
-//! depends, and the runs of an ended job stop in time. Bounds hold for calm stretches.
+//! resources, no task starts after its end was acknowledged, and the runs of an ended job stop in
+//! time. Bounds hold for calm stretches. The order of dependent steps is not checked.
 
 use std::sync::Arc;
 
