Hold minions that have answered although no queue uses their service

Cause: a minion without runs got no hold if no queue uses its service. A queue that moves to another service leaves such minions behind. The end of the last run on one was applied, which removes the run, and its acknowledgement goes out with the next hold, which was never sent. The same way the leader did not see a run that the minion carried out late, after a restart, so that nothing stopped it if its job had been cancelled.

Change: a minion that has answered a hold in this term gets holds as before. Entries of other writers never answer, so they are still not called.

Limit: a leader whose term begins after the queue has moved does not call a minion of the former service on which no record places a run.

Evidence: both tests of unused_service fail before the change: no hold is sent (left: [], right: [1] and [0]). Found by reading.

Measured: the 79 tests of the leader pass.

--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -25,9 +25,12 @@
                 continue;
             }
             // No task can be placed on a minion whose service no queue names. Its entry may be that
-            // of another writer, and each call to it would fail.
+            // of another writer, and each call to it would fail. A minion that has answered may
+            // have ends to acknowledge, or carry out a start late, after its queue has moved to
+            // another service.
             let is_used = |q: &Queue| q.service == minion.entry.service;
-            if minion.runs.is_empty() && !self.queues.iter().any(|(_, q)| is_used(q)) {
+            let is_known = minion.last_seen.is_some() || !minion.runs.is_empty();
+            if !is_known && !self.queues.iter().any(|(_, q)| is_used(q)) {
                 continue;
             }
             minion.hold_pending = true;
--- a/crates/primrosebay_cell/tests/leader/main.rs
+++ b/crates/primrosebay_cell/tests/leader/main.rs
@@ -11,3 +11,4 @@
 mod network;
 mod random;
 mod simulation;
+mod unused_service;
