--- a/crates/primrosebay/tests/soak/main.rs
+++ b/crates/primrosebay/tests/soak/main.rs
@@ -71,9 +71,11 @@
 /// Runs the fixed seeds of CI. Every seed that has failed is kept here with its cause:
 /// - 9589108563042778488 got "no such job" for an accepted job, see
 ///   `accepted_job_is_known_to_all_members`.
-/// - In 119, 120, 122, 314, 341, 342 and 348 a task ran again after its end was acknowledged, see
+/// - In 119, 120, 122, 314, 341, 342, 348 and 9009 a task ran again after its end was acknowledged, see
 ///   `restarted_minion_keeps_unread_ends`.
 /// - In 327 the tasks of a cancelled job ran on, see `successor_stops_runs_of_cancelled_job`.
+/// - In 4094 and 8012 a stopping member closed a held connection without an answer; the test measured
+///   from before the connection was made.
 #[rstest]
 #[case(1)]
 #[case(2)]
@@ -86,6 +88,9 @@
 #[case(341)]
 #[case(342)]
 #[case(348)]
+#[case(4094)]
+#[case(8012)]
+#[case(9009)]
 fn invariants_hold_under_faults(#[case] seed: u64) {
     if std::env::var_os("PRIMROSEBAY_SOAK_SEED").is_none() {
         task::block_on(run(seed, Size::default()));
