Acknowledge an end only until the minion has answered

Callers saw a task that ran again although its end had been acknowledged.

Cause: each hold repeated the number of the last acknowledged end.

Change: a number that the minion has answered is not sent again, so that only the hold that follows a new end can carry one.

Evidence: ends_are_acknowledged_until_the_minion_has_answered failed before (left: 57, right: 0).

--- a/crates/primrosebay_cell/src/leader/command.rs
+++ b/crates/primrosebay_cell/src/leader/command.rs
@@ -55,7 +55,7 @@
         /// it is.
         until_ms: Option<u64>,
         /// Sequence number of the last ended run whose effect is durable. The minion may forget
-        /// ended runs up to this number. 0 if the minion may have restarted.
+        /// ended runs up to this number. 0 if the minion knows the number or may have restarted.
         acked: u64,
         /// Maximum time to wait for a run to end before answering, in milliseconds.
         wait_ms: u64,
--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -29,8 +29,8 @@
             // have ends to acknowledge, or carry out a start late, after its queue has moved to
             // another service.
             let is_used = |q: &Queue| q.service == minion.entry.service;
-            let is_known = minion.last_seen.is_some() || !minion.runs.is_empty();
-            if !is_known && !self.queues.iter().any(|(_, q)| is_used(q)) {
+            let was_used = minion.last_seen.is_some() || !minion.runs.is_empty();
+            if !was_used && !self.queues.iter().any(|(_, q)| is_used(q)) {
                 continue;
             }
             minion.hold_pending = true;
@@ -54,12 +54,15 @@
                 0
             };
             // A restarted minion numbers its ended runs from 1 again, and would remove those up to
-            // the acknowledged number although the leader has not seen them.
-            let acked = if minion.may_have_restarted() {
+            // the acknowledged number although the leader has not seen them. So a number is sent
+            // only until the minion has answered it.
+            let is_known = minion.acked_end == minion.known_ack;
+            let acked = if is_known || minion.may_have_restarted() {
                 0
             } else {
                 minion.acked_end
             };
+            minion.sent_ack = acked;
             self.commands.push(Command::Hold {
                 minion: name.clone(),
                 address: minion.entry.address.clone(),
@@ -100,7 +103,10 @@
             log::info!(minion:% = name, runs = minion.runs.len(); "leader: minion has restarted");
             minion.applied_end = 0;
             minion.acked_end = 0;
+            minion.known_ack = 0;
             minion.failed_jobs.clear();
+        } else {
+            minion.known_ack = minion.known_ack.max(minion.sent_ack);
         }
         let was_silent = minion.is_silent(now.time, &self.settings);
         minion.started_ms = report.started_ms;
--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -92,6 +92,10 @@
     pub(super) applied_end: u64,
     /// Sequence number of the last ended run whose effect is durable.
     pub(super) acked_end: u64,
+    /// Highest acknowledged number in a hold that the minion has answered.
+    pub(super) known_ack: u64,
+    /// Acknowledged number in the last hold.
+    pub(super) sent_ack: u64,
     pub(super) runs: Vec<Run>,
     pub(super) reservations: Vec<Reservation>,
     /// Jobs with a task that failed on the minion since a task last succeeded there.
@@ -117,6 +121,8 @@
             next_hold: now,
             applied_end: 0,
             acked_end: 0,
+            known_ack: 0,
+            sent_ack: 0,
             runs: Vec::new(),
             reservations: Vec::new(),
             failed_jobs: Vec::new(),
--- a/crates/primrosebay_cell/tests/leader/handover.rs
+++ b/crates/primrosebay_cell/tests/leader/handover.rs
@@ -167,3 +167,30 @@
     sim.minions[0].unreachable = false;
     sim.run_until(5_000, |s| s.is_completed(key));
 }
+
+/// Guards against ends that a minion forgets although the leader has not read them: it restarted
+/// between two holds, and the second one acknowledged the ends of the former incarnation again.
+#[test]
+fn ends_are_acknowledged_until_the_minion_has_answered() {
+    let jobs = Simulation::new(1);
+    let (settings, ledger) = (Settings::default(), Ledger::default());
+    let mut leader = Leader::new(1, "node-0".into(), now_at(1_000), &ledger, settings);
+    leader.set_config(&jobs.config);
+    leader.on_directory(DirectoryChange::Listed(entry()), now_at(1_000));
+    leader.tick(now_at(1_000));
+    hold(&mut leader, 1_010, 1, None, Some((9, 57)));
+    let batch = leader.take_batch(true).expect("the end");
+    leader.on_committed(batch.id, Time(1_020), now_at(1_030));
+    assert_eq!(acknowledged(&mut leader, 1_040), 57);
+    leader.on_hold(
+        &MINION.into(),
+        Time(1_040),
+        HoldAnswer::Failed,
+        now_at(1_740),
+    );
+    assert_eq!(acknowledged(&mut leader, 2_000), 0);
+    hold(&mut leader, 2_010, 1, None, Some((9, 57)));
+    assert_eq!(acknowledged(&mut leader, 2_300), 57);
+    hold(&mut leader, 2_310, 1, None, None);
+    assert_eq!(acknowledged(&mut leader, 2_320), 0);
+}
