--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -297,6 +297,8 @@
             let Some(minion) = self.minions.get_mut(name) else {
                 return;
             };
+            // A known run that is not placed any more belongs to a gang that is done, and its own end
+            // follows.
             if minion.find_run(reported.task, reported.run).is_some() {
                 continue;
             }
--- a/crates/primrosebay_cell/tests/leader/ended_jobs.rs
+++ b/crates/primrosebay_cell/tests/leader/ended_jobs.rs
@@ -187,7 +187,7 @@
 /// other faults that [`Cell`] detects.
 #[rstest]
 fn runs_of_ended_jobs_stop_under_faults(
-    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 18, 20, 22, 29, 47)] seed: u64,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 18, 19, 20, 22, 29, 37, 47, 57)] seed: u64,
 ) {
     if std::env::var_os("PRIMROSEBAY_CELL_SEED").is_none() {
         run(seed);
