--- a/crates/primrosebay_cell/tests/leader/network.rs
+++ b/crates/primrosebay_cell/tests/leader/network.rs
@@ -575,10 +575,8 @@
     }
 
     fn update_calm(&mut self) {
-        let (now, late) = (
-            self.now,
-            |e: &(u64, u64, Event)| matches!(&e.2, Event::Arrival(order) if order.late),
-        );
+        let now = self.now;
+        let late = |e: &(u64, u64, Event)| matches!(&e.2, Event::Arrival(order) if order.late);
         let leads =
             self.next_term.is_none() && self.terms.len() == 1 && self.terms[0].has_directory;
         if !leads || self.faults.log_down {
--- a/crates/primrosebay_coordination/src/zone/early.rs
+++ b/crates/primrosebay_coordination/src/zone/early.rs
@@ -6,7 +6,6 @@
 
 use primrosebay_state::id::JobId;
 use primrosebay_state::record::Body;
-
 use primrosebay_state::table::Table;
 
 /// Most jobs for which records are kept. Records of jobs that have left the log stay unused.
