Count a request as in flight until its answer is written

Cause, by reading: a request stopped counting once the application had returned its response, so a closing server ended while the response was still being written.

Change: the response carries a guard that the encoder drops after the last byte or when the connection fails.

Result: closing_server_waits_until_the_answer_is_written fails before (closed before the answer was written) and passes now.

--- a/crates/primrosebay_transport/src/http_server.rs
+++ b/crates/primrosebay_transport/src/http_server.rs
@@ -55,7 +55,7 @@
     draining: AtomicBool,
     /// Number of open connections.
     connections: AtomicUsize,
-    /// Number of requests in flight.
+    /// Number of requests in flight: received, and not yet answered in full.
     requests: AtomicUsize,
 }
 
@@ -174,9 +174,8 @@
 ) -> http_types::Result<Response> {
     request.set_peer_addr(peer);
     let body_read = track_body(&mut request);
-    shared.requests.fetch_add(1, Ordering::SeqCst);
+    let in_flight = InFlight::new(Arc::clone(&shared));
     let result = app.respond::<_, Response>(request).await;
-    shared.requests.fetch_sub(1, Ordering::SeqCst);
     let mut response = result.unwrap_or_else(|_| Response::new(StatusCode::InternalServerError));
     // If the application has not read the whole body, the decoder may discard the start of the next
     // request together with the rest of the body, so the connection is closed.
@@ -184,9 +183,30 @@
     if unread || shared.draining.load(Ordering::SeqCst) {
         response.insert_header("connection", "close");
     }
+    // The encoder drops the response once it is written or the connection has failed.
+    response.ext_mut().insert(in_flight);
     Ok(response)
 }
 
+/// A request that counts as in flight until this is dropped.
+#[derive(Debug)]
+struct InFlight {
+    shared: Arc<Shared>,
+}
+
+impl InFlight {
+    fn new(shared: Arc<Shared>) -> Self {
+        shared.requests.fetch_add(1, Ordering::SeqCst);
+        Self { shared }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared.requests.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// Wraps the body of a request and returns a flag that is set once the body has been read to its
 /// end. Returns `None` for a request without a body.
 fn track_body(request: &mut Request) -> Option<Arc<AtomicBool>> {
--- a/crates/primrosebay_transport/tests/http_server.rs
+++ b/crates/primrosebay_transport/tests/http_server.rs
@@ -2,14 +2,20 @@
 
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::net::TcpStream;
-use async_std::task::{block_on, sleep};
+use async_std::task::{block_on, sleep, spawn};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use primrosebay_transport::http_server::{Limits, Server};
 
+/// Size of a body that does not fit into the buffers of a connection.
+const LARGE_BYTES: usize = 32 << 20;
+
 async fn start_server() -> Server {
     let mut app = tide::new();
     app.at("/ignore").post(|_| async { Ok("ignored") });
+    app.at("/large")
+        .get(|_| async { Ok("x".repeat(LARGE_BYTES - 1) + "end") });
     app.at("/read")
         .post(|mut request: tide::Request<()>| async move { request.body_string().await });
     let address = "127.0.0.1:0".parse().unwrap();
@@ -64,3 +70,28 @@
         server.close().await;
     });
 }
+
+/// Guards against an answer that is cut off at shutdown: a request counted as finished once its
+/// response was ready, although the caller had not received it.
+#[test]
+fn closing_server_waits_until_the_answer_is_written() {
+    block_on(async {
+        let server = start_server().await;
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        let head = b"GET /large HTTP/1.1\r\nhost: a\r\n\r\n";
+        stream.write_all(head).await.unwrap();
+        let mut buffer = vec![0; 65_536];
+        let mut tail = Vec::new();
+        assert!(stream.read(&mut buffer).await.unwrap() > 0);
+        let mut closing = spawn(server.close());
+        let closed = timeout(Duration::from_millis(500), &mut closing).await;
+        assert!(closed.is_err(), "closed before the answer was written");
+        while !tail.ends_with(b"end") {
+            let count = stream.read(&mut buffer).await.unwrap();
+            assert!(count > 0, "closed before the end of the answer");
+            tail.drain(..tail.len().saturating_sub(2));
+            tail.extend_from_slice(&buffer[..count]);
+        }
+        closing.await;
+    });
+}
