Notice a restarted minion by the clock in its answer to a start

What minions could see: two runs of one task.

Cause: the leader knew a restart only from a hold or a broken connection.

Change: the answer to a start tells the minion's clock; one that is behind the last reading shows a restart. A start without an answer, and a restart seen by a hold, count with the longest lease that a minion grants (holdMaxMs).

--- a/crates/primrosebay_cell/src/leader/command.rs
+++ b/crates/primrosebay_cell/src/leader/command.rs
@@ -88,8 +88,9 @@
 /// Answer to a start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartAnswer {
-    /// The run has started or was already running.
-    Started,
+    /// The run has started or was already running. Holds the time on the minion's clock, in
+    /// milliseconds; none if the answer did not tell it.
+    Started(Option<u64>),
     /// The minion has refused the start and does not run it.
     Refused(Refusal),
     /// The start has no answer; the minion may still carry it out.
--- a/crates/primrosebay_cell/src/leader/dispatch.rs
+++ b/crates/primrosebay_cell/src/leader/dispatch.rs
@@ -1,6 +1,7 @@
 //! Assignment of tasks to minions with free resources.
 
 use primrosebay_state::Name;
+use primrosebay_state::time::Time;
 
 use super::Leader;
 use super::command::Now;
@@ -138,6 +139,7 @@
                 account: request.account.clone(),
                 phase: Phase::Committing,
                 updated_at: now.time,
+                expiry: Time(0),
             });
         }
         self.deferred.push(Deferred::Start {
--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -101,6 +101,9 @@
             && report.started_ms != minion.started_ms;
         if restarted {
             log::info!(minion:% = name, runs = minion.runs.len(); "leader: minion has restarted");
+            // A hold to the previous incarnation may have reached this one, whose clock is behind.
+            let longest = self.settings.upper_ms(self.settings.max_lease_ms);
+            minion.expiry = minion.expiry.max(now.time + longest);
             minion.applied_end = 0;
             minion.acked_end = 0;
             minion.known_ack = 0;
@@ -237,6 +240,7 @@
             match (reported(run).is_some(), run.phase) {
                 (true, Phase::Sent | Phase::Unconfirmed | Phase::Inherited) => {
                     run.phase = Phase::Running(now.time);
+                    run.expiry = Time(0);
                 }
                 (true, Phase::Stopping(at, _))
                     if now.time.since(at) > self.settings.stop_retry_ms =>
@@ -312,6 +316,7 @@
                 account: job.and_then(|j| j.account.clone()),
                 phase: Phase::Running(now.time),
                 updated_at: now.time,
+                expiry: Time(0),
             });
             self.orphans.push(reported.task);
             self.stop_run(name, reported.task, reported.run, now);
--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -36,6 +36,9 @@
     pub(super) phase: Phase,
     /// Time at which this leader sent the start; if it sent none, time at which it added the run.
     pub(super) updated_at: Time,
+    /// Time by which the run has ended even if an incarnation of the minion that the leader does
+    /// not know carried out the start; zero if that has been ruled out.
+    pub(super) expiry: Time,
 }
 
 /// Resources reserved for pending tasks, for example while preempted runs stop.
@@ -137,6 +140,17 @@
         Some(clock.saturating_add(now.since(read)))
     }
 
+    /// Returns whether a reading of the minion's clock, in the answer to a command sent at `sent`,
+    /// cannot be of the incarnation that answered the last hold.
+    pub(super) fn is_clock_reset(&self, clock_ms: u64, sent: Time, settings: &Settings) -> bool {
+        let Some((read, last_ms)) = self.clock.filter(|(read, _)| *read <= sent) else {
+            return false;
+        };
+        let elapsed = sent.since(read);
+        let slowest = elapsed - elapsed * settings.drift_percent / 100;
+        clock_ms.saturating_add(settings.slack_ms) < last_ms.saturating_add(slowest)
+    }
+
     pub(super) fn is_silent(&self, now: Time, settings: &Settings) -> bool {
         self.last_seen
             .is_none_or(|seen| now.since(seen) > settings.silence_ms)
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -277,6 +277,7 @@
                 account: job.account.clone(),
                 phase: minion::Phase::Inherited,
                 updated_at: now.time,
+                expiry: Time(0),
             };
             let expiry = self.inherited_expiry;
             let new_minion = || Minion::new(directory::placeholder(name.clone()), now.time, expiry);
--- a/crates/primrosebay_cell/src/leader/runs.rs
+++ b/crates/primrosebay_cell/src/leader/runs.rs
@@ -5,7 +5,7 @@
 
 use super::Leader;
 use super::command::{Command, Now, Refusal, StartAnswer};
-use super::minion::Phase;
+use super::minion::{Phase, Run};
 use crate::job::{JobKey, StepKey, TaskKey};
 use crate::record::Placement;
 
@@ -30,16 +30,25 @@
         };
         let in_flight = known_run.phase == Phase::Sent;
         match answer {
-            StartAnswer::Started => {
+            StartAnswer::Started(clock_ms) => {
+                let sent = known_run.updated_at;
                 if in_flight {
                     known_run.phase = Phase::Running(now.time);
                 }
+                if clock_ms.is_some_and(|c| minion.is_clock_reset(c, sent, &self.settings)) {
+                    log::info!(minion:% = name, task:% = task; "leader: minion has restarted, by the clock in its answer");
+                    minion.hold_failed = true;
+                    let longest = self.settings.upper_ms(self.settings.max_lease_ms);
+                    minion.expiry = minion.expiry.max(now.time + longest);
+                }
                 self.mark_begun(task.step.job);
                 log::debug!(task:% = task, run, minion:% = name; "leader: run started");
             }
             StartAnswer::Unknown => {
                 if in_flight {
                     known_run.phase = Phase::Unconfirmed;
+                    let longest = self.settings.upper_ms(self.settings.max_lease_ms);
+                    known_run.expiry = now.time + longest;
                 }
                 log::warn!(task:% = task, run, minion:% = name; "leader: start not answered");
             }
@@ -170,8 +179,8 @@
             if !minion.is_silent(now.time, &self.settings) || now.time < minion.expiry {
                 continue;
             }
-            let sent = |p: Phase| p != Phase::Committing;
-            for run in minion.runs.extract_if(.., |r| sent(r.phase)) {
+            let has_expired = |r: &Run| r.phase != Phase::Committing && now.time >= r.expiry;
+            for run in minion.runs.extract_if(.., |r| has_expired(r)) {
                 lost.push((name.clone(), run.task, run.number));
             }
         }
--- a/crates/primrosebay_cell/src/leader/settings.rs
+++ b/crates/primrosebay_cell/src/leader/settings.rs
@@ -7,6 +7,9 @@
     /// the leader. It has to outlast a leader failover, so that running tasks survive one; the
     /// tasks of a crashed minion are restarted only after the lease has expired.
     pub lease_ms: u64,
+    /// Maximum lease that a minion grants, whatever a command asks for. A command whose lease was
+    /// computed for the clock of an earlier incarnation of the minion may grant this much.
+    pub max_lease_ms: u64,
     /// Time after sending during which a minion may still carry out a start. It is short so that
     /// the fate of an unanswered start is known soon.
     pub start_ttl_ms: u64,
@@ -60,6 +63,7 @@
     fn default() -> Self {
         Self {
             lease_ms: 6_000,
+            max_lease_ms: 10_000,
             start_ttl_ms: 2_500,
             drift_percent: 2,
             slack_ms: 300,
--- a/crates/primrosebay_cell/tests/leader/acknowledgements.rs
+++ b/crates/primrosebay_cell/tests/leader/acknowledgements.rs
@@ -48,6 +48,8 @@
 #[case::listed_before_the_hold_fails(true, 100)]
 #[case::listed_before_the_hold_fails(true, 500)]
 #[case::listed(true, 1_100)]
+#[case::unnoticed(false, 100)]
+#[case::unnoticed(false, 500)]
 #[case::hold_failed(false, 900)]
 #[case::hold_failed(false, 1_100)]
 fn lease_of_restarted_minion_follows_its_own_clock(#[case] listed: bool, #[case] wait_ms: u64) {
@@ -145,7 +147,13 @@
         panic!("{starts:?}");
     };
     let minion = "minion".into();
-    leader.on_start(&minion, first.task, 1, StartAnswer::Started, now_at(60));
+    leader.on_start(
+        &minion,
+        first.task,
+        1,
+        StartAnswer::Started(None),
+        now_at(60),
+    );
     leader.on_start(&minion, second.task, 1, StartAnswer::Unknown, now_at(60));
     hold(&mut leader, 300, 1, &[], &[first]);
     leader.take_batch(false).expect("a run has ended");
--- a/crates/primrosebay_cell/tests/leader/handover.rs
+++ b/crates/primrosebay_cell/tests/leader/handover.rs
@@ -131,7 +131,7 @@
     leader.on_committed(batch, Time(1_030), now_at(1_040));
     for command in leader.tick(now_at(1_050)) {
         if let Command::Start(start) = command {
-            let answer = StartAnswer::Started;
+            let answer = StartAnswer::Started(None);
             leader.on_start(&start.minion, start.task, start.run, answer, now_at(1_060));
         }
     }
--- a/crates/primrosebay_cell/tests/leader/network.rs
+++ b/crates/primrosebay_cell/tests/leader/network.rs
@@ -824,7 +824,7 @@
         }
         minion.extend_lease(Some(start.until_ms), now);
         if minion.running.iter().any(same) {
-            return StartAnswer::Started;
+            return StartAnswer::Started(Some(minion.clock(now)));
         }
         if minion.is_closed(task, start.run) {
             return StartAnswer::Refused(Refusal::Old);
@@ -838,9 +838,10 @@
             resumed_ms: start.checkpoint.parse().unwrap_or(0),
             stops: None,
         });
+        let clock_ms = minion.clock(now);
         self.starts.push((task, start.run));
         self.check_start(task, order_late);
-        StartAnswer::Started
+        StartAnswer::Started(Some(clock_ms))
     }
 
     /// Asserts that a task may start now. An order that the minion carries out late has no bound.
--- a/crates/primrosebay_cell/tests/leader/simulation.rs
+++ b/crates/primrosebay_cell/tests/leader/simulation.rs
@@ -485,7 +485,7 @@
         if fake.drops_replies {
             return StartAnswer::Unknown;
         }
-        StartAnswer::Started
+        StartAnswer::Started(Some(now))
     }
 
     fn hold(&mut self, name: &Name, until_ms: Option<u64>, acked: u64) -> HoldAnswer {
--- a/crates/primrosebay_cell/tests/leader/unused_service.rs
+++ b/crates/primrosebay_cell/tests/leader/unused_service.rs
@@ -81,7 +81,7 @@
         &name,
         start.task,
         start.run,
-        StartAnswer::Started,
+        StartAnswer::Started(None),
         now_at(70),
     );
     let mut moved = queue("urgent", 0);
@@ -102,7 +102,7 @@
         &start.minion,
         start.task,
         start.run,
-        StartAnswer::Started,
+        StartAnswer::Started(None),
         now_at(70),
     );
     answer(&mut leader, 80, 1, Some(&start), true);
