--- a/crates/primrosebay_bench/src/lib.rs
+++ b/crates/primrosebay_bench/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod cell;
 pub mod figure;
 pub mod figures;
+pub mod leader;
 pub mod placer;
 pub mod simulation;
--- a/crates/primrosebay_cell/src/leader/active.rs
+++ b/crates/primrosebay_cell/src/leader/active.rs
@@ -46,7 +46,18 @@
     /// Positions of tasks that were moved off a slow minion.
     pub(super) moved: Vec<usize>,
     /// Whether the state has changes that are not in a batch yet.
-    pub(super) dirty: bool,
+    pub(super) is_dirty: bool,
+    /// Whether the job has changed since its ready steps were determined.
+    pub(super) is_changed: bool,
+}
+
+/// Jobs with changes that have not been processed yet.
+#[derive(Debug, Default)]
+pub(super) struct Changes {
+    /// Jobs whose state is not in a batch yet.
+    pub(super) unsaved: Vec<JobKey>,
+    /// Jobs whose ready steps may have changed.
+    pub(super) unsorted: Vec<JobKey>,
 }
 
 impl ActiveJob {
@@ -135,15 +146,22 @@
         from.saturating_add(self.objective_ms(queue))
     }
 
-    /// Returns the time at which the job ends if the step starts now and its dependents follow
-    /// without delay, in Unix milliseconds.
-    pub(super) fn expected_end_ms(&self, step: StepKey, now: Now) -> u64 {
-        let path = self
-            .remaining_paths
-            .get(step.step as usize)
-            .copied()
-            .unwrap_or(0);
-        (now.wall_ms + START_LATENCY_MS).saturating_add(path)
+    /// Returns the last time at which the step can start so that the job, if the dependents follow
+    /// without delay, ends by `deadline`, in Unix milliseconds.
+    pub(super) fn last_start_ms(&self, step: StepKey, deadline: u64) -> u64 {
+        let path = self.remaining_paths.get(step.step as usize);
+        let path = path.copied().unwrap_or(0);
+        deadline.saturating_sub(path.saturating_add(START_LATENCY_MS))
+    }
+
+    /// Returns the due time of the first occurrence that is due after `time`, in Unix milliseconds;
+    /// none if there is none.
+    pub(super) fn next_due_ms(&self, time: u64) -> Option<u64> {
+        if self.cancelled || self.outcome.is_some() {
+            return None;
+        }
+        let due = (0..self.spec.occurrences()).map(|o| self.spec.due_ms(o));
+        due.into_iter().find(|due| *due > time)
     }
 
     /// Returns the latency objective of the job, in milliseconds.
@@ -189,8 +207,18 @@
         self.tasks.iter().filter(placed).count()
     }
 
+    /// Notes a change of the job's state.
+    pub(super) fn mark_changed(&mut self, changes: &mut Changes) {
+        if !std::mem::replace(&mut self.is_dirty, true) {
+            changes.unsaved.push(self.key);
+        }
+        if !std::mem::replace(&mut self.is_changed, true) {
+            changes.unsorted.push(self.key);
+        }
+    }
+
     /// Ends the job if all its tasks are done or it was cancelled.
-    pub(super) fn update_outcome(&mut self, now: Now) {
+    pub(super) fn update_outcome(&mut self, changes: &mut Changes, now: Now) {
         if self.outcome.is_some() {
             return;
         }
@@ -202,13 +230,13 @@
         } else {
             return;
         };
-        self.end(outcome, now);
+        self.end(outcome, changes, now);
     }
 
-    pub(super) fn end(&mut self, outcome: Outcome, now: Now) {
+    pub(super) fn end(&mut self, outcome: Outcome, changes: &mut Changes, now: Now) {
         self.outcome = Some(outcome);
         self.ended_ms = now.wall_ms;
-        self.dirty = true;
+        self.mark_changed(changes);
         log::info!(
             job:% = self.key, queue:% = self.queue, outcome:? = outcome,
             age_ms = now.wall_ms.saturating_sub(self.accepted_ms);
--- a/crates/primrosebay_cell/src/leader/advice.rs
+++ b/crates/primrosebay_cell/src/leader/advice.rs
@@ -164,7 +164,8 @@
     }
 
     pub(super) fn remove_job(&mut self, job: JobKey) {
-        self.steps.retain(|step, _| step.job != job);
+        self.steps
+            .remove_range(|step| step.job < job, |step| step.job <= job);
     }
 
     /// Abandons calls whose answer is overdue.
--- a/crates/primrosebay_cell/src/leader/commit.rs
+++ b/crates/primrosebay_cell/src/leader/commit.rs
@@ -69,11 +69,12 @@
                     started_ms,
                     sequence,
                 } => {
-                    let minion = self.minions.get_mut(&minion);
-                    if let Some(minion) = minion.filter(|m| m.started_ms == started_ms) {
-                        minion.acked_end = minion.acked_end.max(sequence);
-                        if minion.acked_end == minion.applied_end {
-                            minion.next_hold = now.time;
+                    let found = self.minions.get_mut(&minion);
+                    if let Some(found) = found.filter(|m| m.started_ms == started_ms) {
+                        found.acked_end = found.acked_end.max(sequence);
+                        if found.acked_end == found.applied_end {
+                            found.next_hold = now.time;
+                            self.hold_next.push(minion);
                         }
                     }
                 }
@@ -191,20 +192,23 @@
 
     /// Returns the records of changed jobs, and removes jobs that have ended from the active ones.
     fn take_changed(&mut self) -> Vec<Record> {
-        let mut records = Vec::new();
+        let mut unsaved = std::mem::take(&mut self.changes.unsaved);
+        unsaved.sort_unstable();
+        let mut records = Vec::with_capacity(unsaved.len());
         let mut ended = Vec::new();
-        for (key, job) in self.jobs.iter_mut() {
-            if !job.dirty {
+        for key in unsaved {
+            let Some(job) = self.jobs.get_mut(&key) else {
                 continue;
-            }
-            job.dirty = false;
-            records.push(Record::Progress(*key, job.progress(self.epoch)));
+            };
+            job.is_dirty = false;
+            records.push(Record::Progress(key, job.progress(self.epoch)));
             if job.outcome.is_some() && !job.has_placed_tasks() {
-                ended.push(*key);
+                ended.push(key);
             }
         }
         for key in ended {
             self.jobs.remove(&key);
+            self.ready.remove_job(key);
             self.advice.remove_job(key);
             self.ended_jobs.insert(key, ());
         }
--- a/crates/primrosebay_cell/src/leader/directory.rs
+++ b/crates/primrosebay_cell/src/leader/directory.rs
@@ -25,6 +25,7 @@
 impl Leader {
     /// Applies a change of the directory.
     pub fn on_directory(&mut self, change: DirectoryChange, now: Now) {
+        self.room.mark_stale();
         match change {
             DirectoryChange::Listed(entry) => self.on_listed(entry, now),
             DirectoryChange::Removed(name) => {
@@ -102,6 +103,7 @@
                 && m.runs.is_empty()
                 && !m.hold_pending;
             if stale {
+                self.room.mark_stale();
                 log::info!(minion:% = name; "leader: stale minion removed");
             }
             !stale
--- a/crates/primrosebay_cell/src/leader/dispatch.rs
+++ b/crates/primrosebay_cell/src/leader/dispatch.rs
@@ -6,21 +6,23 @@
 use super::Leader;
 use super::command::Now;
 use super::commit::Deferred;
-use super::minion::{Minion, Phase, Run};
+use super::minion::{Phase, Run};
 use super::quota::QuotaUsage;
-use super::schedule::Request;
+use super::schedule::{Request, smallest_by_key};
 use crate::job::TaskKey;
 use crate::record::Placement;
 
 impl Leader {
-    /// Places tasks on minions that have free resources; a gang is placed completely or not at all.
+    /// Places tasks on minions that have free resources, among `names` or on any of the service; a
+    /// gang is placed completely or not at all.
     pub(super) fn place_on(
         &mut self,
         request: &mut Request,
-        names: &[Name],
+        names: Option<&[Name]>,
         quota: &mut QuotaUsage,
         now: Now,
     ) {
+        self.update_room(now.time);
         let slots = self.choose_minions(request, names);
         let total: u64 = slots.iter().map(|s| u64::from(s.1)).sum();
         if total == 0 || request.gang && total < request.pending.len() as u64 {
@@ -50,41 +52,46 @@
     }
 
     /// Returns the chosen minions with the number of tasks to start on each.
-    fn choose_minions(&self, request: &Request, names: &[Name]) -> Vec<(Name, u32)> {
+    fn choose_minions(&self, request: &Request, names: Option<&[Name]>) -> Vec<(Name, u32)> {
         let want = u32::try_from(request.pending.len()).unwrap_or(u32::MAX);
-        let mut candidates: Vec<(&Minion, u32)> = Vec::new();
-        for name in names {
-            if let Some(minion) = self.minions.get(name) {
-                let slots = request.slots(minion);
-                if slots > 0 {
-                    candidates.push((minion, slots));
-                }
-            }
-        }
-        let off_rack = |m: &Minion| request.rack.as_ref().is_some_and(|r| !m.has_label(r));
-        let failed = |m: &Minion| request.failed_on.contains(&m.entry.name);
-        let free_milli = |m: &Minion| m.free(request.step).cores_milli;
-        if request.gang {
-            // A gang on fewer minions is less likely to lose a task.
-            candidates
-                .sort_by_key(|(m, slots)| (failed(m), off_rack(m), std::cmp::Reverse(*slots)));
-        } else {
-            // Best fit: the minion with the fewest free cores, so that large free blocks stay for
-            // large tasks.
-            candidates.sort_by_key(|(m, _)| (failed(m), off_rack(m), free_milli(m)));
+        let found = match names {
+            Some(names) => self.free_slots_on(request, names),
+            None => self.free_slots(request),
+        };
+        let mut candidates: Vec<Candidate> = Vec::with_capacity(found.len());
+        for (index, slots, cores) in found {
+            let Some((name, minion)) = self.minions.at(index) else {
+                continue;
+            };
+            let off_rack = request.rack.as_ref().is_some_and(|r| !minion.has_label(r));
+            // A gang on fewer minions is less likely to lose a task. Otherwise best fit: the minion
+            // with the fewest free cores, so that large free blocks stay for large tasks.
+            let rank = if request.gang {
+                u64::from(u32::MAX - slots)
+            } else {
+                cores
+            };
+            candidates.push(Candidate {
+                order: (request.failed_on.contains(name), off_rack, rank, index),
+                slots,
+                name,
+                rack: minion.entry.labels.last(),
+            });
         }
-        if request.one_rack
-            && let Some(rack) = rack_that_fits(&candidates, want)
-        {
-            candidates.retain(|(m, _)| m.entry.labels.last() == Some(&rack));
+        if request.one_rack {
+            candidates.sort_unstable_by_key(|c| c.order);
+            if let Some(rack) = rack_that_fits(&candidates, want) {
+                candidates.retain(|c| c.rack == Some(&rack));
+            }
         }
+        smallest_by_key(&mut candidates, want as usize, |c| c.order);
         let mut remaining = want;
         let mut chosen = Vec::new();
-        for (minion, slots) in candidates {
-            let count = slots.min(remaining);
+        for candidate in candidates {
+            let count = candidate.slots.min(remaining);
             if count > 0 {
                 remaining -= count;
-                chosen.push((minion.entry.name.clone(), count));
+                chosen.push((candidate.name.clone(), count));
             }
         }
         chosen
@@ -118,47 +125,57 @@
         state.run = gang_run.unwrap_or(state.run.saturating_add(1));
         state.placement = Placement::Minion(name.clone());
         let run = state.run;
-        job.dirty = true;
+        job.mark_changed(&mut self.changes);
         log::info!(
             task:% = task, run, minion:% = name, queue:% = job.queue, priority = request.priority,
             age_ms = now.wall_ms.saturating_sub(job.accepted_ms);
             "leader: task placed"
         );
         if let Some(minion) = self.minions.get_mut(name) {
-            for reservation in minion
-                .reservations
-                .iter_mut()
-                .filter(|r| r.step == request.step)
-            {
+            debug_assert!(request.slots(minion) > 0, "{task} does not fit on {name}");
+            let reservations = minion.reservations.iter_mut();
+            for reservation in reservations.filter(|r| r.step == request.step) {
                 reservation.amount = reservation.amount.minus(&request.amount);
             }
-            minion.runs.push(Run {
-                task,
-                number: run,
-                amount: request.amount,
-                account: request.account.clone(),
-                phase: Phase::Committing,
-                updated_at: now.time,
-                expiry: Time(0),
-            });
         }
+        let run = Run {
+            task,
+            number: run,
+            amount: request.amount,
+            account: request.account.clone(),
+            phase: Phase::Committing,
+            lossless: self.lossless_priority(task),
+            updated_at: now.time,
+            expiry: Time(0),
+        };
+        let number = run.number;
+        self.add_run(name, run);
         self.deferred.push(Deferred::Start {
             minion: name.clone(),
             task,
-            run,
+            run: number,
             ticket,
         });
     }
 }
 
+/// A minion on which tasks of a step can be placed now.
+#[derive(Debug)]
+struct Candidate<'a> {
+    /// Minions with a lower value are preferred.
+    order: (bool, bool, u64, usize),
+    /// Number of tasks that fit.
+    slots: u32,
+    name: &'a Name,
+    rack: Option<&'a Name>,
+}
+
 /// Returns a rack on which all tasks fit.
-fn rack_that_fits(candidates: &[(&Minion, u32)], want: u32) -> Option<Name> {
-    let racks = candidates.iter().filter_map(|(m, _)| m.entry.labels.last());
+fn rack_that_fits(candidates: &[Candidate], want: u32) -> Option<Name> {
     let has_capacity = |rack: &&Name| {
-        let on = candidates
-            .iter()
-            .filter(|(m, _)| m.entry.labels.last() == Some(*rack));
-        on.map(|(_, slots)| u64::from(*slots)).sum::<u64>() >= u64::from(want)
+        let on = candidates.iter().filter(|c| c.rack == Some(*rack));
+        on.map(|c| u64::from(c.slots)).sum::<u64>() >= u64::from(want)
     };
+    let racks = candidates.iter().filter_map(|c| c.rack);
     racks.into_iter().find(has_capacity).cloned()
 }
--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -14,12 +14,20 @@
 use crate::record::{Outcome, Placement};
 
 impl Leader {
-    /// Sends a hold to each minion that is due for one.
-    pub(super) fn hold_minions(&mut self, now: Now) {
+    /// Sends a hold to each minion that is due for one. Between sweeps, only minions whose last hold
+    /// was answered or whose ends became durable since the last pass are looked at.
+    pub(super) fn hold_minions(&mut self, is_sweep: bool, now: Now) {
+        let mut names = std::mem::take(&mut self.hold_next);
+        if is_sweep {
+            names = self.minions.iter().map(|(name, _)| name.clone()).collect();
+        }
         // A leader that cannot reach the log stops renewing leases after a while, because a
         // successor relies on their expiry.
         let renew = now.time.since(self.confirmed_at) <= self.settings.renew_ms;
-        for (name, minion) in self.minions.iter_mut() {
+        for name in names {
+            let Some(minion) = self.minions.get_mut(&name) else {
+                continue;
+            };
             let has_address = !minion.entry.address.is_empty();
             if minion.hold_pending || !has_address || now.time < minion.next_hold {
                 continue;
@@ -64,7 +72,7 @@
             };
             minion.sent_ack = acked;
             self.commands.push(Command::Hold {
-                minion: name.clone(),
+                minion: name,
                 address: minion.entry.address.clone(),
                 until_ms,
                 acked,
@@ -79,6 +87,7 @@
             return;
         };
         minion.hold_pending = false;
+        self.room.mark_changed(name);
         match answer {
             HoldAnswer::Held(report) => self.on_held(name, sent, &report, now),
             HoldAnswer::Fenced => {
@@ -131,6 +140,7 @@
         minion.next_hold = if minion.applied_end > minion.acked_end {
             now.time + self.settings.retry_ms
         } else {
+            self.hold_next.push(name.clone());
             now.time
         };
     }
@@ -146,10 +156,7 @@
             }
             minion.applied_end = end.sequence;
             let (started_ms, sequence) = (minion.started_ms, end.sequence);
-            minion
-                .runs
-                .retain(|r| r.task != end.task || r.number != end.run);
-            self.orphans.retain(|t| *t != end.task);
+            self.remove_run(name, end.task, end.run);
             self.deferred.push(Deferred::Ack {
                 minion: name.clone(),
                 started_ms,
@@ -169,8 +176,8 @@
         let Some(job) = self.jobs.get_mut(&key) else {
             return;
         };
-        job.dirty = true;
         job.begun = true;
+        job.mark_changed(&mut self.changes);
         if !end.checkpoint.is_empty() {
             job.tasks[position].checkpoint = end.checkpoint.clone();
         }
@@ -185,7 +192,7 @@
                 for task in &mut job.tasks[task_range] {
                     task.placement = Placement::Done;
                 }
-                job.update_outcome(now);
+                job.update_outcome(&mut self.changes, now);
                 self.record_success(name);
             }
             End::Failed => {
@@ -218,7 +225,7 @@
             return;
         };
         job.tasks[position].placement = Placement::Pending;
-        job.dirty = true;
+        job.mark_changed(&mut self.changes);
         if gang {
             self.stop_step(task.step, now);
         }
@@ -309,27 +316,23 @@
             log::warn!(task:% = reported.task, run = reported.run, minion:% = name; "leader: unexpected run on minion");
             let job = self.jobs.get(&reported.task.step.job);
             let amount = job.map(|j| j.amount(reported.task.step));
-            minion.runs.push(Run {
+            let account = job.and_then(|j| j.account.clone());
+            let run = Run {
                 task: reported.task,
                 number: reported.run,
                 amount: amount.unwrap_or(minion.entry.capacity),
-                account: job.and_then(|j| j.account.clone()),
+                account,
                 phase: Phase::Running(now.time),
+                lossless: None,
                 updated_at: now.time,
                 expiry: Time(0),
-            });
+            };
+            self.add_run(name, run);
             self.orphans.push(reported.task);
             self.stop_run(name, reported.task, reported.run, now);
         }
     }
 
-    pub(super) fn remove_run(&mut self, name: &Name, task: TaskKey, run: u32) {
-        if let Some(minion) = self.minions.get_mut(name) {
-            minion.runs.retain(|r| r.task != task || r.number != run);
-        }
-        self.orphans.retain(|t| *t != task);
-    }
-
     fn record_success(&mut self, name: &Name) {
         if let Some(minion) = self.minions.get_mut(name) {
             minion.failed_jobs.clear();
@@ -374,7 +377,7 @@
         *failures = failures.saturating_add(1);
         let attempts = self.queues.get(&job.queue).map_or(u32::MAX, |q| q.attempts);
         if !long_running && job.tasks[counter].failures >= attempts && job.outcome.is_none() {
-            job.end(Outcome::Failed, now);
+            job.end(Outcome::Failed, &mut self.changes, now);
             self.stop_job(key, now);
         }
     }
@@ -384,7 +387,7 @@
     pub(super) fn flush_if_ended(&mut self, key: JobKey) {
         let done = |j: &super::ActiveJob| j.outcome.is_some() && !j.has_placed_tasks();
         if let Some(job) = self.jobs.get_mut(&key).filter(|j| done(j)) {
-            job.dirty = true;
+            job.mark_changed(&mut self.changes);
         }
     }
 }
--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -34,6 +34,8 @@
     pub(super) amount: Resources,
     pub(super) account: Option<Name>,
     pub(super) phase: Phase,
+    /// Priority of the run's queue if the run can be stopped without loss of work; none otherwise.
+    pub(super) lossless: Option<u32>,
     /// Time at which this leader sent the start; if it sent none, time at which it added the run.
     pub(super) updated_at: Time,
     /// Time by which the run has ended even if an incarnation of the minion that the leader does
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -15,16 +15,19 @@
 mod preempt;
 mod quota;
 mod rate;
+mod ready;
+mod room;
 mod runs;
 mod schedule;
 mod settings;
 mod stragglers;
 
 use primrosebay_state::Name;
+use primrosebay_state::resources::Resources;
 use primrosebay_state::table::Table;
 use primrosebay_state::time::Time;
 
-use active::ActiveJob;
+use active::{ActiveJob, Changes};
 use advice::AdviceState;
 pub use command::{
     ActiveRun, Advice, Batch, Command, DirectoryChange, DirectoryEntry, End, EndedRun, HoldAnswer,
@@ -33,6 +36,8 @@
 use commit::Deferred;
 use minion::Minion;
 use rate::TokenBucket;
+use ready::ReadyQueue;
+use room::Room;
 pub use settings::Settings;
 
 use crate::config::{Config, Queue};
@@ -40,6 +45,9 @@
 use crate::ledger::Ledger;
 use crate::record::{Placement, Progress, Submission, TaskProgress};
 
+/// Interval of the sweep that looks for what has expired on any minion, in milliseconds.
+const SWEEP_INTERVAL_MS: u64 = 30;
+
 /// Counts of the leader's jobs, runs and minions, for metrics and the log.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -90,7 +98,8 @@
     accounts: Table<Name, crate::config::Account>,
     evacuated: Vec<Name>,
     minions: Table<Name, Minion>,
-    jobs: Table<JobKey, ActiveJob>,
+    /// Boxed, since an insertion moves the entries behind it.
+    jobs: Table<JobKey, Box<ActiveJob>>,
     buckets: Table<Name, TokenBucket>,
     advice: AdviceState,
     /// Tasks with runs that minions report but the leader has not placed there.
@@ -109,8 +118,18 @@
     inherited_expiry: Time,
     deposed: bool,
     blocked: BlockedSteps,
-    /// Minions that accept new tasks in the current pass, without those in evacuated zones.
-    usable: Vec<Name>,
+    /// Steps with tasks that can be started.
+    ready: ReadyQueue,
+    /// Jobs with changes that have not been processed yet.
+    changes: Changes,
+    /// Free resources of the usable minions.
+    room: Room,
+    /// Resources that runs of each account take or may take.
+    usage: Table<Name, Resources>,
+    /// Minions that may be due for a hold before the next sweep.
+    hold_next: Vec<Name>,
+    /// Time of the next sweep over all minions.
+    next_sweep: Time,
     commands: Vec<Command>,
 }
 
@@ -138,7 +157,12 @@
             inherited_expiry: now.time + inherited_ms,
             deposed: false,
             blocked: BlockedSteps::default(),
-            usable: Vec::new(),
+            ready: ReadyQueue::default(),
+            changes: Changes::default(),
+            room: Room::default(),
+            usage: Table::default(),
+            hold_next: Vec::new(),
+            next_sweep: now.time,
             commands: Vec::new(),
             settings,
         };
@@ -177,12 +201,20 @@
         for account in &config.accounts {
             self.accounts.insert(account.name.clone(), account.clone());
         }
+        self.update_lossless();
+        self.room.mark_stale();
+        for (key, job) in self.jobs.iter_mut() {
+            if !std::mem::replace(&mut job.is_changed, true) {
+                self.changes.unsorted.push(*key);
+            }
+        }
     }
 
     /// Sets the evacuated availability zones, in which no tasks may be started. `zones` must be
     /// sorted.
     pub fn set_evacuated(&mut self, zones: Vec<Name>) {
         self.evacuated = zones;
+        self.room.mark_stale();
     }
 
     /// Sets the instances that can call the advice service.
@@ -247,7 +279,8 @@
             counted_runs: Vec::new(),
             failed_on: Vec::new(),
             moved: Vec::new(),
-            dirty: false,
+            is_dirty: false,
+            is_changed: true,
         };
         if let Some(outcome) = active.outcome {
             log::info!(
@@ -257,7 +290,8 @@
             );
         }
         self.adopt_runs(&active, now);
-        self.jobs.insert(key, active);
+        self.changes.unsorted.push(key);
+        self.jobs.insert(key, Box::new(active));
     }
 
     /// Adds the runs of a job that earlier leaders have placed.
@@ -276,6 +310,8 @@
                 amount: job.amount(step),
                 account: job.account.clone(),
                 phase: minion::Phase::Inherited,
+                // Set once the queues are known.
+                lossless: None,
                 updated_at: now.time,
                 expiry: Time(0),
             };
@@ -286,7 +322,9 @@
                 None => self.minions.or_insert(name.clone(), new_minion()),
             };
             minion.expiry = minion.expiry.max(expiry);
-            minion.runs.push(run);
+            self.room.mark_stale();
+            let name = name.clone();
+            self.add_run(&name, run);
         }
     }
 
@@ -313,15 +351,19 @@
             return;
         }
         job.cancelled = true;
-        job.update_outcome(now);
+        job.update_outcome(&mut self.changes, now);
         self.stop_job(key, now);
     }
 
     /// Advances the state to `now` and returns the commands to carry out.
     pub fn tick(&mut self, now: Now) -> Vec<Command> {
-        self.expire(now);
+        let is_sweep = now.time >= self.next_sweep;
+        if is_sweep {
+            self.next_sweep = now.time + SWEEP_INTERVAL_MS;
+            self.expire(now);
+        }
         self.schedule(now);
-        self.hold_minions(now);
+        self.hold_minions(is_sweep, now);
         std::mem::take(&mut self.commands)
     }
 
--- a/crates/primrosebay_cell/src/leader/preempt.rs
+++ b/crates/primrosebay_cell/src/leader/preempt.rs
@@ -1,90 +1,82 @@
 //! Preemption of runs for work of a more urgent queue.
 
+use std::cmp::Reverse;
+
 use primrosebay_state::Name;
 use primrosebay_state::time::Time;
 
 use super::Leader;
 use super::command::Now;
-use super::minion::{Minion, Phase, Reservation, Run, count_fitting};
-use super::schedule::Request;
+use super::minion::{Phase, Reservation, Run};
+use super::room::Slots;
+use super::schedule::{Request, smallest_by_key, total_slots};
 use crate::job::{StepKey, TaskKey};
 
 /// Minimum run time before preemption, in milliseconds. A run that is stopped earlier has spent
 /// more time on starting than on work.
 const MIN_RUN_MS: u64 = 500;
 
-impl Leader {
-    /// Returns whether work of this priority may preempt a run. Only runs that lose no work are
-    /// preemptible.
-    pub(super) fn is_preemptible(&self, run: &Run, priority: u32, now: Time) -> bool {
-        self.preemptible_priority(run, now)
-            .is_some_and(|p| p > priority)
-    }
+/// Returns the priority of a run's queue if the run can be stopped now without loss of work; none
+/// otherwise.
+pub(super) fn preemptible_priority(run: &Run, now: Time) -> Option<u32> {
+    let Phase::Running(since) = run.phase else {
+        return None;
+    };
+    run.lossless.filter(|_| now.since(since) >= MIN_RUN_MS)
+}
 
-    /// Returns the priority of a run's queue if the run can be stopped without loss of work; none
-    /// otherwise.
-    pub(super) fn preemptible_priority(&self, run: &Run, now: Time) -> Option<u32> {
-        let Phase::Running(since) = run.phase else {
-            return None;
-        };
-        if now.since(since) < MIN_RUN_MS {
-            return None;
-        }
-        let job = self.jobs.get(&run.task.step.job)?;
-        let step = job.step(run.task.step)?;
+impl Leader {
+    /// Returns the priority of a task's queue if its runs can be stopped without loss of work.
+    pub(super) fn lossless_priority(&self, task: TaskKey) -> Option<u32> {
+        let job = self.jobs.get(&task.step.job)?;
+        let step = job.step(task.step)?;
         let lossless = step.checkpoints && !step.gang && !step.long_running;
         let queue = self.queues.get(&job.queue).filter(|_| lossless)?;
         Some(queue.priority)
     }
 
-    /// Returns how many tasks fit on a minion once all stopping runs have stopped, and how many fit
-    /// if preemptible runs are stopped as well.
-    pub(super) fn future_slots(&self, minion: &Minion, request: &Request, now: Time) -> (u32, u32) {
-        let limit = request.minion_limit(minion);
-        let stopping = minion.free_after(request.step, |_| false);
-        let victims = minion.free_after(request.step, |r| {
-            self.is_preemptible(r, request.priority, now)
-        });
-        (
-            count_fitting(&request.amount, &stopping).min(limit),
-            count_fitting(&request.amount, &victims).min(limit),
-        )
+    /// Determines again which runs can be stopped without loss of work, after a change of the
+    /// queues.
+    pub(super) fn update_lossless(&mut self) {
+        let runs = self.minions.iter().flat_map(|(_, m)| &m.runs);
+        let priorities: Vec<Option<u32>> = runs.map(|r| self.lossless_priority(r.task)).collect();
+        let runs = self.minions.iter_mut().flat_map(|(_, m)| &mut m.runs);
+        for (run, priority) in runs.zip(priorities) {
+            run.lossless = priority;
+        }
     }
 
-    /// Reserves resources for up to `want` tasks on these minions, and preempts runs where free
-    /// resources do not suffice. Returns for how many tasks resources are reserved; a gang gets all
-    /// or none.
+    /// Reserves resources for up to `want` tasks, on the usable minions among `names` or on any of
+    /// the service, and preempts runs where free resources do not suffice. Returns for how many
+    /// tasks resources are reserved; a gang gets all or none.
     pub(super) fn make_room(
         &mut self,
         request: &Request,
-        names: &[Name],
+        names: Option<&[Name]>,
         want: u32,
         now: Now,
     ) -> u32 {
-        let mut candidates = Vec::new();
-        for name in names {
-            let Some(minion) = self.minions.get(name) else {
-                continue;
-            };
-            let (free_slots, max_slots) = self.future_slots(minion, request, now.time);
-            if max_slots > 0 {
-                candidates.push((free_slots, max_slots, name.clone()));
-            }
-        }
-        // Prefer minions on which the most tasks fit without preemption.
-        candidates.sort_by_key(|candidate| std::cmp::Reverse((candidate.0, candidate.1)));
-        let total_slots: u64 = candidates.iter().map(|c| u64::from(c.1)).sum();
-        if request.gang && total_slots < u64::from(want) {
+        self.update_room(now.time);
+        let mut candidates = self.future_slots(request, names, now.time);
+        let total_slots = total_slots(&candidates);
+        if total_slots == 0 || request.gang && total_slots < u64::from(want) {
             return 0;
         }
+        // Prefer minions on which the most tasks fit without preemption.
+        let order = |c: &Slots| (Reverse((c.free, c.total)), c.minion);
+        smallest_by_key(&mut candidates, want as usize, order);
+        let candidates: Vec<(Slots, Name)> = candidates
+            .into_iter()
+            .filter_map(|c| Some((c, self.minions.at(c.minion)?.0.clone())))
+            .collect();
         let mut left = want;
-        for (free_slots, max_slots, name) in candidates {
-            let slots = max_slots.min(left);
+        for (candidate, name) in candidates {
+            let slots = candidate.total.min(left);
             if slots == 0 {
                 break;
             }
             left -= slots;
-            if slots > free_slots {
+            if slots > candidate.free {
                 self.preempt_runs(request, &name, slots, now);
             }
             self.reserve(request, &name, slots, now.time + self.settings.reserve_ms);
@@ -102,13 +94,18 @@
                 amount: request.amount.times(u64::from(slots)),
                 until,
             });
+            self.room.mark_changed(name);
+            self.room.add_holder(request.step);
         }
     }
 
     /// Cancels all reservations of a step.
     pub(super) fn cancel_reservations(&mut self, step: StepKey) {
-        for (_, minion) in self.minions.iter_mut() {
-            minion.reservations.retain(|r| r.step != step);
+        for (name, minion) in self.minions.iter_mut() {
+            if minion.reservations.iter().any(|r| r.step == step) {
+                minion.reservations.retain(|r| r.step != step);
+                self.room.mark_freed(name);
+            }
         }
     }
 
@@ -118,9 +115,12 @@
             return;
         };
         let need = request.amount.times(u64::from(slots));
-        let victim = |r: &&Run| self.is_preemptible(r, request.priority, now.time);
+        let victim = |r: &&Run| {
+            let priority = preemptible_priority(r, now.time);
+            priority.is_some_and(|p| p > request.priority)
+        };
         let mut victims: Vec<&Run> = minion.runs.iter().filter(victim).collect();
-        victims.sort_by_key(|r| std::cmp::Reverse(r.amount.cores_milli));
+        victims.sort_by_key(|r| Reverse(r.amount.cores_milli));
         let mut chosen: Vec<(TaskKey, u32)> = Vec::new();
         for run in victims {
             let is_chosen = |r: &Run| chosen.contains(&(r.task, r.number));
--- a/crates/primrosebay_cell/src/leader/quota.rs
+++ b/crates/primrosebay_cell/src/leader/quota.rs
@@ -6,7 +6,8 @@
 
 use super::Leader;
 use super::command::Now;
-use super::minion::Phase;
+use super::minion::{Phase, Run};
+use super::preempt::preemptible_priority;
 use super::schedule::Request;
 use crate::job::TaskKey;
 
@@ -59,14 +60,39 @@
 impl Leader {
     /// Returns the resources that runs of each account take or may take.
     pub(super) fn quota_usage(&self) -> QuotaUsage {
-        let mut quota = QuotaUsage {
-            usage: Table::default(),
+        QuotaUsage {
+            usage: self.usage.clone(),
             preemptible: None,
+        }
+    }
+
+    /// Adds a run that takes or may take resources of a minion.
+    pub(super) fn add_run(&mut self, name: &Name, run: Run) {
+        let Some(minion) = self.minions.get_mut(name) else {
+            return;
         };
-        for run in self.minions.iter().flat_map(|(_, m)| &m.runs) {
-            quota.charge(run.account.as_ref(), &run.amount);
+        self.room.mark_changed(name);
+        if let Some(account) = &run.account {
+            let sum = self.usage.or_insert(account.clone(), Resources::ZERO);
+            *sum = sum.plus(&run.amount);
+        }
+        minion.runs.push(run);
+    }
+
+    /// Removes a run that is over.
+    pub(super) fn remove_run(&mut self, name: &Name, task: TaskKey, number: u32) {
+        self.orphans.retain(|t| *t != task);
+        let Some(minion) = self.minions.get_mut(name) else {
+            return;
+        };
+        let found = |r: &Run| r.task == task && r.number == number;
+        if let Some(index) = minion.runs.iter().position(found) {
+            let run = minion.runs.remove(index);
+            self.room.mark_freed(name);
+            if let Some(sum) = run.account.and_then(|a| self.usage.get_mut(&a)) {
+                *sum = sum.minus(&run.amount);
+            }
         }
-        quota
     }
 
     /// Returns how many more tasks the account's limit allows.
@@ -161,7 +187,7 @@
                 preemptible.or_insert(account.clone(), Preemptible::default());
             if matches!(run.phase, Phase::Stopping(..)) {
                 entry.stopping = entry.stopping.plus(&run.amount);
-            } else if let Some(priority) = self.preemptible_priority(run, now.time) {
+            } else if let Some(priority) = preemptible_priority(run, now.time) {
                 entry.victims.push(Victim {
                     minion: minion.clone(),
                     task: run.task,
--- /dev/null
+++ b/crates/primrosebay_cell/src/leader/ready.rs
@@ -0,0 +1,163 @@
+//! The steps that can be started, in the order in which they are served.
+//!
+//! A step changes its place when its job changes or when it can no longer be in time. Neither needs
+//! a visit to the other steps.
+
+use crate::job::{JobKey, StepKey};
+
+/// Added to the priority of jobs that can no longer meet their latency objective, so that jobs
+/// which still can are served first.
+pub(super) const LATE_CLASS: u32 = 1_000;
+
+/// Added to the priority of expired jobs, whose results are no longer of use.
+const EXPIRED_CLASS: u32 = 2_000;
+
+/// Sort key of a ready step: class plus priority, whether the account exceeds its share, and
+/// deadline. The lowest key is served first.
+pub(super) type SortKey = (u32, bool, u64);
+
+/// A step with tasks that can be started. Times are in Unix milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ReadyStep {
+    pub(super) key: StepKey,
+    /// Priority of the queue.
+    pub(super) priority: u32,
+    /// Whether the account exceeds the submission rate of its share.
+    pub(super) over_share: bool,
+    /// Time by which the occurrence has to end to meet its latency objective.
+    pub(super) deadline: u64,
+    /// Last time at which a start can still meet the deadline.
+    pub(super) last_start: u64,
+    /// Time after which the job has expired.
+    pub(super) expiry: u64,
+}
+
+impl ReadyStep {
+    fn sort_key(&self, now: u64) -> SortKey {
+        let class = if now > self.expiry {
+            EXPIRED_CLASS
+        } else if now > self.last_start {
+            LATE_CLASS
+        } else {
+            0
+        };
+        let class = self.priority.saturating_add(class);
+        (class, self.over_share, self.deadline)
+    }
+
+    /// Returns the time at which the step changes its class next; none if it never does.
+    fn next_change(&self, now: u64) -> Option<u64> {
+        let changes = [self.last_start, self.expiry];
+        let later = changes.into_iter().filter(|at| now <= *at).min()?;
+        later.checked_add(1)
+    }
+}
+
+/// A ready step with its current place.
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    step: ReadyStep,
+    sort_key: SortKey,
+    next_change: Option<u64>,
+}
+
+/// The ready steps of all jobs.
+#[derive(Debug, Default)]
+pub(super) struct ReadyQueue {
+    /// Sorted by step.
+    entries: Vec<Entry>,
+    /// The steps in serving order.
+    order: Vec<(SortKey, StepKey)>,
+    /// Times at which steps change their class, sorted.
+    changes: Vec<(u64, StepKey)>,
+    /// Times at which an occurrence of a job becomes due, sorted.
+    due: Vec<(u64, JobKey)>,
+}
+
+impl ReadyQueue {
+    /// Replaces the ready steps of a job. `next_due` is the time of its next occurrence, if any.
+    pub(super) fn set_job(
+        &mut self,
+        job: JobKey,
+        steps: impl Iterator<Item = ReadyStep>,
+        next_due: Option<u64>,
+        now: u64,
+    ) {
+        self.remove_job(job);
+        for step in steps {
+            self.insert(step, now);
+        }
+        if let Some(due) = next_due {
+            insert_sorted(&mut self.due, (due, job));
+        }
+    }
+
+    /// Removes the steps of a job.
+    pub(super) fn remove_job(&mut self, job: JobKey) {
+        let from = self.entries.partition_point(|e| e.step.key.job < job);
+        let to = self.entries.partition_point(|e| e.step.key.job <= job);
+        for entry in self.entries.drain(from..to) {
+            remove_sorted(&mut self.order, &(entry.sort_key, entry.step.key));
+            if let Some(at) = entry.next_change {
+                remove_sorted(&mut self.changes, &(at, entry.step.key));
+            }
+        }
+        if !self.due.is_empty() {
+            self.due.retain(|d| d.1 != job);
+        }
+    }
+
+    fn insert(&mut self, step: ReadyStep, now: u64) {
+        let entry = Entry {
+            step,
+            sort_key: step.sort_key(now),
+            next_change: step.next_change(now),
+        };
+        let key = step.key;
+        insert_sorted(&mut self.order, (entry.sort_key, key));
+        if let Some(at) = entry.next_change {
+            insert_sorted(&mut self.changes, (at, key));
+        }
+        match self.entries.binary_search_by_key(&key, |e| e.step.key) {
+            Ok(index) => self.entries[index] = entry,
+            Err(index) => self.entries.insert(index, entry),
+        }
+    }
+
+    /// Moves the steps whose class has changed by `now`, and returns the jobs with an occurrence
+    /// that is due by `due_by`.
+    pub(super) fn advance(&mut self, now: u64, due_by: u64) -> Vec<JobKey> {
+        let passed = self.changes.partition_point(|c| c.0 <= now);
+        let changed: Vec<StepKey> = self.changes.drain(..passed).map(|c| c.1).collect();
+        for key in changed {
+            let Ok(index) = self.entries.binary_search_by_key(&key, |e| e.step.key) else {
+                continue;
+            };
+            let entry = self.entries.remove(index);
+            remove_sorted(&mut self.order, &(entry.sort_key, key));
+            self.insert(entry.step, now);
+        }
+        let due = self.due.partition_point(|d| d.0 <= due_by);
+        self.due.drain(..due).map(|d| d.1).collect()
+    }
+
+    /// Returns the first `count` steps in serving order, each with whether its job is late.
+    pub(super) fn first(&self, count: usize) -> Vec<(StepKey, bool)> {
+        let steps = self.order.iter().take(count);
+        steps
+            .map(|((class, ..), step)| (*step, *class >= LATE_CLASS))
+            .collect()
+    }
+}
+
+fn insert_sorted<T: Ord>(items: &mut Vec<T>, item: T) {
+    if let Err(index) = items.binary_search(&item) {
+        items.insert(index, item);
+    }
+}
+
+fn remove_sorted<T: Ord>(items: &mut Vec<T>, item: &T) {
+    if let Ok(index) = items.binary_search(item) {
+        items.remove(index);
+    }
+}
--- /dev/null
+++ b/crates/primrosebay_cell/src/leader/room.rs
@@ -0,0 +1,459 @@
+//! Free resources of the usable minions.
+//!
+//! A step is matched against all minions of its service. The rows hold what this needs side by side,
+//! so that a search reads little memory and follows no run of any minion.
+
+use primrosebay_state::Name;
+use primrosebay_state::resources::Resources;
+use primrosebay_state::table::Table;
+use primrosebay_state::time::Time;
+
+use super::Leader;
+use super::minion::{Minion, Phase, Run, count_fitting};
+use super::preempt::preemptible_priority;
+use super::schedule::Request;
+use crate::job::StepKey;
+
+/// Interval at which all rows are computed, in milliseconds. In between, only those of changed
+/// minions are, although minions also become silent and runs preemptible as time passes.
+const MEASURE_INTERVAL_MS: u64 = 50;
+
+/// Maximum number of requests without room that are remembered in a pass.
+const MAX_FULL: usize = 32;
+
+/// Free resources of a minion.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Row {
+    /// Position of the minion among all minions.
+    pub(super) minion: usize,
+    capacity: Resources,
+    /// Resources that are free now.
+    free: Resources,
+    /// Resources that are free once all stopping runs have stopped.
+    after_stops: Resources,
+    /// Whether any resources are reserved. A step does not compete with its own reservations.
+    reserved: bool,
+}
+
+/// The usable minions of a service.
+#[derive(Debug, Default)]
+struct Rows {
+    rows: Vec<Row>,
+    /// Resources that are free after preemption, for each row and each of the priorities.
+    after_preemption: Vec<Resources>,
+}
+
+/// A request for which the whole service lacks room.
+#[derive(Debug)]
+struct Full {
+    service: Name,
+    label: Option<Name>,
+    priority: u32,
+    amount: Resources,
+    /// Number of tasks that fit.
+    slots: u64,
+}
+
+/// Numbers of tasks that fit on a minion.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Slots {
+    /// Position of the minion among all minions.
+    pub(super) minion: usize,
+    /// Tasks that fit once stopping runs have stopped, without preemption.
+    pub(super) free: u32,
+    /// Tasks that fit after preemption of less urgent runs.
+    pub(super) total: u32,
+}
+
+/// Free resources of all usable minions. The rows of changed minions are computed again before the
+/// next search.
+#[derive(Debug, Default)]
+pub(super) struct Room {
+    services: Table<Name, Rows>,
+    /// Priorities of the queues, sorted.
+    priorities: Vec<u32>,
+    /// Names of minions that have changed since their row was computed.
+    changed: Vec<Name>,
+    /// Steps with reservations, sorted.
+    holders: Vec<StepKey>,
+    full: Vec<Full>,
+    /// Time at which all rows were computed.
+    measured: Time,
+    /// Whether the rows have to be computed again before the next search: minions were added or
+    /// removed, or queues or zones have changed.
+    is_stale: bool,
+}
+
+impl Room {
+    /// Notes that the runs or reservations of a minion have changed.
+    pub(super) fn mark_changed(&mut self, name: &Name) {
+        self.changed.push(name.clone());
+    }
+
+    /// Notes that minions were added or removed, or that queues or zones have changed.
+    pub(super) fn mark_stale(&mut self) {
+        self.is_stale = true;
+    }
+
+    /// Notes that resources of a minion have become free during the pass.
+    pub(super) fn mark_freed(&mut self, name: &Name) {
+        self.mark_changed(name);
+        self.full.clear();
+    }
+
+    /// Notes that resources are reserved for a step.
+    pub(super) fn add_holder(&mut self, step: StepKey) {
+        if let Err(index) = self.holders.binary_search(&step) {
+            self.holders.insert(index, step);
+        }
+    }
+
+    fn is_holder(&self, step: StepKey) -> bool {
+        self.holders.binary_search(&step).is_ok()
+    }
+
+    fn level(&self, priority: u32) -> usize {
+        self.priorities.partition_point(|p| *p < priority)
+    }
+
+    fn row(&self, service: &Name, minion: usize) -> Option<usize> {
+        let rows = &self.services.get(service)?.rows;
+        rows.binary_search_by_key(&minion, |r| r.minion).ok()
+    }
+}
+
+/// Returns the row of a minion. Writes its free resources after preemption for each priority to
+/// `after_preemption`.
+fn measure(
+    minion: &Minion,
+    index: usize,
+    priorities: &[u32],
+    after_preemption: &mut [Resources],
+    now: Time,
+) -> Row {
+    let mut used = Resources::ZERO;
+    let mut stopping = Resources::ZERO;
+    after_preemption.fill(Resources::ZERO);
+    for run in &minion.runs {
+        used = used.plus(&run.amount);
+        if matches!(run.phase, Phase::Stopping(..)) {
+            stopping = stopping.plus(&run.amount);
+        } else if let Some(priority) = preemptible_priority(run, now) {
+            let more_urgent = priorities.partition_point(|p| *p < priority);
+            for victims in &mut after_preemption[..more_urgent] {
+                *victims = victims.plus(&run.amount);
+            }
+        }
+    }
+    let reservations = minion.reservations.iter();
+    let reserved = reservations.fold(Resources::ZERO, |sum, r| sum.plus(&r.amount));
+    let free = |kept: &Resources| minion.entry.capacity.minus(&kept.plus(&reserved));
+    let kept = used.minus(&stopping);
+    for resources in after_preemption {
+        *resources = free(&kept.minus(resources));
+    }
+    Row {
+        minion: index,
+        capacity: minion.entry.capacity,
+        free: free(&used),
+        after_stops: free(&kept),
+        reserved: !minion.reservations.is_empty(),
+    }
+}
+
+impl Leader {
+    /// Brings the free resources up to date at the start of a pass.
+    pub(super) fn begin_room(&mut self, now: Time) {
+        self.room.full.clear();
+        if self.room.is_stale || now.since(self.room.measured) >= MEASURE_INTERVAL_MS {
+            self.measure_room(now);
+        } else {
+            self.update_room(now);
+        }
+    }
+
+    /// Computes the free resources of all usable minions, without those in evacuated zones.
+    fn measure_room(&mut self, now: Time) {
+        let mut priorities: Vec<u32> = self.queues.iter().map(|(_, q)| q.priority).collect();
+        priorities.sort_unstable();
+        priorities.dedup();
+        let mut services: Table<Name, Rows> = Table::default();
+        let mut holders = Vec::new();
+        for (index, (_, minion)) in self.minions.iter().enumerate() {
+            if !self.accepts_tasks(minion, now) {
+                continue;
+            }
+            holders.extend(minion.reservations.iter().map(|r| r.step));
+            let rows = match services.get_mut(&minion.entry.service) {
+                Some(rows) => rows,
+                None => services.or_insert(minion.entry.service.clone(), Rows::default()),
+            };
+            let first = rows.after_preemption.len();
+            rows.after_preemption
+                .resize(first + priorities.len(), Resources::ZERO);
+            let after_preemption = &mut rows.after_preemption[first..];
+            let row = measure(minion, index, &priorities, after_preemption, now);
+            rows.rows.push(row);
+        }
+        holders.sort_unstable();
+        holders.dedup();
+        self.room = Room {
+            services,
+            priorities,
+            holders,
+            measured: now,
+            ..Room::default()
+        };
+    }
+
+    fn accepts_tasks(&self, minion: &Minion, now: Time) -> bool {
+        let evacuated = self.evacuated.binary_search(&minion.entry.zone).is_ok();
+        !evacuated && minion.is_usable(now, &self.settings)
+    }
+
+    /// Computes the rows of minions again that have changed.
+    pub(super) fn update_room(&mut self, now: Time) {
+        let mut changed = std::mem::take(&mut self.room.changed);
+        changed.sort_unstable();
+        changed.dedup();
+        let levels = self.room.priorities.len();
+        for name in changed {
+            let Some(index) = self.minions.index_of(&name) else {
+                continue;
+            };
+            let Some((_, minion)) = self.minions.at(index) else {
+                continue;
+            };
+            let is_usable = self.accepts_tasks(minion, now);
+            let service = &minion.entry.service;
+            let rows = match self.room.services.get_mut(service) {
+                Some(rows) => rows,
+                None if !is_usable => continue,
+                None => {
+                    let rows = Rows::default();
+                    self.room.services.or_insert(service.clone(), rows)
+                }
+            };
+            let found = rows.rows.binary_search_by_key(&index, |r| r.minion);
+            let at = found.unwrap_or_else(|at| at) * levels;
+            match (found, is_usable) {
+                (Ok(_), true) => {}
+                (Ok(row), false) => {
+                    rows.rows.remove(row);
+                    rows.after_preemption.drain(at..at + levels);
+                    continue;
+                }
+                (Err(_), false) => continue,
+                (Err(row), true) => {
+                    rows.rows.insert(row, Row::default());
+                    let empty = std::iter::repeat_n(Resources::ZERO, levels);
+                    rows.after_preemption.splice(at..at, empty);
+                }
+            }
+            let after_preemption = &mut rows.after_preemption[at..at + levels];
+            let row = measure(minion, index, &self.room.priorities, after_preemption, now);
+            rows.rows[at / levels.max(1)] = row;
+        }
+    }
+
+    /// Returns the rows of the minions that may run the request's queue.
+    fn rows(&self, request: &Request) -> Option<&Rows> {
+        let queue = self.queues.get(&request.queue)?;
+        self.room.services.get(&queue.service)
+    }
+
+    fn has_label(&self, request: &Request, row: &Row) -> bool {
+        let Some(label) = &request.label else {
+            return true;
+        };
+        let minion = self.minions.at(row.minion);
+        minion.is_some_and(|(_, m)| m.has_label(label))
+    }
+
+    /// Returns the minions on which tasks can be placed now, each with the number of tasks and its
+    /// free cores.
+    pub(super) fn free_slots(&self, request: &Request) -> Vec<(usize, u32, u64)> {
+        let Some(rows) = self.rows(request) else {
+            return Vec::new();
+        };
+        let mut found = Vec::new();
+        for row in &rows.rows {
+            if let Some((slots, cores)) = self.row_slots(request, row) {
+                found.push((row.minion, slots, cores));
+            }
+        }
+        found
+    }
+
+    /// Returns how many tasks can be placed on a minion now and its free cores; none if no task
+    /// can.
+    fn row_slots(&self, request: &Request, row: &Row) -> Option<(u32, u64)> {
+        if !row.reserved && !request.amount.fits(&row.free) || !self.has_label(request, row) {
+            return None;
+        }
+        if !row.reserved && request.per_minion == 0 {
+            let slots = count_fitting(&request.amount, &row.free);
+            return (slots > 0).then_some((slots, row.free.cores_milli));
+        }
+        let (_, minion) = self.minions.at(row.minion)?;
+        let slots = request.slots(minion);
+        (slots > 0).then(|| (slots, minion.free(request.step).cores_milli))
+    }
+
+    /// Returns the usable minions among `names` on which tasks can be placed now, as
+    /// [`Self::free_slots`] does.
+    pub(super) fn free_slots_on(
+        &self,
+        request: &Request,
+        names: &[Name],
+    ) -> Vec<(usize, u32, u64)> {
+        let rows = self.named_rows(request, names);
+        let found = rows.into_iter().filter_map(|row| {
+            let (slots, cores) = self.row_slots(request, row)?;
+            Some((row.minion, slots, cores))
+        });
+        found.collect()
+    }
+
+    /// Returns the rows of those minions among `names` that match the request's service and label
+    /// and are large enough.
+    fn named_rows(&self, request: &Request, names: &[Name]) -> Vec<&Row> {
+        let Some(queue) = self.queues.get(&request.queue) else {
+            return Vec::new();
+        };
+        let Some(rows) = self.room.services.get(&queue.service) else {
+            return Vec::new();
+        };
+        let found = names.iter().filter_map(|name| {
+            let index = self.minions.index_of(name)?;
+            let row = &rows.rows[self.room.row(&queue.service, index)?];
+            let matches = request.amount.fits(&row.capacity) && self.has_label(request, row);
+            matches.then_some(row)
+        });
+        found.collect()
+    }
+
+    /// Returns the minions among `names` that can run the request's tasks when they have room.
+    pub(super) fn matching(&self, request: &Request, names: &[Name]) -> Vec<Name> {
+        let rows = self.named_rows(request, names).into_iter();
+        let names = rows.filter_map(|row| self.minions.at(row.minion));
+        names.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Returns the minions on which tasks fit, now or after preemption: all of the service, or the
+    /// usable ones among `names`.
+    pub(super) fn future_slots(
+        &self,
+        request: &Request,
+        names: Option<&[Name]>,
+        now: Time,
+    ) -> Vec<Slots> {
+        let Some(rows) = self.rows(request) else {
+            return Vec::new();
+        };
+        let level = self.room.level(request.priority);
+        let levels = self.room.priorities.len();
+        let mut found = Vec::new();
+        let mut add = |index: usize, row: &Row| {
+            let after_preemption = &rows.after_preemption[index * levels + level];
+            let fits = request.amount.fits(&row.capacity);
+            let has_room = row.reserved || request.amount.fits(after_preemption);
+            if !fits || !has_room || !self.has_label(request, row) {
+                return;
+            }
+            let (free, total) = if row.reserved || request.per_minion > 0 {
+                self.exact_slots(request, row.minion, now)
+            } else {
+                let free = count_fitting(&request.amount, &row.after_stops);
+                (free, count_fitting(&request.amount, after_preemption))
+            };
+            if total > 0 {
+                found.push(Slots {
+                    minion: row.minion,
+                    free,
+                    total,
+                });
+            }
+        };
+        if let Some(names) = names {
+            for row in self.named_rows(request, names) {
+                if let Ok(index) = rows.rows.binary_search_by_key(&row.minion, |r| r.minion) {
+                    add(index, row);
+                }
+            }
+        } else {
+            for (index, row) in rows.rows.iter().enumerate() {
+                add(index, row);
+            }
+        }
+        found
+    }
+
+    /// Returns how many tasks fit on a minion once all stopping runs have stopped, and how many fit
+    /// if preemptible runs are stopped as well.
+    fn exact_slots(&self, request: &Request, minion: usize, now: Time) -> (u32, u32) {
+        let Some((_, minion)) = self.minions.at(minion) else {
+            return (0, 0);
+        };
+        let limit = request.minion_limit(minion);
+        let is_victim = |r: &Run| {
+            let priority = preemptible_priority(r, now);
+            priority.is_some_and(|p| p > request.priority)
+        };
+        let after_stops = minion.free_after(request.step, |_| false);
+        let after_preemption = minion.free_after(request.step, is_victim);
+        (
+            count_fitting(&request.amount, &after_stops).min(limit),
+            count_fitting(&request.amount, &after_preemption).min(limit),
+        )
+    }
+
+    /// Returns whether an earlier request of the pass found no room for as many tasks as this step
+    /// needs at least. Room that becomes free during a pass makes it forget these requests.
+    pub(super) fn is_full(&self, step: StepKey) -> bool {
+        if self.room.full.is_empty() || self.room.is_holder(step) {
+            return false;
+        }
+        let Some(job) = self.jobs.get(&step.job) else {
+            return false;
+        };
+        let (Some(queue), Some(spec)) = (self.queues.get(&job.queue), job.step(step)) else {
+            return false;
+        };
+        let needed = if spec.gang { u64::from(spec.count) } else { 1 };
+        let amount = job.amount(step);
+        self.room.full.iter().any(|full| {
+            full.service == queue.service
+                && (full.label.is_none() || full.label == spec.label)
+                && full.priority <= queue.priority
+                && full.amount.fits(&amount)
+                && full.slots < needed
+        })
+    }
+
+    /// Remembers that the service lacks room for a request that could not be placed, if that is the
+    /// reason.
+    pub(super) fn note_if_full(&mut self, request: &Request, now: Time) {
+        // The limit of tasks on one minion is that of this step.
+        if self.room.full.len() >= MAX_FULL
+            || self.room.is_holder(request.step)
+            || request.per_minion > 0
+        {
+            return;
+        }
+        let slots = self.future_slots(request, None, now);
+        let slots: u64 = slots.iter().map(|s| u64::from(s.total)).sum();
+        let Some(queue) = self.queues.get(&request.queue) else {
+            return;
+        };
+        if slots < u64::from(request.min_tasks()) {
+            self.room.full.push(Full {
+                service: queue.service.clone(),
+                label: request.label.clone(),
+                priority: request.priority,
+                amount: request.amount,
+                slots,
+            });
+        }
+    }
+}
--- a/crates/primrosebay_cell/src/leader/runs.rs
+++ b/crates/primrosebay_cell/src/leader/runs.rs
@@ -38,6 +38,7 @@
                 if clock_ms.is_some_and(|c| minion.is_clock_reset(c, sent, &self.settings)) {
                     log::info!(minion:% = name, task:% = task; "leader: minion has restarted, by the clock in its answer");
                     minion.hold_failed = true;
+                    self.room.mark_changed(name);
                     let longest = self.settings.upper_ms(self.settings.max_lease_ms);
                     minion.expiry = minion.expiry.max(now.time + longest);
                 }
@@ -62,11 +63,12 @@
     pub(super) fn mark_begun(&mut self, job: JobKey) {
         if let Some(job) = self.jobs.get_mut(&job).filter(|j| !j.begun) {
             job.begun = true;
-            job.dirty = true;
+            job.mark_changed(&mut self.changes);
         }
     }
 
     fn on_refused(&mut self, name: &Name, task: TaskKey, run: u32, reason: Refusal, now: Now) {
+        self.room.mark_changed(name);
         match reason {
             Refusal::Fenced => {
                 self.deposed = true;
@@ -126,6 +128,7 @@
             }
             _ => known_run.phase = Phase::Stopping(now.time, None),
         }
+        self.room.mark_changed(name);
         log::info!(task:% = task, run, minion:% = name; "leader: stopping run");
         if address.is_empty() {
             return;
@@ -163,8 +166,11 @@
     /// Handles reservations, advice calls, leases and drains that are due, and removes stale
     /// minions.
     pub(super) fn expire(&mut self, now: Now) {
-        for (_, minion) in self.minions.iter_mut() {
-            minion.reservations.retain(|r| now.time < r.until);
+        for (name, minion) in self.minions.iter_mut() {
+            if minion.reservations.iter().any(|r| now.time >= r.until) {
+                minion.reservations.retain(|r| now.time < r.until);
+                self.room.mark_freed(name);
+            }
         }
         self.advice.expire_calls(now.time);
         self.expire_silent(now);
@@ -175,18 +181,17 @@
     /// Marks the tasks on silent minions as pending once all runs there have expired.
     fn expire_silent(&mut self, now: Now) {
         let mut lost = Vec::new();
-        for (name, minion) in self.minions.iter_mut() {
+        for (name, minion) in self.minions.iter() {
             if !minion.is_silent(now.time, &self.settings) || now.time < minion.expiry {
                 continue;
             }
-            let has_expired = |r: &Run| r.phase != Phase::Committing && now.time >= r.expiry;
-            for run in minion.runs.extract_if(.., |r| has_expired(r)) {
-                lost.push((name.clone(), run.task, run.number));
-            }
+            let has_expired = |r: &&Run| r.phase != Phase::Committing && now.time >= r.expiry;
+            let runs = minion.runs.iter().filter(has_expired);
+            lost.extend(runs.map(|r| (name.clone(), r.task, r.number)));
         }
         for (name, task, run) in lost {
             log::warn!(task:% = task, run, minion:% = name; "leader: run expired on silent minion");
-            self.orphans.retain(|t| *t != task);
+            self.remove_run(&name, task, run);
             self.requeue(&name, task, run, now);
         }
     }
--- a/crates/primrosebay_cell/src/leader/schedule.rs
+++ b/crates/primrosebay_cell/src/leader/schedule.rs
@@ -1,16 +1,18 @@
 //! Scheduling passes: the order of steps, advice calls and the choice of candidate minions.
 
 use std::cmp::Reverse;
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
 use primrosebay_state::time::Time;
 
 use super::Leader;
+use super::advice::{MAX_CALL_MINIONS, StepAdvice};
 use super::command::Now;
 use super::minion::{Minion, count_fitting};
 use super::quota::QuotaUsage;
+use super::ready::ReadyStep;
+use super::room::Slots;
 use crate::config::AdviceTiming;
 use crate::job::{StepKey, TaskKey};
 use crate::record::Placement;
@@ -25,38 +27,22 @@
 /// cost, since the fixed duration limits how many calls the cell can make.
 const NAMING_FRACTION: f64 = 0.25;
 
-/// Added to the priority of jobs that can no longer meet their latency objective, so that jobs
-/// which still can are served first.
-const LATE_CLASS: u32 = 1_000;
-
-/// Added to the priority of expired jobs, whose results are no longer of use.
-const EXPIRED_CLASS: u32 = 2_000;
-
 /// Multiple of its latency objective after which a job has expired.
 const EXPIRY_OBJECTIVES: u64 = 3;
 
+/// Maximum number of steps visited in one pass, including those that are known to lack room.
+const MAX_VISITED: usize = 5_000;
+
 /// Margin added to the expected time of an advice answer while resources are reserved for it, in
 /// milliseconds: the answer travels over two hops and waits for the next pass.
 const ANSWER_MARGIN_MS: u64 = 300;
 
-/// Sort key of a ready step: class plus priority, whether the account exceeds its share, and
-/// deadline. The lowest key is served first.
-type SortKey = (u32, bool, u64);
-
-/// A minion on which tasks of a step may fit.
-#[derive(Debug)]
-struct Candidate {
-    /// Number of tasks that fit after preemption of less urgent runs.
-    slots: u32,
-    /// Number of tasks that fit once stopping runs have stopped, without preemption.
-    free_slots: u32,
-    name: Name,
-}
-
 /// Tasks of a step to place.
 #[derive(Debug)]
 pub(super) struct Request {
     pub(super) step: StepKey,
+    pub(super) queue: Name,
+    pub(super) label: Option<Name>,
     pub(super) amount: Resources,
     pub(super) gang: bool,
     pub(super) one_rack: bool,
@@ -64,7 +50,7 @@
     pub(super) priority: u32,
     /// Whether the job can no longer meet its latency objective.
     late: bool,
-    per_minion: u32,
+    pub(super) per_minion: u32,
     pub(super) account: Option<Name>,
     /// Indices of the tasks to start.
     pub(super) pending: Vec<u32>,
@@ -84,8 +70,18 @@
     /// Returns the minimum resources for the step to start: those of all tasks of a gang, or of one
     /// task.
     pub(super) fn min_resources(&self) -> Resources {
-        let tasks = if self.gang { self.pending.len() } else { 1 };
-        self.amount.times(tasks as u64)
+        self.amount.times(u64::from(self.min_tasks()))
+    }
+
+    /// Returns the minimum number of tasks with which the step can start: all tasks of a gang, or
+    /// one task.
+    pub(super) fn min_tasks(&self) -> u32 {
+        if self.gang { self.count() } else { 1 }
+    }
+
+    /// Returns the number of tasks to start.
+    pub(super) fn count(&self) -> u32 {
+        u32::try_from(self.pending.len()).unwrap_or(u32::MAX)
     }
 
     /// Returns how many tasks of the step can be placed on a minion now.
@@ -97,40 +93,61 @@
 impl Leader {
     /// Runs a scheduling pass: starts pending tasks, the most urgent first.
     pub(super) fn schedule(&mut self, now: Now) {
-        let mut ready = self.ready_steps(now);
-        ready.sort_unstable();
-        ready.truncate(self.settings.max_steps);
-        let mut quota = self.quota_usage();
+        self.update_ready(now);
+        let ready = self.ready.first(MAX_VISITED);
         self.blocked = super::BlockedSteps::default();
-        self.usable = self.usable_minions(now.time);
-        for ((class, ..), step) in ready {
-            self.place_step(step, class >= LATE_CLASS, &mut quota, now);
+        if ready.is_empty() {
+            return;
+        }
+        let mut quota = self.quota_usage();
+        self.begin_room(now.time);
+        let mut examined = 0;
+        for (step, late) in ready {
+            if self.is_known_full(step) {
+                self.blocked.capacity += 1;
+                continue;
+            }
+            self.place_step(step, late, &mut quota, now);
+            examined += 1;
+            if examined >= self.settings.max_steps {
+                break;
+            }
         }
     }
 
-    fn ready_steps(&self, now: Now) -> Vec<(SortKey, StepKey)> {
-        let mut ready = Vec::new();
-        for (_, job) in self.jobs.iter() {
+    /// Updates the ready steps of the jobs that have changed since the last pass.
+    fn update_ready(&mut self, now: Now) {
+        let early = now.wall_ms.saturating_add(self.settings.early_start_ms);
+        let due = self.ready.advance(now.wall_ms, early);
+        self.changes.unsorted.extend(due);
+        for key in std::mem::take(&mut self.changes.unsorted) {
+            let Some(job) = self.jobs.get_mut(&key) else {
+                self.ready.remove_job(key);
+                continue;
+            };
+            job.is_changed = false;
             let Some(queue) = self.queues.get(&job.queue) else {
+                self.ready.remove_job(key);
                 continue;
             };
-            let objective = job.objective_ms(queue);
-            for step in job.ready_steps(now, self.settings.early_start_ms) {
+            let grace = job
+                .objective_ms(queue)
+                .saturating_mul(EXPIRY_OBJECTIVES - 1);
+            let steps = job.ready_steps(now, self.settings.early_start_ms);
+            let steps = steps.into_iter().map(|step| {
                 let deadline = job.deadline_ms(queue, step.occurrence);
-                let grace = objective.saturating_mul(EXPIRY_OBJECTIVES - 1);
-                let last = deadline.saturating_add(grace);
-                let class = if now.wall_ms > last {
-                    EXPIRED_CLASS
-                } else if job.expected_end_ms(step, now) > deadline {
-                    LATE_CLASS
-                } else {
-                    0
-                };
-                let class = queue.priority.saturating_add(class);
-                ready.push(((class, job.over_share, deadline), step));
-            }
+                ReadyStep {
+                    key: step,
+                    priority: queue.priority,
+                    over_share: job.over_share,
+                    deadline,
+                    last_start: job.last_start_ms(step, deadline),
+                    expiry: deadline.saturating_add(grace),
+                }
+            });
+            self.ready
+                .set_job(key, steps, job.next_due_ms(early), now.wall_ms);
         }
-        ready
     }
 
     /// Returns a request for the pending tasks of a step; none if there are none or, for a gang, if
@@ -155,6 +172,8 @@
             .filter(|(position, _)| in_step(position));
         Some(Request {
             step,
+            queue: job.queue.clone(),
+            label: spec.label.clone(),
             amount: job.amount(step),
             gang: spec.gang,
             one_rack: spec.one_rack,
@@ -168,35 +187,14 @@
         })
     }
 
-    /// Returns the usable minions that match the step's service, label and resources. The advice
-    /// service may still disallow them.
-    fn eligible(&self, request: &Request) -> Vec<Name> {
-        let Some(job) = self.jobs.get(&request.step.job) else {
-            return Vec::new();
-        };
-        let Some(queue) = self.queues.get(&job.queue) else {
-            return Vec::new();
-        };
-        let label = job.step(request.step).and_then(|s| s.label.clone());
-        let matches = |m: &&Minion| {
-            m.entry.service == queue.service
-                && label.as_ref().is_none_or(|l| m.has_label(l))
-                && request.amount.fits(&m.entry.capacity)
-        };
-        let usable = self.usable.iter().filter_map(|name| self.minions.get(name));
-        usable
-            .filter(matches)
-            .map(|m| m.entry.name.clone())
-            .collect()
+    fn is_asking(&self, step: StepKey) -> bool {
+        self.advice.get(step).is_some_and(StepAdvice::is_pending)
     }
 
-    /// Returns the minions that accept new tasks, without those in evacuated zones.
-    fn usable_minions(&self, now: Time) -> Vec<Name> {
-        let usable = |m: &Minion| {
-            m.is_usable(now, &self.settings) && self.evacuated.binary_search(&m.entry.zone).is_err()
-        };
-        let minions = self.minions.iter().filter(|(_, m)| usable(m));
-        minions.map(|(name, _)| name.clone()).collect()
+    /// Returns whether a step is known to lack room, without a look at its tasks. A backlog has many
+    /// such steps.
+    fn is_known_full(&self, step: StepKey) -> bool {
+        !self.is_asking(step) && self.is_full(step)
     }
 
     fn place_step(&mut self, step: StepKey, late: bool, quota: &mut QuotaUsage, now: Now) {
@@ -204,8 +202,7 @@
             return;
         };
         let quota_slots = self.quota_slots(&request, quota);
-        let count = u32::try_from(request.pending.len()).unwrap_or(u32::MAX);
-        if quota_slots == 0 || request.gang && quota_slots < count {
+        if quota_slots == 0 || request.gang && quota_slots < request.count() {
             self.blocked.limit += 1;
             if !late {
                 self.preempt_in_account(&request, quota, now);
@@ -220,14 +217,14 @@
             .and_then(|j| self.queues.get(&j.queue))
             .and_then(|q| q.advice);
         // Most blocked steps wait for advice; checking this first avoids a scan of the minions.
-        let advice = self.advice.get(step);
-        if timing.is_some() && advice.is_some_and(super::advice::StepAdvice::is_pending) {
+        if timing.is_some() && self.is_asking(step) {
             self.blocked.advice += 1;
             if !late {
                 quota.reserve(&request);
             }
             return;
         }
+        let advice = self.advice.get(step);
         let has_tickets = advice.is_some_and(|a| a.has_tickets(now.time));
         if let Some(timing) = timing.filter(|_| !has_tickets)
             && !self
@@ -237,50 +234,43 @@
             self.blocked.advice_client += 1;
             return;
         }
-        let eligible = self.eligible(&request);
-        if eligible.is_empty() {
-            return;
-        }
-        match timing {
+        let before = request.pending.len();
+        let is_called = match timing {
             None => {
-                self.place_on(&mut request, &eligible, quota, now);
-                self.make_room_for_rest(&request, &eligible, now);
+                self.place_on(&mut request, None, quota, now);
+                self.make_room_for_rest(&request, None, now)
             }
-            Some(timing) => self.place_with_advice(&mut request, timing, eligible, quota, now),
+            Some(timing) => self.place_with_advice(&mut request, timing, quota, now),
+        };
+        if !is_called && request.pending.len() == before {
+            self.update_room(now.time);
+            self.note_if_full(&request, now.time);
         }
     }
 
-    /// Places tasks of a queue that needs advice.
+    /// Places tasks of a queue that needs advice. Returns whether the step has what it needs or
+    /// waits for it, so that it does not lack room.
     fn place_with_advice(
         &mut self,
         request: &mut Request,
         timing: AdviceTiming,
-        eligible: Vec<Name>,
         quota: &mut QuotaUsage,
         now: Now,
-    ) {
+    ) -> bool {
         let advice = self.advice.get(request.step);
         let allowed_names = advice.map(|a| a.allowed.clone()).unwrap_or_default();
-        let queried = advice.map(|a| a.queried.clone()).unwrap_or_default();
-        let allowed_names: Vec<Name> = eligible
-            .iter()
-            .filter(|n| allowed_names.contains(n))
-            .cloned()
-            .collect();
+        let allowed_names = self.matching(request, &allowed_names);
         let has_ticket = |n: &&Name| advice.is_some_and(|a| a.ticket(n, now.time).is_some());
         let ticketed: Vec<Name> = allowed_names.iter().filter(has_ticket).cloned().collect();
-        self.place_on(request, &ticketed, quota, now);
-        if request.pending.is_empty() || self.make_room_for_rest(request, &ticketed, now) {
-            return;
-        }
-        if self.renew_tickets(request, timing, &allowed_names, &ticketed, now) {
-            return;
+        if !ticketed.is_empty() {
+            self.place_on(request, Some(&ticketed), quota, now);
+            if request.pending.is_empty() || self.make_room_for_rest(request, Some(&ticketed), now)
+            {
+                return true;
+            }
         }
-        let unqueried: Vec<Name> = eligible
-            .into_iter()
-            .filter(|n| queried.binary_search(n).is_err())
-            .collect();
-        self.call_unqueried(request, timing, &allowed_names, &unqueried, now);
+        self.renew_tickets(request, timing, &allowed_names, &ticketed, now)
+            || self.call_unqueried(request, timing, &allowed_names, now)
     }
 
     /// Requests new tickets for allowed minions on which tasks fit, now or after preemption.
@@ -294,21 +284,15 @@
         ticketed: &[Name],
         now: Now,
     ) -> bool {
-        let want = u32::try_from(request.pending.len()).unwrap_or(u32::MAX);
         let candidates = self.candidates(request, allowed_names, now.time);
-        let min_slots = if request.gang { u64::from(want) } else { 1 };
+        let min_slots = u64::from(request.min_tasks());
         // If all of these minions still have valid tickets, the step lacks resources, and new
         // tickets would not help.
-        let has_unticketed = candidates
-            .iter()
-            .any(|candidate| !ticketed.contains(&candidate.name));
-        if total_slots(&candidates) < min_slots || !has_unticketed {
+        let total = total_slots(&candidates);
+        let names = self.names(&candidates);
+        if total < min_slots || names.iter().all(|n| ticketed.contains(n)) {
             return false;
         }
-        let names: Vec<Name> = candidates
-            .into_iter()
-            .map(|candidate| candidate.name)
-            .collect();
         self.call_advice(request, timing, &names, &names, now);
         true
     }
@@ -329,9 +313,8 @@
             return;
         };
         if request.gang {
-            let want = u32::try_from(request.pending.len()).unwrap_or(u32::MAX);
             let until = now.time + wait_ms + ANSWER_MARGIN_MS;
-            self.reserve_slots(request, allowed, want, until, now.time);
+            self.reserve_slots(request, allowed, request.count(), until, now.time);
         }
     }
 
@@ -345,107 +328,127 @@
         now: Time,
     ) {
         let mut left = want;
-        for name in names {
-            let Some(minion) = self.minions.get(name) else {
+        self.update_room(now);
+        for found in self.future_slots(request, Some(names), now) {
+            let Some((name, _)) = self.minions.at(found.minion) else {
                 continue;
             };
-            let slots = self.future_slots(minion, request, now).0.min(left);
+            let name = name.clone();
+            let slots = found.free.min(left);
             if slots > 0 {
                 left -= slots;
-                self.reserve(request, name, slots, until);
+                self.reserve(request, &name, slots, until);
             }
         }
     }
 
     /// Calls the advice service about minions not yet queried for the step. A call for a gang
     /// repeats the minions that are known to be allowed, so that all its tickets are valid at the
-    /// same time.
+    /// same time. Returns whether there was enough room to ask.
     fn call_unqueried(
         &mut self,
         request: &Request,
         timing: AdviceTiming,
         allowed_names: &[Name],
-        unqueried: &[Name],
         now: Now,
-    ) {
+    ) -> bool {
+        self.update_room(now.time);
         let allowed_candidates = if request.gang {
             self.candidates(request, allowed_names, now.time)
         } else {
             Vec::new()
         };
-        let candidates = self.candidates(request, unqueried, now.time);
-        let want = request.pending.len() as u64;
+        let mut candidates = self.unqueried(request, now.time);
+        let want = u64::from(request.count());
         let want = want.saturating_sub(total_slots(&allowed_candidates)).max(1);
         let min_slots = if request.gang { want } else { 1 };
         if total_slots(&candidates) < min_slots {
             self.blocked.capacity += 1;
-            return;
+            return false;
         }
-        let queue = self.jobs.get(&request.step.job).map(|j| j.queue.clone());
-        let allow_rate = self.advice.allow_rate(&queue.unwrap_or_default());
+        let allow_rate = self.advice.allow_rate(&request.queue);
         let deviations = if request.gang { GANG_DEVIATIONS } else { 0.0 };
+        let order = |c: &Slots| {
+            (
+                Reverse((c.total, c.free)),
+                minion_order(request.step, c.minion),
+            )
+        };
+        smallest_by_key(&mut candidates, MAX_CALL_MINIONS, order);
         let count = call_size(&candidates, want, timing, allow_rate, deviations);
-        let allowed: Vec<Name> = allowed_candidates
-            .into_iter()
-            .map(|candidate| candidate.name)
-            .collect();
-        let new_names = candidates
-            .into_iter()
-            .take(count)
-            .map(|candidate| candidate.name);
-        let names: Vec<Name> = allowed.iter().cloned().chain(new_names).collect();
+        candidates.truncate(count);
+        let allowed = self.names(&allowed_candidates);
+        let mut names = allowed.clone();
+        names.extend(self.names(&candidates));
         self.call_advice(request, timing, &names, &allowed, now);
+        true
     }
 
-    /// Returns the minions on which tasks fit, now or after preemption, those with the most tasks
-    /// first. Ties are ordered by a hash that differs between steps, so that calls for different
-    /// steps name different minions.
-    fn candidates(&self, request: &Request, names: &[Name], now: Time) -> Vec<Candidate> {
-        let mut candidates = Vec::new();
-        for name in names {
-            let Some(minion) = self.minions.get(name) else {
-                continue;
-            };
-            let (free_slots, slots) = self.future_slots(minion, request, now);
-            if slots > 0 {
-                candidates.push(Candidate {
-                    slots,
-                    free_slots,
-                    name: name.clone(),
-                });
-            }
-        }
-        let step = request.step;
-        candidates.sort_by_cached_key(|c| {
+    /// Returns the minions among `names` on which tasks fit, now or after preemption, those with
+    /// the most tasks first. Ties are ordered by a hash that differs between steps, so that calls
+    /// for different steps name different minions.
+    fn candidates(&self, request: &Request, names: &[Name], now: Time) -> Vec<Slots> {
+        let mut candidates = self.future_slots(request, Some(names), now);
+        let order = |c: &Slots| {
             (
-                Reverse((c.slots, c.free_slots)),
-                minion_order(step, &c.name),
+                Reverse((c.total, c.free)),
+                minion_order(request.step, c.minion),
             )
-        });
+        };
+        candidates.sort_unstable_by_key(order);
         candidates
     }
 
+    /// Returns the minions on which tasks fit, now or after preemption, and that no advice call of
+    /// the step has named, in no particular order.
+    fn unqueried(&self, request: &Request, now: Time) -> Vec<Slots> {
+        let mut found = self.future_slots(request, None, now);
+        let advice = self.advice.get(request.step);
+        let queried = advice.map(|a| &a.queried[..]).unwrap_or_default();
+        if !queried.is_empty() {
+            // Both are in the order of the names.
+            let queried = queried.iter().filter_map(|n| self.minions.index_of(n));
+            let queried: Vec<usize> = queried.collect();
+            found.retain(|c| queried.binary_search(&c.minion).is_err());
+        }
+        found
+    }
+
+    fn names(&self, candidates: &[Slots]) -> Vec<Name> {
+        let minions = candidates.iter().filter_map(|c| self.minions.at(c.minion));
+        minions.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Reserves or preempts resources for the remaining tasks. Returns whether there will be enough
     /// for all of them, so that the step only has to wait.
-    fn make_room_for_rest(&mut self, request: &Request, names: &[Name], now: Now) -> bool {
-        let want = u32::try_from(request.pending.len()).unwrap_or(u32::MAX);
-        want == 0 || !names.is_empty() && self.make_room(request, names, want, now) >= want
+    fn make_room_for_rest(&mut self, request: &Request, names: Option<&[Name]>, now: Now) -> bool {
+        let want = request.count();
+        want == 0 || self.make_room(request, names, want, now) >= want
     }
 }
 
 /// Returns how many tasks fit on these minions in total.
-fn total_slots(candidates: &[Candidate]) -> u64 {
-    candidates
-        .iter()
-        .map(|candidate| u64::from(candidate.slots))
-        .sum()
+pub(super) fn total_slots(candidates: &[Slots]) -> u64 {
+    candidates.iter().map(|c| u64::from(c.total)).sum()
+}
+
+/// Keeps the `count` items with the lowest keys, sorted.
+pub(super) fn smallest_by_key<T, K: Ord>(items: &mut Vec<T>, count: usize, key: impl Fn(&T) -> K) {
+    if count < items.len() {
+        items.select_nth_unstable_by_key(count, &key);
+        items.truncate(count);
+    }
+    items.sort_unstable_by_key(key);
 }
 
 /// Returns a hash by which each step orders minions differently.
-fn minion_order(step: StepKey, name: &Name) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (step.job.0, step.occurrence, step.step, name).hash(&mut hasher);
-    hasher.finish()
+fn minion_order(step: StepKey, minion: usize) -> u64 {
+    let step_key = step.job.0 ^ u64::from(step.occurrence).rotate_left(32) ^ u64::from(step.step);
+    // The finalizer of SplitMix64 spreads each bit over all others.
+    let mut hash = step_key.wrapping_add((minion as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
 }
 
 /// Returns how many minions an advice call names: enough that those allowed, a fraction
@@ -457,7 +460,7 @@
     reason = "there are at most thousands of minions"
 )]
 fn call_size(
-    candidates: &[Candidate],
+    candidates: &[Slots],
     want: u64,
     timing: AdviceTiming,
     allow_rate: f64,
@@ -469,7 +472,7 @@
         if slots >= want {
             break;
         }
-        slots += u64::from(candidate.slots);
+        slots += u64::from(candidate.total);
         needed += 1;
     }
     let needed = f64::from(needed);
--- a/crates/primrosebay_cell/src/leader/settings.rs
+++ b/crates/primrosebay_cell/src/leader/settings.rs
@@ -55,7 +55,8 @@
     pub evict_ms: u64,
     /// Retention time of ended jobs.
     pub retention_ms: u64,
-    /// Maximum number of steps examined in one scheduling pass.
+    /// Maximum number of steps examined in one scheduling pass, without those that are known to lack
+    /// room.
     pub max_steps: usize,
 }
 
--- a/crates/primrosebay_cell/tests/leader/load.rs
+++ b/crates/primrosebay_cell/tests/leader/load.rs
@@ -150,3 +150,40 @@
     sim.run(50);
     assert_eq!(sim.advice_calls.len(), 4, "calls of six instances");
 }
+
+/// A backlog of hundreds of jobs waits for the few minions with a label. Guards against steps without
+/// room that use up the passes, so that jobs which the other minions could run wait behind them.
+#[test]
+fn backlog_without_room_does_not_delay_other_jobs() {
+    let mut sim = Simulation::new(8);
+    sim.config.accounts[0].weight = 10_000;
+    sim.leader.set_config(&sim.config);
+    for key in 0..600 {
+        let mut spec = job(4, cores(16));
+        spec.steps[0].label = Some("rack-0".into());
+        sim.submit(key, "urgent", &spec);
+    }
+    sim.run(100);
+    let key = sim.submit(1_000, "urgent", &job(1, cores(1)));
+    sim.run(50);
+    let started = sim.starts.iter().any(|s| s.task.step.job == key);
+    assert!(started, "the job waits behind steps without room");
+}
+
+/// Steps become late while they wait. Guards against a step that keeps its place in front of one
+/// that can still be in time, although nothing about its job has changed.
+#[test]
+fn waiting_step_loses_its_place_once_it_is_late() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, "urgent", &job(1, cores(16)));
+    sim.run(50);
+    // The objective of both is 2,250 ms; the first one is late when room becomes free.
+    let late = sim.submit(2, "urgent", &job(1, cores(16)));
+    sim.minions[0].stalled = true;
+    sim.run(1_500);
+    sim.minions[0].stalled = false;
+    let in_time = sim.submit(3, "urgent", &job(1, cores(16)));
+    sim.run(1_200);
+    let started = |key| sim.starts.iter().any(|s| s.task.step.job == key);
+    assert!(started(in_time) && !started(late));
+}
--- a/crates/primrosebay_state/src/table.rs
+++ b/crates/primrosebay_state/src/table.rs
@@ -69,6 +69,14 @@
         self.position(key).ok().map(|i| self.entries.remove(i).1)
     }
 
+    /// Removes the consecutive entries after those whose keys are `before` the range and up to those
+    /// whose keys are `within` or before it. Both must hold for a prefix of the sorted keys.
+    pub fn remove_range(&mut self, before: impl Fn(&K) -> bool, within: impl Fn(&K) -> bool) {
+        let from = self.entries.partition_point(|(key, _)| before(key));
+        let to = self.entries.partition_point(|(key, _)| within(key));
+        self.entries.drain(from..to);
+    }
+
     /// Removes the entries for which `keep` returns `false`.
     pub fn retain(&mut self, mut keep: impl FnMut(&K, &mut V) -> bool) {
         self.entries.retain_mut(|(key, value)| keep(key, value));
@@ -84,6 +92,21 @@
         self.entries.iter_mut().map(|(key, value)| (&*key, value))
     }
 
+    /// Returns the position of `key` among the sorted keys.
+    pub fn index_of<Q: Ord + ?Sized>(&self, key: &Q) -> Option<usize>
+    where
+        K: std::borrow::Borrow<Q>,
+    {
+        self.position(key).ok()
+    }
+
+    /// Returns the entry at a position among the sorted keys. Insertions and removals change the
+    /// positions of later entries.
+    #[must_use]
+    pub fn at(&self, index: usize) -> Option<(&K, &V)> {
+        self.entries.get(index).map(|(key, value)| (key, value))
+    }
+
     /// Returns the number of entries.
     #[must_use]
     pub fn len(&self) -> usize {
