Carry the commands to minions by several instances of a large cell

Change: one leader still decides. From 100 minions on, it chooses a carrier for each 100 of them, the largest instances of each zone; a carrier polls the leader, carries out holds, starts and stops, and returns the answers with its next poll. A poll gives permission for a second, counted on the carrier's own clock from the sending of the poll, so a carrier that was paused sends nothing old. A carrier without a poll for 0.6 s, or that reaches none of its minions, is replaced; what it has not answered counts as any command without an answer, and what it has not fetched as not sent. The choice of a minion's carrier depends on names only, so a successor uses the connections that exist. Announcements of instances tell their zone; records without it can be read.

--- a/crates/primrosebay_cell/src/job.rs
+++ b/crates/primrosebay_cell/src/job.rs
@@ -44,7 +44,7 @@
 }
 
 /// Identifier of a step in one occurrence of a job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StepKey {
     /// Job of the step.
     pub job: JobKey,
@@ -55,7 +55,7 @@
 }
 
 /// Identifier of a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TaskKey {
     /// Step of the task.
     pub step: StepKey,
--- a/crates/primrosebay_cell/src/leader/command.rs
+++ b/crates/primrosebay_cell/src/leader/command.rs
@@ -3,12 +3,13 @@
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
 use primrosebay_state::time::Time;
+use serde::{Deserialize, Serialize};
 
 use crate::job::{StepKey, TaskKey};
 use crate::record::Record;
 
 /// Command to start a run of a task on a minion.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
     /// Name of the minion.
     pub minion: Name,
@@ -30,7 +31,7 @@
 }
 
 /// A command that the caller of the leader has to carry out.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
     /// Starts a run. The record of the run is durable by then.
     Start(Start),
@@ -86,7 +87,7 @@
 }
 
 /// Answer to a start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartAnswer {
     /// The run has started or was already running. Holds the time on the minion's clock, in
     /// milliseconds; none if the answer did not tell it.
@@ -98,7 +99,7 @@
 }
 
 /// Reason why a minion refused a command.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
     /// The minion has seen a leader with a higher epoch.
     Fenced,
@@ -117,7 +118,7 @@
 }
 
 /// Result of a run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum End {
     /// The run succeeded. Only a task that runs until its job is cancelled is started again.
     Done,
@@ -128,7 +129,7 @@
 }
 
 /// A run in progress, as reported by a minion.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ActiveRun {
     /// Task of the run.
     pub task: TaskKey,
@@ -139,7 +140,7 @@
 }
 
 /// An ended run, as reported by a minion.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedRun {
     /// Sequence number of the ended run on this incarnation of the minion.
     pub sequence: u64,
@@ -154,7 +155,7 @@
 }
 
 /// State of a minion, reported in answer to a hold.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HoldReport {
     /// Time on the minion's clock, in milliseconds.
     pub clock_ms: u64,
@@ -167,7 +168,7 @@
 }
 
 /// Result of a hold.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HoldAnswer {
     /// The minion accepted the hold and reported its state.
     Held(HoldReport),
--- a/crates/primrosebay_cell/src/lib.rs
+++ b/crates/primrosebay_cell/src/lib.rs
@@ -4,6 +4,7 @@
 //! their progress. Every instance builds the same [`ledger::Ledger`] from the log, so any instance
 //! can answer callers and take over. The crate does no I/O, spawns no threads and reads no clock.
 
+pub mod carriers;
 pub mod config;
 pub mod job;
 pub mod leader;
--- a/crates/primrosebay_cell/src/record.rs
+++ b/crates/primrosebay_cell/src/record.rs
@@ -17,6 +17,9 @@
 /// Version of the encoding, stored in the first byte of each record.
 const VERSION: u8 = 1;
 
+/// First byte of an encoded [`Record::Member`] after the version.
+const MEMBER_VARIANT: u8 = 4;
+
 /// An accepted job, as its caller submitted it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submission {
@@ -98,7 +101,8 @@
 }
 
 /// An instance that can lead the cell and serve callers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Member {
     /// Address for calls from other instances.
     pub address: Name,
@@ -106,6 +110,9 @@
     pub cores_milli: u32,
     /// Secret that other instances present in calls. Only readers of the log know it.
     pub secret: Name,
+    /// Availability zone of the instance; empty if it was announced by a build that does not tell
+    /// it. The last field, so that records without it can be read.
+    pub zone: Name,
 }
 
 /// A record of the cell's log.
@@ -174,7 +181,13 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
         match bytes.split_first() {
             None => Err(RecordError::Empty),
-            Some((&VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
+            Some((&VERSION, rest)) => Ok(postcard::from_bytes(rest).or_else(|e| {
+                // An earlier build announced instances without their zone. An empty zone is one
+                // zero byte.
+                let is_member = rest.first() == Some(&MEMBER_VARIANT);
+                let with_zone = || postcard::from_bytes(&[rest, &[0]].concat());
+                if is_member { with_zone() } else { Err(e) }
+            })?),
             Some((other, _)) => Err(RecordError::Version(*other)),
         }
     }
--- a/crates/primrosebay_cell/tests/odd_records.rs
+++ b/crates/primrosebay_cell/tests/odd_records.rs
@@ -47,6 +47,7 @@
         address: "10.0.0.1:1".into(),
         cores_milli: 1,
         secret: "secret".into(),
+        zone: "zone".into(),
     };
     let records = [
         submission(1, 0),
--- a/crates/primrosebay_member/src/commands.rs
+++ b/crates/primrosebay_member/src/commands.rs
@@ -30,7 +30,11 @@
 }
 
 /// Executes a command and returns its result as an event.
-async fn execute<P: Platform>(shared: &Shared<P>, epoch: u64, command: Command) -> Event {
+pub(crate) async fn execute<P: Platform>(
+    shared: &Shared<P>,
+    epoch: u64,
+    command: Command,
+) -> Event {
     match command {
         Command::Start(start) => {
             let answer = shared.platform.start(&start, epoch).await;
--- a/crates/primrosebay_member/src/lead.rs
+++ b/crates/primrosebay_member/src/lead.rs
@@ -7,6 +7,7 @@
 
 use async_std::channel::{Receiver, Sender, bounded, unbounded};
 use async_std::task::{self, JoinHandle};
+use primrosebay_cell::carriers::Instance;
 use primrosebay_cell::job::{JobKey, StepKey, TaskKey};
 use primrosebay_cell::leader::{
     Advice, Batch, DirectoryChange, DirectoryEntry, HoldAnswer, Leader, Now, StartAnswer,
@@ -28,6 +29,12 @@
 /// Interval of the summary in log and metrics.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval at which the links to carriers are checked, in milliseconds.
+const LINK_CHECK_MS: u64 = 100;
+
+/// Timeout of the request to carry commands.
+const CARRY_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Input of the leader.
 #[derive(Debug)]
 pub(crate) enum Event {
@@ -107,12 +114,15 @@
     started: Time,
     /// When the last summary was logged.
     last_summary: Time,
+    /// When the links to carriers are checked next.
+    link_check: Time,
 }
 
 /// Leads the cell until a higher term is seen, a larger instance can take over or this instance
 /// stops.
 pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>, epoch: u64) {
     let (events, receiver) = unbounded();
+    shared.links.begin(epoch, &shared.settings);
     shared.set_leader_events(Some(events.clone()));
     log::info!(epoch; "lead: term started");
     let now = shared.now();
@@ -134,10 +144,12 @@
         caller_records: CallerRecords::default(),
         handover: Arc::new(AtomicBool::new(false)),
         started: now.time,
+        link_check: now.time,
     };
     term.apply_operators();
     term.apply_members();
     term.process_events(&receiver).await;
+    shared.links.end();
     shared.set_leader_events(None);
     directory.cancel().await;
     if let Some(task) = term.append_task.take() {
@@ -174,8 +186,14 @@
     /// logs the summary once per interval.
     fn run_pass(&mut self) {
         let now = self.shared.now();
+        if now.time >= self.link_check {
+            self.check_links(now);
+        }
         for command in self.leader.tick(now) {
-            commands::spawn(&self.shared, &self.events, self.epoch, command);
+            let (links, settings) = (&self.shared.links, &self.shared.settings);
+            if let Some(command) = links.send(command, now.time, settings) {
+                commands::spawn(&self.shared, &self.events, self.epoch, command);
+            }
         }
         let heartbeat_due =
             now.time.since(self.last_append) >= millis(self.shared.settings.heartbeat_interval);
@@ -196,6 +214,45 @@
         }
     }
 
+    /// Gives up commands that carriers have not answered in time, and replaces lost carriers.
+    fn check_links(&mut self, now: Now) {
+        self.link_check = now.time + LINK_CHECK_MS;
+        let (events, lost, chosen) = self.shared.links.sweep(now.time);
+        if !events.is_empty() {
+            log::info!(epoch = self.epoch, commands = events.len(); "lead: commands given up that carriers have not answered");
+        }
+        for event in events {
+            self.handle(event);
+        }
+        for (carrier, loss) in lost {
+            log::warn!(epoch = self.epoch, carrier:% = carrier, reason:? = loss; "lead: carrier lost, its minions go to others");
+        }
+        if chosen.is_empty() {
+            return;
+        }
+        let own = self.shared.own_member();
+        let members: Vec<(Name, Member)> = {
+            let cell = self.shared.cell();
+            let members = cell.ledger.members();
+            members.map(|(n, m)| (n.clone(), m.clone())).collect()
+        };
+        for name in chosen {
+            let found = members.binary_search_by(|(n, _)| n.cmp(&name));
+            let Ok(target) = found.map(|index| members[index].1.clone()) else {
+                continue;
+            };
+            log::info!(epoch = self.epoch, carrier:% = name, zone:% = target.zone, cores_milli = target.cores_milli; "lead: carrier chosen");
+            let (shared, own, epoch) = (Arc::clone(&self.shared), own.clone(), self.epoch);
+            task::spawn(async move {
+                let client = &shared.peer_client;
+                let asked = peer::ask_to_carry(client, &target, own, epoch, CARRY_TIMEOUT).await;
+                if let Err(reason) = asked {
+                    log::warn!(epoch, carrier:% = name, reason:% = reason; "lead: carrier does not answer");
+                }
+            });
+        }
+    }
+
     /// Starts a background search for an instance that has at least twice the CPU share and can
     /// reach the log. If there is one, the leader hands over to it.
     fn probe_larger(&self) {
@@ -229,13 +286,14 @@
         let counts = self.leader.counts(now);
         self.shared.metrics.record_leader(&counts);
         let waits = counts.blocked;
+        let (carriers, carried) = self.shared.links.counts();
         log::info!(
             epoch = self.epoch, jobs = counts.jobs, runs = counts.runs, usable = counts.usable,
             minions = counts.minions, unsure = counts.unconfirmed, stopping = counts.stopping,
             unstopped = counts.unstopped, asking = counts.advice_calls,
             used_cores = counts.used_milli / 1000, all_cores = counts.total_milli / 1000,
             wait_limit = waits.limit, wait_advice = waits.advice, wait_adviser = waits.advice_client,
-            wait_room = waits.capacity;
+            wait_room = waits.capacity, carriers, carried;
             "lead: summary"
         );
     }
@@ -261,8 +319,20 @@
             Event::ClaimRead(_) => {}
             Event::MembersChanged => self.apply_members(),
             Event::OperatorsChanged => self.apply_operators(),
-            Event::DirectoryChanged(change) => self.leader.on_directory(change, now),
-            Event::DirectoryLoaded(entries) => self.leader.on_directory_snapshot(entries, now),
+            Event::DirectoryChanged(change) => {
+                if let DirectoryChange::Listed(entry) = &change {
+                    self.shared.links.set_minion(&entry.name, &entry.zone);
+                }
+                self.leader.on_directory(change, now);
+            }
+            Event::DirectoryLoaded(entries) => {
+                for entry in &entries {
+                    self.shared.links.set_minion(&entry.name, &entry.zone);
+                }
+                // Carriers are chosen before the first command to any of these minions.
+                self.link_check = now.time;
+                self.leader.on_directory_snapshot(entries, now);
+            }
             Event::StartAnswered(minion, task, run, answer) => {
                 self.leader.on_start(&minion, task, run, answer, now);
             }
@@ -328,8 +398,15 @@
     fn apply_members(&mut self) {
         let cell = self.shared.cell();
         let members = cell.ledger.members();
-        self.leader
-            .set_members(members.map(|(name, _)| name.clone()).collect());
+        let instances = members.map(|(name, member)| Instance {
+            name: name.clone(),
+            zone: member.zone.clone(),
+            cores_milli: member.cores_milli,
+        });
+        let instances: Vec<Instance> = instances.collect();
+        let names = instances.iter().map(|i| i.name.clone());
+        self.leader.set_members(names.collect());
+        self.shared.links.set_instances(instances);
     }
 
     /// Appends a batch in the background, with retries until it is known to be durable.
--- a/crates/primrosebay_member/src/lib.rs
+++ b/crates/primrosebay_member/src/lib.rs
@@ -6,11 +6,13 @@
 
 pub mod backpressure;
 pub mod calls;
+mod carry;
 mod commands;
 mod election;
 pub mod election_timeout;
 mod follow;
 mod lead;
+mod links;
 pub mod log_limit;
 pub mod metrics;
 pub mod node;
--- a/crates/primrosebay_member/src/node.rs
+++ b/crates/primrosebay_member/src/node.rs
@@ -2,18 +2,19 @@
 
 use std::io;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, OnceLock};
 use std::time::Duration;
 
 use async_std::channel::unbounded;
 use async_std::task::{self, JoinHandle};
-use primrosebay_cell::record::{Member, Record};
+use primrosebay_cell::record::Record;
 use primrosebay_state::Name;
 use primrosebay_transport::clock::Clock;
 use primrosebay_transport::http_client::Client;
 use primrosebay_transport::http_server::{Limits, Server};
 
+use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
 use crate::settings::Settings;
@@ -51,6 +52,9 @@
             waiters: Waiters::default(),
             submit_queue,
             leader_events: Mutex::new(None),
+            links: Links::default(),
+            carried_epoch: AtomicU64::new(0),
+            address: OnceLock::new(),
             secret,
             stopping: AtomicBool::new(false),
             outage: AtomicBool::new(false),
@@ -62,16 +66,15 @@
             ..Limits::default()
         };
         let server = Server::start(address, peer::app(Arc::clone(&shared)), limits).await?;
+        let bound: Name = server.address().to_string().into();
+        let _ = shared.address.set(bound);
         let tasks = vec![
             task::spawn(follow::run(Arc::clone(&shared))),
             task::spawn(operators::run(Arc::clone(&shared))),
             task::spawn(submit::run(Arc::clone(&shared), pending)),
             task::spawn(election::run(Arc::clone(&shared))),
             task::spawn(outage::run(Arc::clone(&shared))),
-            task::spawn(announce(
-                Arc::clone(&shared),
-                server.address().to_string().into(),
-            )),
+            task::spawn(announce(Arc::clone(&shared))),
         ];
         Ok(Self {
             shared,
@@ -153,13 +156,9 @@
 
 /// Announces the address and the secret of the instance in the cell's stream. The announcement is
 /// repeated, since the log may drop records that are not renewed.
-async fn announce<P: Platform>(shared: Arc<Shared<P>>, address: Name) {
+async fn announce<P: Platform>(shared: Arc<Shared<P>>) {
     while !shared.is_stopping() {
-        let member = Member {
-            address: address.clone(),
-            cores_milli: shared.settings.cores_milli,
-            secret: shared.secret.clone(),
-        };
+        let member = shared.own_member();
         let record = PendingRecord {
             waiter: None,
             record: Record::Member(shared.settings.name.clone(), member),
--- a/crates/primrosebay_member/src/peer.rs
+++ b/crates/primrosebay_member/src/peer.rs
@@ -1,8 +1,9 @@
 //! Calls between instances.
 //!
 //! Instances forward records to the leader, which appends them for all. The leader delegates calls
-//! to the advice service, which accepts one call at a time from each instance. Instances also ask
-//! each other whether they can reach the log.
+//! to the advice service, which accepts one call at a time from each instance, and in a large cell
+//! the commands to minions to carriers. Instances also ask each other whether they can reach the
+//! log.
 //!
 //! Each instance announces its address and a secret in the cell's stream. Only readers of the
 //! stream know the secret, so no certificates have to be distributed.
@@ -19,15 +20,20 @@
 use serde::{Deserialize, Serialize};
 use tide::{Request, Response, StatusCode};
 
-use crate::lead;
+use crate::links::{Order, Poll, Polled};
 use crate::platform::Platform;
 use crate::shared::Shared;
 use crate::submit::ForwardResult;
+use crate::{carry, lead};
 
 const ADVICE_PATH: &str = "/v1/advice";
 /// Path of the check whether an instance can reach the log.
 const LOG_CHECK_PATH: &str = "/v1/touch";
 const RECORDS_PATH: &str = "/v1/records";
+/// Path of the leader's request to carry its commands.
+const CARRY_PATH: &str = "/v1/carry";
+/// Path of a carrier's polls for commands of the leader.
+const ORDERS_PATH: &str = "/v1/orders";
 const SECRET_HEADER: &str = "primrosebay-secret";
 
 /// A call to the advice service delegated to another instance.
@@ -47,6 +53,77 @@
     valid_ms: u64,
 }
 
+/// The request of a leader to carry its commands.
+#[derive(Debug, Serialize, Deserialize)]
+struct CarryRequest {
+    epoch: u64,
+    leader: Member,
+}
+
+/// Asks another instance to carry the commands of the leader of a term. Returns the reason if the
+/// call fails.
+pub(crate) async fn ask_to_carry(
+    client: &Client,
+    member: &Member,
+    leader: Member,
+    epoch: u64,
+    timeout: Duration,
+) -> Result<(), String> {
+    let address = member
+        .address
+        .parse()
+        .map_err(|e| format!("invalid address of the instance: {e}"))?;
+    let request = CarryRequest { epoch, leader };
+    let body = serde_json::to_vec(&request).map_err(|e| e.to_string())?;
+    let headers = [(SECRET_HEADER, &*member.secret)];
+    let call = client.bytes(
+        address,
+        Method::Post,
+        CARRY_PATH,
+        &headers,
+        Some(body),
+        timeout,
+    );
+    let (status, _) = call.await.map_err(|e| e.to_string())?;
+    if status.is_success() {
+        Ok(())
+    } else {
+        Err(format!("unexpected status {status}"))
+    }
+}
+
+/// Polls the leader for commands. Returns none if it has no use for this carrier in this term, and
+/// the reason if the call fails.
+pub(crate) async fn poll(
+    client: &Client,
+    leader: &Member,
+    poll: &Poll,
+    timeout: Duration,
+) -> Result<Option<Vec<Order>>, String> {
+    let address = leader
+        .address
+        .parse()
+        .map_err(|e| format!("invalid address of the leader: {e}"))?;
+    let body = postcard::to_stdvec(poll).map_err(|e| e.to_string())?;
+    let headers = [(SECRET_HEADER, &*leader.secret)];
+    let call = client.bytes(
+        address,
+        Method::Post,
+        ORDERS_PATH,
+        &headers,
+        Some(body),
+        timeout,
+    );
+    match call.await.map_err(|e| e.to_string())? {
+        (StatusCode::Ok, bytes) => {
+            let orders = postcard::from_bytes(&bytes).map_err(|e| e.to_string())?;
+            Ok(Some(orders))
+        }
+        (StatusCode::Conflict | StatusCode::Unauthorized, _) => Ok(None),
+        (status, _) => Err(format!("unexpected status {status}")),
+    }
+}
+
 /// Delegates a call to the advice service to another instance. Returns the reason if it fails.
 pub(crate) async fn request_advice(
     client: &Client,
@@ -135,6 +212,8 @@
     let mut app = tide::with_state(shared);
     app.at(ADVICE_PATH).post(serve_advice);
     app.at(RECORDS_PATH).post(serve_records);
+    app.at(CARRY_PATH).post(serve_carry);
+    app.at(ORDERS_PATH).post(serve_poll);
     app.at(LOG_CHECK_PATH)
         .get(async |call: Request<Arc<Shared<P>>>| {
             let status = if call.state().is_log_reachable() {
@@ -214,6 +293,56 @@
     }
 }
 
+async fn serve_carry<P: Platform>(mut request: Request<Arc<Shared<P>>>) -> tide::Result {
+    if !is_trusted(&request) {
+        return Ok(Response::new(StatusCode::Unauthorized));
+    }
+    let body: CarryRequest = match request.body_json().await {
+        Ok(body) => body,
+        Err(e) => {
+            log::warn!(reason:% = e; "peer: cannot decode the request to carry commands");
+            return Ok(Response::new(StatusCode::BadRequest));
+        }
+    };
+    let shared = request.state();
+    if shared.is_stopping() {
+        return Ok(Response::new(StatusCode::ServiceUnavailable));
+    }
+    carry::start(shared, body.leader, body.epoch);
+    Ok(Response::new(StatusCode::NoContent))
+}
+
+async fn serve_poll<P: Platform>(mut request: Request<Arc<Shared<P>>>) -> tide::Result {
+    if !is_trusted(&request) {
+        return Ok(Response::new(StatusCode::Unauthorized));
+    }
+    let bytes = request.body_bytes().await?;
+    let poll: Poll = match postcard::from_bytes(&bytes) {
+        Ok(poll) => poll,
+        Err(e) => {
+            log::warn!(reason:% = e; "peer: cannot decode the poll of a carrier");
+            return Ok(Response::new(StatusCode::BadRequest));
+        }
+    };
+    let shared = request.state();
+    let (name, epoch) = (poll.name.clone(), poll.epoch);
+    let Polled::Taken(events, woken) = shared.links.on_poll(poll, shared.clock.now()) else {
+        return Ok(Response::new(StatusCode::Conflict));
+    };
+    for event in events {
+        shared.notify_leader(|| event);
+    }
+    let mut orders = shared.links.fetch(&name, epoch);
+    if orders.is_empty() {
+        let wait = shared.settings.poll_wait;
+        let _ = async_std::future::timeout(wait, woken.recv()).await;
+        orders = shared.links.fetch(&name, epoch);
+    }
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(postcard::to_stdvec(&orders)?);
+    Ok(response)
+}
+
 async fn serve_metrics<P: Platform>(request: Request<Arc<Shared<P>>>) -> tide::Result {
     let mut response = Response::new(StatusCode::Ok);
     response.set_content_type("text/plain; version=0.0.4");
--- a/crates/primrosebay_member/src/settings.rs
+++ b/crates/primrosebay_member/src/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use primrosebay_cell::leader;
+use primrosebay_cell::{carriers, leader};
 use primrosebay_state::Name;
 
 /// Settings of an instance of a cell.
@@ -74,6 +74,18 @@
     /// Time for which a stopping instance keeps serving callers, so that load balancers can
     /// detect that it is not ready.
     pub drain_time: Duration,
+    /// Minimum time between two polls of a carrier for commands of the leader.
+    pub poll_gap: Duration,
+    /// Time for which the leader delays the answer to a poll until there are commands.
+    pub poll_wait: Duration,
+    /// Time after a poll was sent during which its commands may be carried out. A carrier that was
+    /// paused for longer carries out none of them.
+    pub order_age: Duration,
+    /// Time within which a carrier answers a command, in addition to the time that the command
+    /// waits at the minion.
+    pub order_timeout: Duration,
+    /// Settings of the choice of carriers.
+    pub carriers: carriers::Settings,
     /// Settings of the scheduling done by the leader.
     pub leader: leader::Settings,
 }
@@ -108,6 +120,11 @@
             deadline_slack: Duration::from_millis(150),
             request_timeout: Duration::from_secs(3),
             drain_time: Duration::from_secs(3),
+            poll_gap: Duration::from_millis(20),
+            poll_wait: Duration::from_millis(30),
+            order_age: Duration::from_secs(1),
+            order_timeout: Duration::from_millis(1_600),
+            carriers: carriers::Settings::default(),
             leader: leader::Settings::default(),
         }
     }
--- a/crates/primrosebay_member/src/shared.rs
+++ b/crates/primrosebay_member/src/shared.rs
@@ -1,19 +1,21 @@
 //! State shared by the background tasks and the call handlers of an instance.
 
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use async_std::channel::Sender;
 use primrosebay_cell::config::Config;
 use primrosebay_cell::leader::Now;
 use primrosebay_cell::ledger::Ledger;
+use primrosebay_cell::record::Member;
 use primrosebay_state::Name;
 use primrosebay_state::time::Time;
 use primrosebay_transport::clock::Clock;
 use primrosebay_transport::http_client::Client;
 
 use crate::lead::Event;
+use crate::links::Links;
 use crate::log_limit::LogLimit;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -66,6 +68,12 @@
     pub(crate) submit_queue: Sender<PendingRecord>,
     /// The leader's event channel; `None` while this instance does not lead.
     pub(crate) leader_events: Mutex<Option<Sender<Event>>>,
+    /// The leader's commands that carriers fetch and answer.
+    pub(crate) links: Links,
+    /// The term for which this instance carries commands; 0 for none.
+    pub(crate) carried_epoch: AtomicU64,
+    /// The bound address for calls of other instances, once the server has started.
+    pub(crate) address: OnceLock<Name>,
     /// The secret that other instances have to present, created at each start.
     pub(crate) secret: Name,
     pub(crate) stopping: AtomicBool,
@@ -93,6 +101,16 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the announcement of this instance.
+    pub(crate) fn own_member(&self) -> Member {
+        Member {
+            address: self.address.get().cloned().unwrap_or_default(),
+            cores_milli: self.settings.cores_milli,
+            secret: self.secret.clone(),
+            zone: self.settings.zone.clone(),
+        }
+    }
+
     /// Sends an event to the leader if this instance leads.
     pub(crate) fn notify_leader(&self, event: impl FnOnce() -> Event) {
         let events = self
