Let small instances of a large cell relay to large ones

Change: instances announce themselves in a stream of their own. In a cell of 64 and more, those with at most half of the largest processor share do not follow the log, if at least three are larger: they pass submissions, cancellations and questions of their callers to a large instance of their zone, and repeat them at the next one after 1.2 s. A refusal is only given if no instance may have taken the request. A small instance that gets no answer for 2 s to 8 s follows the log itself.

--- a/crates/primrosebay_cell/src/carriers.rs
+++ b/crates/primrosebay_cell/src/carriers.rs
@@ -111,7 +111,7 @@
     settings: Settings,
     /// Sorted by preference: the largest first, then by name.
     instances: Vec<Instance>,
-    carriers: Vec<Carrier>,
+    chosen: Vec<Carrier>,
     /// Instances that were lost as carriers, and until when they are not chosen.
     resting: Table<Name, Time>,
     minions: Table<Name, Assignment>,
@@ -125,7 +125,7 @@
             own_name,
             settings,
             instances: Vec::new(),
-            carriers: Vec::new(),
+            chosen: Vec::new(),
             resting: Table::default(),
             minions: Table::default(),
         }
@@ -143,7 +143,7 @@
     pub fn set_minion(&mut self, name: &Name, zone: &Name) {
         let assignment = Assignment {
             zone: zone.clone(),
-            carrier: best_carrier(&self.carriers, name, zone),
+            carrier: best_carrier(&self.chosen, name, zone),
         };
         self.minions.insert(name.clone(), assignment);
     }
@@ -157,24 +157,24 @@
     /// Returns the number of carriers.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.carriers.len()
+        self.chosen.len()
     }
 
     /// Returns whether there are no carriers.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.carriers.is_empty()
+        self.chosen.is_empty()
     }
 
     /// Records a poll of a carrier. Returns whether the instance is a carrier.
     pub fn on_poll(&mut self, name: &Name, now: Time) -> bool {
-        let carrier = self.carriers.iter_mut().find(|c| c.name == *name);
+        let carrier = self.chosen.iter_mut().find(|c| c.name == *name);
         carrier.map(|c| c.last_seen = now).is_some()
     }
 
     /// Records whether a hold through a carrier was answered.
     pub fn on_hold(&mut self, carrier: &Name, answered: bool) {
-        if let Some(carrier) = self.carriers.iter_mut().find(|c| c.name == *carrier) {
+        if let Some(carrier) = self.chosen.iter_mut().find(|c| c.name == *carrier) {
             carrier.failures = if answered { 0 } else { carrier.failures + 1 };
         }
     }
@@ -182,7 +182,7 @@
     /// Removes the carriers that are lost, and gives their minions to others. Returns the lost ones.
     pub fn remove_lost(&mut self, now: Time) -> Vec<(Name, Loss)> {
         let (settings, instances) = (&self.settings, &self.instances);
-        let loss = |c: &Carrier| {
+        let loss_of = |c: &Carrier| {
             if now.since(c.last_seen) > settings.silence_ms {
                 Some(Loss::Silent)
             } else if c.failures >= settings.failures {
@@ -193,21 +193,21 @@
                 None
             }
         };
-        let mut lost = Vec::new();
-        self.carriers.retain(|carrier| {
-            let loss = loss(carrier);
-            lost.extend(loss.map(|loss| (carrier.name.clone(), loss)));
+        let mut removed = Vec::new();
+        self.chosen.retain(|carrier| {
+            let loss = loss_of(carrier);
+            removed.extend(loss.map(|loss| (carrier.name.clone(), loss)));
             loss.is_none()
         });
         self.resting.retain(|_, until| now < *until);
-        for (name, _) in &lost {
+        for (name, _) in &removed {
             let until = now + self.settings.rest_ms;
             self.resting.insert(name.clone(), until);
         }
-        if !lost.is_empty() {
+        if !removed.is_empty() {
             self.assign();
         }
-        lost
+        removed
     }
 
     /// Chooses carriers until there are enough for the minions, the largest instances of each zone
@@ -215,8 +215,8 @@
     pub fn choose(&mut self, now: Time) -> Vec<Name> {
         let wanted = self.minions.len() / self.settings.minions.max(1);
         let mut chosen = Vec::new();
-        while self.carriers.len() < wanted {
-            let carriers = &self.carriers;
+        while self.chosen.len() < wanted {
+            let carriers = &self.chosen;
             let is_free = |i: &&Instance| {
                 let is_carrier = carriers.iter().any(|c| c.name == i.name);
                 !is_carrier && self.resting.get(&i.name).is_none()
@@ -227,7 +227,7 @@
                 break;
             };
             chosen.push(best.name.clone());
-            self.carriers.push(Carrier {
+            self.chosen.push(Carrier {
                 name: best.name.clone(),
                 zone: best.zone.clone(),
                 last_seen: now,
@@ -242,7 +242,7 @@
 
     fn assign(&mut self) {
         for (name, assignment) in self.minions.iter_mut() {
-            assignment.carrier = best_carrier(&self.carriers, name, &assignment.zone);
+            assignment.carrier = best_carrier(&self.chosen, name, &assignment.zone);
         }
     }
 }
--- a/crates/primrosebay_cell/src/ledger.rs
+++ b/crates/primrosebay_cell/src/ledger.rs
@@ -2,12 +2,13 @@
 
 use primrosebay_state::Name;
 use primrosebay_state::table::Table;
+use serde::{Deserialize, Serialize};
 
 use crate::job::JobKey;
 use crate::record::{Claim, Member, Outcome, Progress, Record, Submission};
 
 /// State of a job as reported to callers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobState {
     /// No minion has started a task.
     Pending,
--- a/crates/primrosebay_member/src/calls.rs
+++ b/crates/primrosebay_member/src/calls.rs
@@ -8,11 +8,14 @@
 use primrosebay_cell::ledger::JobState;
 use primrosebay_cell::record::{Outcome, Record, Submission};
 use primrosebay_state::Name;
+use serde::{Deserialize, Serialize};
 
 use crate::follow;
+use crate::lead::millis;
 use crate::node::Node;
 use crate::platform::Platform;
-use crate::shared::unix_ms;
+use crate::relay::{self, Asked, Call, CallKind, Reply};
+use crate::shared::{Shared, unix_ms};
 use crate::submit::{self, PendingRecord};
 use crate::waiters::{WriteKind, WriteResult};
 
@@ -44,6 +47,13 @@
     pub body_bytes: usize,
 }
 
+/// The queue and the account to which a job belongs.
+#[derive(Debug, Clone)]
+pub(crate) struct Owner {
+    pub(crate) queue: Name,
+    pub(crate) account: Option<Name>,
+}
+
 /// The version and the age of the instance's state, for logging how a call was answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LocalView {
@@ -58,7 +68,7 @@
 }
 
 /// The result of a submission.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SubmitResult {
     /// The job is durable.
     Accepted,
@@ -69,7 +79,7 @@
 }
 
 /// The result of a cancellation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CancelResult {
     /// The cancellation is durable, or the job was already cancelled.
     Done,
@@ -82,7 +92,7 @@
 }
 
 /// The status of a job, as returned to its caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobStatus {
     /// The job exists and has this state.
     Known(JobState),
@@ -133,7 +143,7 @@
         LocalView {
             version,
             config_age: config_read.map(|at| now.since(at)),
-            log_age: cell.caught_up.map(|at| now.since(at)),
+            log_age: self.shared.log_read(&cell).map(|at| now.since(at)),
             epoch: cell.ledger.leader().map_or(0, |l| l.epoch),
         }
     }
@@ -147,108 +157,187 @@
         spec: JobSpec,
         within: Duration,
     ) -> SubmitResult {
-        let shared = &self.shared;
-        if shared.cell().ledger.submission(job).is_some() {
-            return SubmitResult::Accepted;
-        }
-        if !self.is_log_reachable() {
-            return SubmitResult::Refused;
-        }
-        let record = Record::Submitted(
+        let kind = CallKind::Submit {
             job,
-            Submission {
-                queue: access.queue.clone(),
-                account: access.account.clone(),
-                spec: Arc::new(spec),
-                accepted_ms: unix_ms(),
-            },
-        );
-        match self.store(WriteKind::Submission, job, record, within).await {
-            Some(WriteResult::Durable) => SubmitResult::Accepted,
-            Some(WriteResult::Rejected(_)) => SubmitResult::Refused,
-            Some(WriteResult::Unknown) | None => SubmitResult::Indeterminate,
+            spec: spec.clone(),
+            within_ms: millis(within),
+        };
+        match self.relay(access, kind, within).await {
+            None => submit(&self.shared, &access.owner(), job, spec, within).await,
+            Some(Asked::Answered(Reply::Submit(result))) => result,
+            Some(Asked::Refused) => SubmitResult::Refused,
+            Some(_) => SubmitResult::Indeterminate,
         }
     }
 
     /// Cancels a job and waits for up to `within` until the cancellation is durable.
     pub async fn cancel(&self, access: &Access, job: JobKey, within: Duration) -> CancelResult {
-        match self.status(access, job).await {
-            JobStatus::Stale => return CancelResult::Refused,
-            JobStatus::Known(JobState::Ended(Outcome::Cancelled)) => return CancelResult::Done,
-            JobStatus::NotFound | JobStatus::Known(JobState::Ended(_)) => {
-                return CancelResult::NotActive;
-            }
-            JobStatus::Known(JobState::Pending | JobState::Running) => {}
+        let kind = CallKind::Cancel {
+            job,
+            within_ms: millis(within),
+        };
+        match self.relay(access, kind, within).await {
+            None => cancel(&self.shared, &access.owner(), job, within).await,
+            Some(Asked::Answered(Reply::Cancel(result))) => result,
+            Some(Asked::Refused) => CancelResult::Refused,
+            Some(_) => CancelResult::Indeterminate,
         }
-        let record = Record::Cancelled(job);
-        match self
-            .store(WriteKind::Cancellation, job, record, within)
-            .await
-        {
-            Some(WriteResult::Durable) => CancelResult::Done,
-            Some(WriteResult::Rejected(_)) => CancelResult::Refused,
-            Some(WriteResult::Unknown) | None => CancelResult::Indeterminate,
+    }
+
+    /// Returns the status of a job. Reads further records from the log before it reports a job as
+    /// not found, since another instance may just have accepted it.
+    pub async fn status(&self, access: &Access, job: JobKey) -> JobStatus {
+        let within = self.shared.settings.request_timeout;
+        let kind = CallKind::Status { job };
+        match self.relay(access, kind, within).await {
+            None => status(&self.shared, &access.owner(), job).await,
+            Some(Asked::Answered(Reply::Status(status))) => status,
+            Some(_) => JobStatus::Stale,
         }
     }
 
-    /// Queues a record and waits until it is durable or rejected. Returns `None` on timeout.
-    async fn store(
-        &self,
-        kind: WriteKind,
-        job: JobKey,
-        record: Record,
-        within: Duration,
-    ) -> Option<WriteResult> {
-        let receiver = self.shared.waiters.register(kind, job);
-        let record = PendingRecord {
-            waiter: Some((kind, job)),
-            record,
-            maybe_stored: false,
+    /// Returns the number of accepted jobs of a queue that have not started. Returns `None` if the
+    /// state is older than [`key_age`](crate::settings::Settings::key_age).
+    pub async fn backlog(&self, access: &Access) -> Option<usize> {
+        let within = self.shared.settings.request_timeout;
+        match self.relay(access, CallKind::Backlog, within).await {
+            None => backlog(&self.shared, &access.owner()),
+            Some(Asked::Answered(Reply::Backlog(count))) => count,
+            Some(_) => None,
+        }
+    }
+
+    /// Asks other instances to answer. Returns none if this one has to.
+    async fn relay(&self, access: &Access, kind: CallKind, within: Duration) -> Option<Asked> {
+        if self.shared.follows_log() {
+            return None;
+        }
+        let call = Call {
+            queue: access.queue.clone(),
+            account: access.account.clone(),
+            kind,
         };
-        submit::enqueue(&self.shared.submit_queue, record).await;
-        let result = async_std::future::timeout(within, receiver.recv()).await;
-        result.ok()?.ok()
+        relay::ask(&self.shared, &call, within).await
     }
+}
 
-    /// Returns the status of a job. Reads further records from the log before it reports a job as
-    /// not found, since another instance may just have accepted it.
-    pub async fn status(&self, access: &Access, job: JobKey) -> JobStatus {
-        let status = self.known_status(access, job);
-        if status != JobStatus::NotFound {
-            return status;
+impl Access {
+    fn owner(&self) -> Owner {
+        Owner {
+            queue: self.queue.clone(),
+            account: self.account.clone(),
         }
-        match follow::catch_up(&self.shared).await {
-            Ok(()) => self.known_status(access, job),
-            Err(reason) => {
-                log::warn!(job:% = job, reason:% = reason; "calls: cannot read log to look up an unknown job");
-                JobStatus::Stale
-            }
+    }
+}
+
+/// Submits a job at an instance that follows the log; see [`Node::submit`].
+pub(crate) async fn submit<P: Platform>(
+    shared: &Shared<P>,
+    owner: &Owner,
+    job: JobKey,
+    spec: JobSpec,
+    within: Duration,
+) -> SubmitResult {
+    if shared.cell().ledger.submission(job).is_some() {
+        return SubmitResult::Accepted;
+    }
+    if !shared.is_log_reachable() {
+        return SubmitResult::Refused;
+    }
+    let record = Record::Submitted(
+        job,
+        Submission {
+            queue: owner.queue.clone(),
+            account: owner.account.clone(),
+            spec: Arc::new(spec),
+            accepted_ms: unix_ms(),
+        },
+    );
+    match store(shared, WriteKind::Submission, job, record, within).await {
+        Some(WriteResult::Durable) => SubmitResult::Accepted,
+        Some(WriteResult::Rejected(_)) => SubmitResult::Refused,
+        Some(WriteResult::Unknown) | None => SubmitResult::Indeterminate,
+    }
+}
+
+/// Cancels a job at an instance that follows the log; see [`Node::cancel`].
+pub(crate) async fn cancel<P: Platform>(
+    shared: &Shared<P>,
+    owner: &Owner,
+    job: JobKey,
+    within: Duration,
+) -> CancelResult {
+    match status(shared, owner, job).await {
+        JobStatus::Stale => return CancelResult::Refused,
+        JobStatus::Known(JobState::Ended(Outcome::Cancelled)) => return CancelResult::Done,
+        JobStatus::NotFound | JobStatus::Known(JobState::Ended(_)) => {
+            return CancelResult::NotActive;
         }
+        JobStatus::Known(JobState::Pending | JobState::Running) => {}
     }
+    let record = Record::Cancelled(job);
+    match store(shared, WriteKind::Cancellation, job, record, within).await {
+        Some(WriteResult::Durable) => CancelResult::Done,
+        Some(WriteResult::Rejected(_)) => CancelResult::Refused,
+        Some(WriteResult::Unknown) | None => CancelResult::Indeterminate,
+    }
+}
 
-    /// Returns the status of a job according to the records read so far.
-    fn known_status(&self, access: &Access, job: JobKey) -> JobStatus {
-        let shared = &self.shared;
-        let cell = shared.cell();
-        let ledger = &cell.ledger;
-        let is_owned = ledger
-            .submission(job)
-            .is_some_and(|s| s.queue == access.queue && s.account == access.account);
-        match ledger.state(job).filter(|_| is_owned) {
-            Some(state) => JobStatus::Known(state),
-            None if shared.is_fresh(cell.caught_up, shared.settings.job_age) => JobStatus::NotFound,
-            None => JobStatus::Stale,
+/// Queues a record and waits until it is durable or rejected. Returns `None` on timeout.
+async fn store<P: Platform>(
+    shared: &Shared<P>,
+    kind: WriteKind,
+    job: JobKey,
+    record: Record,
+    within: Duration,
+) -> Option<WriteResult> {
+    let receiver = shared.waiters.register(kind, job);
+    let record = PendingRecord {
+        waiter: Some((kind, job)),
+        record,
+        maybe_stored: false,
+    };
+    submit::enqueue(&shared.submit_queue, record).await;
+    let result = async_std::future::timeout(within, receiver.recv()).await;
+    result.ok()?.ok()
+}
+
+/// Returns the status of a job at an instance that follows the log; see [`Node::status`].
+pub(crate) async fn status<P: Platform>(
+    shared: &Shared<P>,
+    owner: &Owner,
+    job: JobKey,
+) -> JobStatus {
+    let status = known_status(shared, owner, job);
+    if status != JobStatus::NotFound {
+        return status;
+    }
+    match follow::catch_up(shared).await {
+        Ok(()) => known_status(shared, owner, job),
+        Err(reason) => {
+            log::warn!(job:% = job, reason:% = reason; "calls: cannot read log to look up an unknown job");
+            JobStatus::Stale
         }
     }
+}
 
-    /// Returns the number of accepted jobs of a queue that have not started. Returns `None` if the
-    /// state is older than [`key_age`](crate::settings::Settings::key_age).
-    #[must_use]
-    pub fn backlog(&self, access: &Access) -> Option<usize> {
-        let cell = self.shared.cell();
-        let is_fresh = self
-            .shared
-            .is_fresh(cell.caught_up, self.shared.settings.key_age);
-        is_fresh.then(|| cell.ledger.pending_jobs(&access.queue))
+/// Returns the status of a job according to the records read so far.
+fn known_status<P>(shared: &Shared<P>, owner: &Owner, job: JobKey) -> JobStatus {
+    let cell = shared.cell();
+    let ledger = &cell.ledger;
+    let is_owned = ledger
+        .submission(job)
+        .is_some_and(|s| s.queue == owner.queue && s.account == owner.account);
+    match ledger.state(job).filter(|_| is_owned) {
+        Some(state) => JobStatus::Known(state),
+        None if shared.is_fresh(cell.caught_up, shared.settings.job_age) => JobStatus::NotFound,
+        None => JobStatus::Stale,
     }
 }
+
+/// Returns the backlog of a queue at an instance that follows the log; see [`Node::backlog`].
+pub(crate) fn backlog<P>(shared: &Shared<P>, owner: &Owner) -> Option<usize> {
+    let cell = shared.cell();
+    let is_fresh = shared.is_fresh(cell.caught_up, shared.settings.key_age);
+    is_fresh.then(|| cell.ledger.pending_jobs(&owner.queue))
+}
--- a/crates/primrosebay_member/src/follow.rs
+++ b/crates/primrosebay_member/src/follow.rs
@@ -28,6 +28,10 @@
 pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>) {
     let mut unreachable = false;
     loop {
+        if !shared.follows_log() {
+            task::sleep(shared.settings.tick_interval).await;
+            continue;
+        }
         let read = poll(&shared).await;
         match &read {
             Ok(records) => {
@@ -99,6 +103,9 @@
 fn apply<P: Platform>(shared: &Shared<P>, read: Read, sent: Time, is_snapshot: bool) {
     let mut changes = Changes::default();
     let now = shared.clock.now();
+    if !shared.follows_log() {
+        return;
+    }
     {
         let mut cell = shared.cell();
         for record in read.records {
--- a/crates/primrosebay_member/src/lib.rs
+++ b/crates/primrosebay_member/src/lib.rs
@@ -20,6 +20,7 @@
 mod outage;
 mod peer;
 pub mod platform;
+mod relay;
 pub mod settings;
 mod shared;
 mod submit;
--- a/crates/primrosebay_member/src/node.rs
+++ b/crates/primrosebay_member/src/node.rs
@@ -21,7 +21,7 @@
 use crate::shared::{CellState, OperatorState, Shared};
 use crate::submit::PendingRecord;
 use crate::waiters::Waiters;
-use crate::{election, follow, operators, outage, peer, submit};
+use crate::{election, follow, operators, outage, peer, relay, submit};
 
 /// Time at shutdown for completing calls of other instances that are in flight.
 const PEER_GRACE: Duration = Duration::from_millis(200);
@@ -52,6 +52,8 @@
             waiters: Waiters::default(),
             submit_queue,
             leader_events: Mutex::new(None),
+            announcements: Mutex::default(),
+            large_contact: Mutex::new(None),
             links: Links::default(),
             carried_epoch: AtomicU64::new(0),
             address: OnceLock::new(),
@@ -69,6 +71,7 @@
         let bound: Name = server.address().to_string().into();
         let _ = shared.address.set(bound);
         let tasks = vec![
+            task::spawn(relay::run(Arc::clone(&shared))),
             task::spawn(follow::run(Arc::clone(&shared))),
             task::spawn(operators::run(Arc::clone(&shared))),
             task::spawn(submit::run(Arc::clone(&shared), pending)),
@@ -154,20 +157,33 @@
     }
 }
 
-/// Announces the address and the secret of the instance in the cell's stream. The announcement is
-/// repeated, since the log may drop records that are not renewed.
+/// Announces the address and the secret of the instance in the cell's stream and in that of the
+/// announcements. Both are repeated, since the log may drop records that are not renewed.
 async fn announce<P: Platform>(shared: Arc<Shared<P>>) {
     while !shared.is_stopping() {
         let member = shared.own_member();
+        let record = Record::Member(shared.settings.name.clone(), member);
+        if let Ok(bytes) = record.encode() {
+            let result = shared.platform.announce(&record.key(), bytes).await;
+            shared.metrics.record_append("announce", &result);
+        }
         let record = PendingRecord {
             waiter: None,
-            record: Record::Member(shared.settings.name.clone(), member),
+            record,
             maybe_stored: false,
         };
         submit::enqueue(&shared.submit_queue, record).await;
         // Announcements may be lost while the log is unavailable, so they are repeated every second
         // until one has been read back.
         let is_announced = |s: &Shared<P>| {
+            let announced = {
+                let known = s.announcements();
+                let own = known.members.get(&s.settings.name);
+                own.is_some_and(|m| m.secret == s.secret)
+            };
+            if !announced || !s.follows_log() {
+                return announced;
+            }
             let cell = s.cell();
             let mut members = cell.ledger.members();
             members.any(|(name, m)| *name == s.settings.name && m.secret == s.secret)
--- a/crates/primrosebay_member/src/outage.rs
+++ b/crates/primrosebay_member/src/outage.rs
@@ -27,8 +27,8 @@
 /// An instance that gets no answer assumes that only itself is disconnected.
 async fn is_outage<P: Platform>(shared: &Shared<P>) -> bool {
     let members: Vec<_> = {
-        let cell = shared.cell();
-        let members = cell.ledger.members();
+        let known = shared.announcements();
+        let members = known.members.iter();
         let others = members.filter(|(name, _)| **name != shared.settings.name);
         others.map(|(_, member)| member.clone()).collect()
     };
--- a/crates/primrosebay_member/src/peer.rs
+++ b/crates/primrosebay_member/src/peer.rs
@@ -22,9 +22,10 @@
 
 use crate::links::{Order, Poll, Polled};
 use crate::platform::Platform;
+use crate::relay::{Call, Reply};
 use crate::shared::Shared;
 use crate::submit::ForwardResult;
-use crate::{carry, lead};
+use crate::{carry, lead, relay};
 
 const ADVICE_PATH: &str = "/v1/advice";
 /// Path of the check whether an instance can reach the log.
@@ -32,6 +33,8 @@
 const RECORDS_PATH: &str = "/v1/records";
 /// Path of the leader's request to carry its commands.
 const CARRY_PATH: &str = "/v1/carry";
+/// Path of callers' requests that a relaying instance passes on.
+const RELAY_PATH: &str = "/v1/relay";
 /// Path of a carrier's polls for commands of the leader.
 const ORDERS_PATH: &str = "/v1/orders";
 const SECRET_HEADER: &str = "primrosebay-secret";
@@ -124,6 +127,52 @@
     }
 }
 
+/// The reason why another instance has not answered a relayed request.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum RelayError {
+    /// The instance has not taken the request.
+    #[error("{0}")]
+    NotTaken(String),
+    /// The instance may have taken the request.
+    #[error("{0}")]
+    Lost(String),
+}
+
+/// Passes a caller's request to another instance and returns its answer.
+pub(crate) async fn relay(
+    client: &Client,
+    member: &Member,
+    call: &Call,
+    timeout: Duration,
+) -> Result<Reply, RelayError> {
+    let not_taken = |reason: String| RelayError::NotTaken(reason);
+    let address = member
+        .address
+        .parse()
+        .map_err(|e| not_taken(format!("invalid address of the instance: {e}")))?;
+    let body = postcard::to_stdvec(call).map_err(|e| not_taken(e.to_string()))?;
+    let headers = [(SECRET_HEADER, &*member.secret)];
+    let answer = client.bytes(
+        address,
+        Method::Post,
+        RELAY_PATH,
+        &headers,
+        Some(body),
+        timeout,
+    );
+    match answer.await {
+        Ok((StatusCode::Ok, bytes)) => {
+            postcard::from_bytes(&bytes).map_err(|e| RelayError::Lost(e.to_string()))
+        }
+        Ok((StatusCode::Unauthorized | StatusCode::Conflict | StatusCode::BadRequest, _)) => {
+            Err(not_taken("the instance does not answer for others".into()))
+        }
+        Ok((status, _)) => Err(RelayError::Lost(format!("unexpected status {status}"))),
+        Err(e @ CallError::NotSent { .. }) => Err(not_taken(e.to_string())),
+        Err(e) => Err(RelayError::Lost(e.to_string())),
+    }
+}
+
 /// Delegates a call to the advice service to another instance. Returns the reason if it fails.
 pub(crate) async fn request_advice(
     client: &Client,
@@ -212,6 +261,7 @@
     let mut app = tide::with_state(shared);
     app.at(ADVICE_PATH).post(serve_advice);
     app.at(RECORDS_PATH).post(serve_records);
+    app.at(RELAY_PATH).post(serve_relay);
     app.at(CARRY_PATH).post(serve_carry);
     app.at(ORDERS_PATH).post(serve_poll);
     app.at(LOG_CHECK_PATH)
@@ -293,6 +343,26 @@
     }
 }
 
+async fn serve_relay<P: Platform>(mut request: Request<Arc<Shared<P>>>) -> tide::Result {
+    if !is_trusted(&request) {
+        return Ok(Response::new(StatusCode::Unauthorized));
+    }
+    let bytes = request.body_bytes().await?;
+    let call: Call = match postcard::from_bytes(&bytes) {
+        Ok(call) => call,
+        Err(e) => {
+            log::warn!(reason:% = e; "peer: cannot decode a relayed request");
+            return Ok(Response::new(StatusCode::BadRequest));
+        }
+    };
+    let Some(reply) = relay::answer(request.state(), call).await else {
+        return Ok(Response::new(StatusCode::Conflict));
+    };
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(postcard::to_stdvec(&reply)?);
+    Ok(response)
+}
+
 async fn serve_carry<P: Platform>(mut request: Request<Arc<Shared<P>>>) -> tide::Result {
     if !is_trusted(&request) {
         return Ok(Response::new(StatusCode::Unauthorized));
--- a/crates/primrosebay_member/src/platform.rs
+++ b/crates/primrosebay_member/src/platform.rs
@@ -20,6 +20,8 @@
     Operators,
     /// The directory of minions, maintained by the platform.
     Directory,
+    /// Announcements of the instances of the cell, which all of them read.
+    Members,
 }
 
 /// A record of a stream.
@@ -125,6 +127,13 @@
         id: Option<AppendId>,
     ) -> impl Future<Output = Result<(), AppendError>> + Send;
 
+    /// Appends a record to [`Stream::Members`].
+    fn announce(
+        &self,
+        key: &str,
+        value: Vec<u8>,
+    ) -> impl Future<Output = Result<(), AppendError>> + Send;
+
     /// Starts a run of a task on a minion, on behalf of the leader of the term `epoch`.
     fn start(&self, start: &Start, epoch: u64) -> impl Future<Output = StartAnswer> + Send;
 
--- a/crates/primrosebay_member/src/settings.rs
+++ b/crates/primrosebay_member/src/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use primrosebay_cell::{carriers, leader};
+use primrosebay_cell::{carriers, follower, leader};
 use primrosebay_state::Name;
 
 /// Settings of an instance of a cell.
@@ -84,6 +84,8 @@
     /// Time within which a carrier answers a command, in addition to the time that the command
     /// waits at the minion.
     pub order_timeout: Duration,
+    /// Settings of the choice of instances that follow the log.
+    pub follower: follower::Settings,
     /// Settings of the choice of carriers.
     pub carriers: carriers::Settings,
     /// Settings of the scheduling done by the leader.
@@ -124,6 +126,7 @@
             poll_wait: Duration::from_millis(30),
             order_age: Duration::from_secs(1),
             order_timeout: Duration::from_millis(1_600),
+            follower: follower::Settings::default(),
             carriers: carriers::Settings::default(),
             leader: leader::Settings::default(),
         }
--- a/crates/primrosebay_member/src/shared.rs
+++ b/crates/primrosebay_member/src/shared.rs
@@ -18,6 +18,7 @@
 use crate::links::Links;
 use crate::log_limit::LogLimit;
 use crate::metrics::Metrics;
+use crate::relay::{Announcements, Role};
 use crate::settings::Settings;
 use crate::submit::PendingRecord;
 use crate::waiters::Waiters;
@@ -68,6 +69,10 @@
     pub(crate) submit_queue: Sender<PendingRecord>,
     /// The leader's event channel; `None` while this instance does not lead.
     pub(crate) leader_events: Mutex<Option<Sender<Event>>>,
+    /// The announced instances, and whether this one relays to others.
+    pub(crate) announcements: Mutex<Announcements>,
+    /// When a large instance was last asked that answered that it can read the log.
+    pub(crate) large_contact: Mutex<Option<Time>>,
     /// The leader's commands that carriers fetch and answer.
     pub(crate) links: Links,
     /// The term for which this instance carries commands; 0 for none.
@@ -142,10 +147,62 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
-    /// Returns whether the cell's stream was read to its end within [`Settings::ready_age`].
+    /// Returns whether the cell's stream was read to its end within [`Settings::ready_age`], by this
+    /// instance or by one that it relays to.
     pub(crate) fn is_log_reachable(&self) -> bool {
-        let caught_up = self.cell().caught_up;
-        self.is_fresh(caught_up, self.settings.ready_age)
+        let read = self.log_read(&self.cell());
+        self.is_fresh(read, self.settings.ready_age)
+    }
+
+    /// Returns when the cell's stream was last read to its end, by this instance or by one that it
+    /// relays to.
+    pub(crate) fn log_read(&self, cell: &CellState) -> Option<Time> {
+        match &self.announcements().role {
+            Role::Relaying(relay) => Some(relay.contact()),
+            Role::Follower | Role::Undecided => cell.caught_up,
+        }
+    }
+
+    pub(crate) fn announcements(&self) -> MutexGuard<'_, Announcements> {
+        self.announcements
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn large_contact(&self) -> MutexGuard<'_, Option<Time>> {
+        self.large_contact
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether this instance follows the log, so that it answers its callers itself.
+    pub(crate) fn follows_log(&self) -> bool {
+        matches!(self.announcements().role, Role::Follower)
+    }
+
+    /// Records whether a large instance has answered a request that was sent at `sent`, and can read
+    /// the log.
+    pub(crate) fn record_contact(&self, name: &Name, sent: Time, answered: bool) {
+        let now = self.clock.now();
+        if answered {
+            let mut contact = self.large_contact();
+            *contact = (*contact).max(Some(sent));
+        }
+        if let Role::Relaying(relay) = &mut self.announcements().role {
+            if answered {
+                relay.on_answer(name, sent);
+            } else {
+                relay.on_failure(name, now);
+            }
+        }
+    }
+
+    /// Drops the state read from the cell's stream, which this instance does not follow any more.
+    pub(crate) fn forget_log(&self) {
+        let mut cell = self.cell();
+        if cell.loaded || cell.caught_up.is_some() {
+            *cell = CellState::default();
+        }
     }
 
     /// Returns whether `at` is at most `max_age` ago; false for `None`.
