--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -15,7 +15,7 @@
 use primrosebay_platform::BOOT_VARIABLE;
 use primrosebay_platform_standin::{
     CommandKind, Effect, Fault, MemberAddresses, Minion, MinionFault, Proxy, RunMonitor, Store,
-    boot_file, config, job_body,
+    boot_file, config, job_body, large_cell_boot_file,
 };
 use primrosebay_transport::http_client::Client;
 use rand::Rng;
@@ -58,11 +58,16 @@
     stopping: bool,
 }
 
+/// Number of members of a large cell that follow the log.
+const LARGE_MEMBERS: usize = 3;
+
 /// Size of a cell.
 #[derive(Debug, Clone, Copy)]
 pub struct Size {
     pub members: usize,
     pub minions: usize,
+    /// Whether the cell works like a large one, in which all members but [`LARGE_MEMBERS`] relay.
+    pub large: bool,
 }
 
 impl Default for Size {
@@ -70,6 +75,7 @@
         Self {
             members: 3,
             minions: 4,
+            large: false,
         }
     }
 }
@@ -203,7 +209,12 @@
             };
             let name = format!("member-{i}");
             let settings_file = directory.join(&name);
-            fs::write(&settings_file, boot_file(&name, addresses)).unwrap();
+            let settings = if size.large {
+                large_cell_boot_file(&name, addresses, i < LARGE_MEMBERS)
+            } else {
+                boot_file(&name, addresses)
+            };
+            fs::write(&settings_file, settings).unwrap();
             let mut member = MemberProcess {
                 name,
                 settings_file,
--- a/crates/primrosebay/tests/soak/main.rs
+++ b/crates/primrosebay/tests/soak/main.rs
@@ -10,7 +10,8 @@
 //!
 //! `PRIMROSEBAY_SOAK_SEEDS=50 cargo test --release -p primrosebay --test soak` runs 50 random
 //! seeds; `PRIMROSEBAY_SOAK_SEED=7` runs only seed 7. `PRIMROSEBAY_SOAK_MEMBERS` and
-//! `PRIMROSEBAY_SOAK_MINIONS` set the size of the cells of these runs.
+//! `PRIMROSEBAY_SOAK_MINIONS` set the size of the cells of these runs, and with
+//! `PRIMROSEBAY_SOAK_LARGE=1` the cells work like large ones.
 
 mod callers;
 mod cell;
@@ -97,6 +98,47 @@
     }
 }
 
+/// Runs the fixed seeds of CI in a cell that works like a large one: a leader whose commands other
+/// members carry, and members that relay the requests of their callers.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+#[case(4)]
+fn invariants_hold_in_a_large_cell(#[case] seed: u64) {
+    let size = Size {
+        members: 5,
+        large: true,
+        ..Size::default()
+    };
+    if std::env::var_os("PRIMROSEBAY_SOAK_SEED").is_none() {
+        task::block_on(run(seed, size));
+    }
+}
+
+/// Guards against a large cell that works like a small one, so that the other tests of large cells
+/// show nothing.
+#[test]
+fn members_of_a_large_cell_carry_and_relay() {
+    task::block_on(async {
+        let size = Size {
+            members: 5,
+            large: true,
+            ..Size::default()
+        };
+        let mut cell = Cell::start(size).await;
+        cell.wait_ready().await;
+        for key in 1..=20 {
+            assert_eq!(cell.submit_and_read(key).await, Some(200));
+        }
+        cell.wait_for_completion(0, COMPLETION_TIMEOUT).await;
+        let logs: Vec<String> = (0..5).map(|i| cell.stop_and_read(i)).collect();
+        let count = |text| logs.iter().filter(|log| log.contains(text)).count();
+        assert_eq!(count("relay: large instances answer for this one"), 2);
+        assert!(count("carry: carrying commands of the leader") >= 2);
+    });
+}
+
 /// Guards against "no such job" from a member that has not yet read the records of a job that
 /// another member accepted. Found by soak seed 9589108563042778488, 260 ms after the job was
 /// accepted.
@@ -183,6 +225,7 @@
         // Fewer minions could not complete the jobs in time.
         minions: read_size("PRIMROSEBAY_SOAK_MINIONS")
             .map_or(usual.minions, |n| n.max(usual.minions)),
+        large: read_number("PRIMROSEBAY_SOAK_LARGE").is_some(),
     };
     if let Some(seed) = read_number("PRIMROSEBAY_SOAK_SEED") {
         task::block_on(run(seed, size));
--- a/crates/primrosebay_cell/src/leader/active.rs
+++ b/crates/primrosebay_cell/src/leader/active.rs
@@ -185,7 +185,7 @@
         let tasks = if self.outcome.is_some() && !placed {
             Vec::new()
         } else {
-            self.tasks.clone()
+            self.tasks.iter().map(saved_task).collect()
         };
         Progress {
             epoch,
@@ -252,3 +252,16 @@
         greatest.cloned().unwrap_or_default()
     }
 }
+
+/// Returns the state of a task to append to the log. No successor needs more of a done task than
+/// that it is done, and the record of a wide job is appended with each of its ends.
+fn saved_task(task: &TaskProgress) -> TaskProgress {
+    match task.placement {
+        Placement::Done => TaskProgress {
+            run: task.run,
+            placement: Placement::Done,
+            ..TaskProgress::default()
+        },
+        Placement::Pending | Placement::Minion(_) => task.clone(),
+    }
+}
