Space the polls of carriers by their number

Cause: polls every 20 ms, held for up to 30 ms, add up to 50 ms to a start and to an end, which a cell with four carriers need not pay for the leader's sake.

Change: the leader tells each carrier a gap of 2 ms for each carrier of the cell, at least 5 ms, and holds a poll for 15 ms at most.

--- a/crates/primrosebay_member/src/carry.rs
+++ b/crates/primrosebay_member/src/carry.rs
@@ -12,10 +12,10 @@
 use async_std::task;
 use primrosebay_cell::carriers::Permit;
 use primrosebay_cell::leader::{Command, HoldAnswer, Refusal, StartAnswer};
-use primrosebay_cell::record::Member;
 
 use crate::lead::{Event, millis};
 use crate::links::{Answer, Order, Poll};
+use crate::peer::CarryRequest;
 use crate::platform::Platform;
 use crate::shared::Shared;
 use crate::{commands, peer};
@@ -28,15 +28,16 @@
 
 /// Starts to carry commands of the leader of a term, unless this instance already does so for this
 /// term or a later one.
-pub(crate) fn start<P: Platform>(shared: &Arc<Shared<P>>, leader: Member, epoch: u64) {
+pub(crate) fn start<P: Platform>(shared: &Arc<Shared<P>>, request: CarryRequest) {
+    let epoch = request.epoch;
     let earlier = shared.carried_epoch.fetch_max(epoch, Ordering::SeqCst);
     if earlier >= epoch {
         return;
     }
     let shared = Arc::clone(shared);
     task::spawn(async move {
-        log::info!(epoch, leader:% = leader.address; "carry: carrying commands of the leader");
-        let reason = poll_until_rejected(&shared, &leader, epoch).await;
+        log::info!(epoch, leader:% = request.leader.address, gap_ms = request.gap_ms; "carry: carrying commands of the leader");
+        let reason = poll_until_rejected(&shared, &request).await;
         log::info!(epoch, reason; "carry: carrying has ended");
         // The leader may choose this instance again in the same term.
         let zero = 0;
@@ -50,9 +51,10 @@
 /// Polls the leader until the term is over for this carrier. Returns the reason.
 async fn poll_until_rejected<P: Platform>(
     shared: &Arc<Shared<P>>,
-    leader: &Member,
-    epoch: u64,
+    request: &CarryRequest,
 ) -> &'static str {
+    let (leader, epoch) = (&request.leader, request.epoch);
+    let gap = Duration::from_millis(request.gap_ms);
     let (answers, answered) = unbounded();
     let mut failures = 0;
     let mut unsent = Vec::new();
@@ -95,7 +97,7 @@
             }
         }
         let elapsed = Duration::from_millis(shared.clock.now().since(sent));
-        task::sleep(shared.settings.poll_gap.saturating_sub(elapsed)).await;
+        task::sleep(gap.saturating_sub(elapsed)).await;
     }
 }
 
--- a/crates/primrosebay_member/src/lead.rs
+++ b/crates/primrosebay_member/src/lead.rs
@@ -18,7 +18,7 @@
 
 use crate::commands;
 use crate::log_limit::LogLimit;
-use crate::peer;
+use crate::peer::{self, CarryRequest};
 use crate::platform::{AppendError, AppendId, Platform, ReadError, Stream};
 use crate::shared::Shared;
 use crate::submit::ForwardResult;
@@ -32,6 +32,9 @@
 /// Interval at which the links to carriers are checked, in milliseconds.
 const LINK_CHECK_MS: u64 = 100;
 
+/// Minimum time between two polls of a carrier, in milliseconds.
+const MIN_POLL_GAP_MS: u64 = 5;
+
 /// Timeout of the request to carry commands.
 const CARRY_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -230,7 +233,13 @@
         if chosen.is_empty() {
             return;
         }
-        let own = self.shared.own_member();
+        let (carriers, _) = self.shared.links.counts();
+        let gap_ms = millis(self.shared.settings.poll_gap) * carriers as u64;
+        let request = CarryRequest {
+            epoch: self.epoch,
+            leader: self.shared.own_member(),
+            gap_ms: gap_ms.max(MIN_POLL_GAP_MS),
+        };
         let members: Vec<(Name, Member)> = {
             let cell = self.shared.cell();
             let members = cell.ledger.members();
@@ -242,12 +251,12 @@
                 continue;
             };
             log::info!(epoch = self.epoch, carrier:% = name, zone:% = target.zone, cores_milli = target.cores_milli; "lead: carrier chosen");
-            let (shared, own, epoch) = (Arc::clone(&self.shared), own.clone(), self.epoch);
+            let (shared, request) = (Arc::clone(&self.shared), request.clone());
             task::spawn(async move {
                 let client = &shared.peer_client;
-                let asked = peer::ask_to_carry(client, &target, own, epoch, CARRY_TIMEOUT).await;
+                let asked = peer::ask_to_carry(client, &target, &request, CARRY_TIMEOUT).await;
                 if let Err(reason) = asked {
-                    log::warn!(epoch, carrier:% = name, reason:% = reason; "lead: carrier does not answer");
+                    log::warn!(epoch = request.epoch, carrier:% = name, reason:% = reason; "lead: carrier does not answer");
                 }
             });
         }
--- a/crates/primrosebay_member/src/peer.rs
+++ b/crates/primrosebay_member/src/peer.rs
@@ -57,10 +57,12 @@
 }
 
 /// The request of a leader to carry its commands.
-#[derive(Debug, Serialize, Deserialize)]
-struct CarryRequest {
-    epoch: u64,
-    leader: Member,
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct CarryRequest {
+    pub(crate) epoch: u64,
+    pub(crate) leader: Member,
+    /// Minimum time between two polls, in milliseconds.
+    pub(crate) gap_ms: u64,
 }
 
 /// Asks another instance to carry the commands of the leader of a term. Returns the reason if the
@@ -68,16 +70,14 @@
 pub(crate) async fn ask_to_carry(
     client: &Client,
     member: &Member,
-    leader: Member,
-    epoch: u64,
+    request: &CarryRequest,
     timeout: Duration,
 ) -> Result<(), String> {
     let address = member
         .address
         .parse()
         .map_err(|e| format!("invalid address of the instance: {e}"))?;
-    let request = CarryRequest { epoch, leader };
-    let body = serde_json::to_vec(&request).map_err(|e| e.to_string())?;
+    let body = serde_json::to_vec(request).map_err(|e| e.to_string())?;
     let headers = [(SECRET_HEADER, &*member.secret)];
     let call = client.bytes(
         address,
@@ -378,7 +378,7 @@
     if shared.is_stopping() {
         return Ok(Response::new(StatusCode::ServiceUnavailable));
     }
-    carry::start(shared, body.leader, body.epoch);
+    carry::start(shared, body);
     Ok(Response::new(StatusCode::NoContent))
 }
 
--- a/crates/primrosebay_member/src/settings.rs
+++ b/crates/primrosebay_member/src/settings.rs
@@ -74,7 +74,8 @@
     /// Time for which a stopping instance keeps serving callers, so that load balancers can
     /// detect that it is not ready.
     pub drain_time: Duration,
-    /// Minimum time between two polls of a carrier for commands of the leader.
+    /// Minimum time between two polls of a carrier for commands of the leader, for each carrier of
+    /// the cell. So the leader is polled equally often whatever their number is.
     pub poll_gap: Duration,
     /// Time for which the leader delays the answer to a poll until there are commands.
     pub poll_wait: Duration,
@@ -122,8 +123,8 @@
             deadline_slack: Duration::from_millis(150),
             request_timeout: Duration::from_secs(3),
             drain_time: Duration::from_secs(3),
-            poll_gap: Duration::from_millis(20),
-            poll_wait: Duration::from_millis(30),
+            poll_gap: Duration::from_millis(2),
+            poll_wait: Duration::from_millis(15),
             order_age: Duration::from_secs(1),
             order_timeout: Duration::from_millis(1_600),
             follower: follower::Settings::default(),
