--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -315,6 +315,27 @@
         answer.map(|(status, _)| status)
     }
 
+    /// Submits the job `key` at a member until it is accepted, for at most `timeout`. Returns the last
+    /// status.
+    pub async fn submit_until_accepted(
+        &self,
+        member: usize,
+        key: u64,
+        timeout: Duration,
+    ) -> Option<u16> {
+        let job = format!("{key:016x}");
+        let deadline = Instant::now() + timeout;
+        loop {
+            let body = job_body(1, 50, 100).into_bytes();
+            let answer = self.callers.call(member, Method::Post, &job, Some(body));
+            let status = answer.await.map(|(status, _)| status);
+            if status == Some(200) || Instant::now() >= deadline {
+                return status;
+            }
+            task::sleep(Duration::from_millis(200)).await;
+        }
+    }
+
     /// Submits a job of `tasks` tasks that run for 30 s and waits until all of them have started.
     pub async fn start_long_job(&self, job: &str, tasks: u32) {
         let body = job_body(tasks, 30_000, 1_000).into_bytes();
--- a/crates/primrosebay/tests/soak/main.rs
+++ b/crates/primrosebay/tests/soak/main.rs
@@ -139,6 +139,32 @@
     });
 }
 
+/// Guards against a large cell that stands still once no large member is left: the small ones, which
+/// do not follow the log, have to read it, lead and answer by themselves.
+#[test]
+fn small_members_lead_once_no_large_one_is_left() {
+    task::block_on(async {
+        let size = Size {
+            members: 5,
+            large: true,
+            ..Size::default()
+        };
+        let mut cell = Cell::start(size).await;
+        cell.wait_ready().await;
+        assert_eq!(cell.submit_and_read(1).await, Some(200));
+        for member in 0..3 {
+            cell.stop_and_read(member);
+        }
+        // 2 s to 8 s without an answer, and the time of an election.
+        let status = cell
+            .submit_until_accepted(4, 2, Duration::from_secs(20))
+            .await;
+        assert_eq!(status, Some(200));
+        let is_done = || cell.done_count(2) == 1;
+        assert!(wait_until(Duration::from_secs(20), is_done).await);
+    });
+}
+
 /// Guards against "no such job" from a member that has not yet read the records of a job that
 /// another member accepted. Found by soak seed 9589108563042778488, 260 ms after the job was
 /// accepted.
--- a/crates/primrosebay_cell/tests/odd_records.rs
+++ b/crates/primrosebay_cell/tests/odd_records.rs
@@ -94,3 +94,21 @@
         assert!(Record::read(&record.key(), &bytes).is_err());
     }
 }
+
+/// Guards against an instance of an earlier build that nobody knows during an upgrade: its
+/// announcement ends before the zone.
+#[test]
+fn announcement_without_zone_is_read() {
+    let member = Member {
+        address: "10.0.0.1:1".into(),
+        cores_milli: 250,
+        secret: "secret".into(),
+        zone: "".into(),
+    };
+    let record = Record::Member("node".into(), member);
+    let bytes = record.encode().expect("encodable");
+    let earlier = &bytes[..bytes.len() - 1];
+    let read = Record::read("mnode", earlier).expect("an earlier build wrote it");
+    assert_eq!(read, record);
+    assert!(Record::read("mnode", &bytes[..bytes.len() - 2]).is_err());
+}
