Forget the minions that have left in the links to carriers

Cause: the links kept every minion of the term, so that a leader of many hours would count minions that left long ago and choose ever more carriers.

Change: once a minute the links keep only the minions that the leader knows.

Result: minions_that_have_left_need_no_carrier.

--- a/crates/primrosebay_cell/src/carriers.rs
+++ b/crates/primrosebay_cell/src/carriers.rs
@@ -148,6 +148,11 @@
         self.minions.insert(name.clone(), assignment);
     }
 
+    /// Forgets the minions for which `keep` returns false.
+    pub fn retain_minions(&mut self, keep: impl Fn(&Name) -> bool) {
+        self.minions.retain(|name, _| keep(name));
+    }
+
     /// Returns the carrier of a minion; none if the leader has to call it itself.
     #[must_use]
     pub fn carrier(&self, minion: &Name) -> Option<&Name> {
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -186,6 +186,12 @@
         self.deposed
     }
 
+    /// Returns whether the leader knows this minion, listed or not.
+    #[must_use]
+    pub fn has_minion(&self, name: &Name) -> bool {
+        self.minions.get(name).is_some()
+    }
+
     /// Marks the leader as superseded by another one.
     pub fn depose(&mut self) {
         self.deposed = true;
--- a/crates/primrosebay_cell/tests/carriers.rs
+++ b/crates/primrosebay_cell/tests/carriers.rs
@@ -164,3 +164,16 @@
     assert!(!permit.is_valid(Time(11_001), 7));
     assert!(!permit.is_valid(Time(10_001), 8));
 }
+
+/// Guards against a leader that counts minions which left long ago, and chooses ever more carriers.
+#[test]
+fn minions_that_have_left_need_no_carrier() {
+    let mut carriers = carriers(0);
+    for i in 1_100..3_000 {
+        carriers.set_minion(&minion(i), &zone(i));
+    }
+    let last = minion(1_100);
+    carriers.retain_minions(|name| *name < last);
+    assert_eq!(carriers.choose(Time(0)).len(), 11);
+    assert_eq!(carriers.carrier(&minion(2_000)), None);
+}
--- a/crates/primrosebay_member/src/lead.rs
+++ b/crates/primrosebay_member/src/lead.rs
@@ -32,6 +32,9 @@
 /// Interval at which the links to carriers are checked, in milliseconds.
 const LINK_CHECK_MS: u64 = 100;
 
+/// Interval at which minions that have left are removed from the links, in milliseconds.
+const LINK_CLEANUP_MS: u64 = 60_000;
+
 /// Minimum time between two polls of a carrier, in milliseconds.
 const MIN_POLL_GAP_MS: u64 = 5;
 
@@ -119,6 +122,8 @@
     last_summary: Time,
     /// When the links to carriers are checked next.
     link_check: Time,
+    /// When the minions that have left are removed from the links next.
+    link_cleanup: Time,
 }
 
 /// Leads the cell until a higher term is seen, a larger instance can take over or this instance
@@ -148,6 +153,7 @@
         handover: Arc::new(AtomicBool::new(false)),
         started: now.time,
         link_check: now.time,
+        link_cleanup: now.time + LINK_CLEANUP_MS,
     };
     term.apply_operators();
     term.apply_members();
@@ -220,6 +226,11 @@
     /// Gives up commands that carriers have not answered in time, and replaces lost carriers.
     fn check_links(&mut self, now: Now) {
         self.link_check = now.time + LINK_CHECK_MS;
+        if now.time >= self.link_cleanup {
+            self.link_cleanup = now.time + LINK_CLEANUP_MS;
+            let links = &self.shared.links;
+            links.retain_minions(|name| self.leader.has_minion(name));
+        }
         let (events, lost, chosen) = self.shared.links.sweep(now.time);
         if !events.is_empty() {
             log::info!(epoch = self.epoch, commands = events.len(); "lead: commands given up that carriers have not answered");
--- a/crates/primrosebay_member/src/links.rs
+++ b/crates/primrosebay_member/src/links.rs
@@ -130,6 +130,13 @@
         }
     }
 
+    /// Forgets the minions for which `keep` returns false.
+    pub(crate) fn retain_minions(&self, keep: impl Fn(&Name) -> bool) {
+        if let Some(term) = &mut *self.term() {
+            term.carriers.retain_minions(keep);
+        }
+    }
+
     /// Passes a command to the carrier of its minion. Returns the command if the minion has none.
     pub(crate) fn send(&self, command: Command, now: Time, settings: &Settings) -> Option<Command> {
         let mut guard = self.term();
