Refuse messages between instances with bytes left over, and invalid relayed jobs

Cause: the decoder of polls, commands and relayed requests ignored bytes after a message, so that odd bodies passed as messages; a relayed job was not checked again, and readers of the log skip the record of an invalid one, which would have counted as accepted.

Change: a message has to fill its body; a relayed job is validated.

--- a/crates/primrosebay/tests/odd_entries.rs
+++ b/crates/primrosebay/tests/odd_entries.rs
@@ -10,6 +10,7 @@
 
 use async_std::task;
 use http_types::Method;
+use primrosebay_cell::record::Record;
 use primrosebay_platform::BOOT_VARIABLE;
 use primrosebay_platform_standin::{
     API_KEY, HOST, MemberAddresses, Minion, PATH_PREFIX, RunMonitor, Store, boot_file, config,
@@ -24,7 +25,7 @@
 const WAIT: Duration = Duration::from_secs(40);
 
 /// Topics of the store that members follow.
-const TOPICS: [&str; 3] = ["keyed.servers", "keyed.op", "keyed.cell"];
+const TOPICS: [&str; 4] = ["keyed.servers", "keyed.op", "keyed.cell", "keyed.members"];
 
 /// Maximum number of lines about records that cannot be decoded in the log of one member: 10 in 10 s
 /// for each stream, and the test takes less than 100 s.
@@ -442,6 +443,55 @@
     });
 }
 
+/// Paths on which members call each other.
+const PEER_PATHS: [&str; 5] = [
+    "/v1/advice",
+    "/v1/records",
+    "/v1/relay",
+    "/v1/carry",
+    "/v1/orders",
+];
+
+/// Guards against a member that ends, or stops serving, because of a message from another one that it
+/// cannot decode, and against one that answers whoever does not know its secret.
+#[test]
+fn odd_messages_between_members_do_not_end_them() {
+    task::block_on(async {
+        let mut cell = Cell::start("messages").await;
+        cell.store.put_operator_record("config", &config(1));
+        cell.start_members(0);
+        cell.wait_ready().await;
+        let monitor = Arc::new(Mutex::new(RunMonitor::default()));
+        let minion = Minion::start("minion-0", &cell.store, Arc::clone(&monitor));
+        let _minion = minion.await.unwrap();
+        cell.complete_jobs(true).await;
+        let record = cell.store.cell_record("mmember-0");
+        let record = record.expect("the member has announced itself");
+        let Ok(Record::Member(_, member)) = Record::read("mmember-0", &record) else {
+            panic!("not an announcement");
+        };
+        let address = member.address.parse().unwrap();
+        for path in PEER_PATHS {
+            for body in odd_values() {
+                for (secret, expected) in [(&*member.secret, 400), ("another", 401)] {
+                    let headers = [("primrosebay-secret", secret)];
+                    let timeout = Duration::from_secs(4);
+                    let body = Some(body.clone());
+                    let call =
+                        cell.client
+                            .bytes(address, Method::Post, path, &headers, body, timeout);
+                    let status = call.await.map(|(status, _)| u16::from(status)).ok();
+                    assert_eq!(status, Some(expected), "{path}");
+                }
+            }
+        }
+        cell.complete_jobs(true).await;
+        cell.assert_running();
+        assert!(monitor.lock().unwrap().violations.is_empty());
+        fs::remove_dir_all(&cell.directory).unwrap();
+    });
+}
+
 /// Number of large odd entries: a quarter of 1,000, since the stand-in takes a tenth of a second for
 /// a page of four in a debug build.
 const LARGE_ENTRIES: usize = 250;
--- a/crates/primrosebay_member/src/peer.rs
+++ b/crates/primrosebay_member/src/peer.rs
@@ -17,6 +17,7 @@
 use primrosebay_cell::record::{Member, Record};
 use primrosebay_state::Name;
 use primrosebay_transport::http_client::{CallError, Client};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tide::{Request, Response, StatusCode};
 
@@ -118,10 +119,7 @@
         timeout,
     );
     match call.await.map_err(|e| e.to_string())? {
-        (StatusCode::Ok, bytes) => {
-            let orders = postcard::from_bytes(&bytes).map_err(|e| e.to_string())?;
-            Ok(Some(orders))
-        }
+        (StatusCode::Ok, bytes) => Ok(Some(decode(&bytes)?)),
         (StatusCode::Conflict | StatusCode::Unauthorized, _) => Ok(None),
         (status, _) => Err(format!("unexpected status {status}")),
     }
@@ -161,9 +159,7 @@
         timeout,
     );
     match answer.await {
-        Ok((StatusCode::Ok, bytes)) => {
-            postcard::from_bytes(&bytes).map_err(|e| RelayError::Lost(e.to_string()))
-        }
+        Ok((StatusCode::Ok, bytes)) => decode(&bytes).map_err(RelayError::Lost),
         Ok((StatusCode::Unauthorized | StatusCode::Conflict | StatusCode::BadRequest, _)) => {
             Err(not_taken("the instance does not answer for others".into()))
         }
@@ -277,6 +273,16 @@
     app
 }
 
+/// Decodes a message that fills all of `bytes`.
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+    let (message, rest) = postcard::take_from_bytes(bytes).map_err(|e| e.to_string())?;
+    if rest.is_empty() {
+        Ok(message)
+    } else {
+        Err(format!("{} bytes after the message", rest.len()))
+    }
+}
+
 /// Returns whether the request carries the secret of this instance.
 fn is_trusted<P: Platform>(request: &Request<Arc<Shared<P>>>) -> bool {
     let secret = request.header(SECRET_HEADER).map(|v| v.as_str());
@@ -348,7 +354,7 @@
         return Ok(Response::new(StatusCode::Unauthorized));
     }
     let bytes = request.body_bytes().await?;
-    let call: Call = match postcard::from_bytes(&bytes) {
+    let call: Call = match decode(&bytes) {
         Ok(call) => call,
         Err(e) => {
             log::warn!(reason:% = e; "peer: cannot decode a relayed request");
@@ -387,7 +393,7 @@
         return Ok(Response::new(StatusCode::Unauthorized));
     }
     let bytes = request.body_bytes().await?;
-    let poll: Poll = match postcard::from_bytes(&bytes) {
+    let poll: Poll = match decode(&bytes) {
         Ok(poll) => poll,
         Err(e) => {
             log::warn!(reason:% = e; "peer: cannot decode the poll of a carrier");
--- a/crates/primrosebay_member/src/relay.rs
+++ b/crates/primrosebay_member/src/relay.rs
@@ -304,6 +304,11 @@
             spec,
             within_ms,
         } => {
+            // A job that readers of the log would skip must not count as accepted.
+            if let Err(e) = spec.validate() {
+                log::warn!(job:% = job, reason:% = e; "relay: invalid job refused");
+                return Some(Reply::Submit(SubmitResult::Refused));
+            }
             let within = Duration::from_millis(within_ms);
             Reply::Submit(calls::submit(shared, &owner, job, spec, within).await)
         }
