--- a/crates/primrosebay/tests/odd_entries.rs
+++ b/crates/primrosebay/tests/odd_entries.rs
@@ -477,10 +477,11 @@
                     let headers = [("primrosebay-secret", secret)];
                     let timeout = Duration::from_secs(4);
                     let body = Some(body.clone());
-                    let call =
-                        cell.client
-                            .bytes(address, Method::Post, path, &headers, body, timeout);
-                    let status = call.await.map(|(status, _)| u16::from(status)).ok();
+                    let answer = cell
+                        .client
+                        .bytes(address, Method::Post, path, &headers, body, timeout)
+                        .await;
+                    let status = answer.map(|(status, _)| u16::from(status)).ok();
                     assert_eq!(status, Some(expected), "{path}");
                 }
             }
--- a/crates/primrosebay_member/src/peer.rs
+++ b/crates/primrosebay_member/src/peer.rs
@@ -8,6 +8,7 @@
 //! Each instance announces its address and a secret in the cell's stream. Only readers of the
 //! stream know the secret, so no certificates have to be distributed.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -66,6 +67,24 @@
     pub(crate) gap_ms: u64,
 }
 
+/// Sends a message to another instance with its secret.
+async fn post(
+    client: &Client,
+    member: &Member,
+    path: &str,
+    body: Vec<u8>,
+    timeout: Duration,
+) -> Result<(StatusCode, Vec<u8>), CallError> {
+    let address = member.address.parse().map_err(|e| CallError::NotSent {
+        address: SocketAddr::from(([0, 0, 0, 0], 0)),
+        reason: format!("invalid address {}: {e}", member.address),
+    })?;
+    let headers = [(SECRET_HEADER, &*member.secret)];
+    client
+        .bytes(address, Method::Post, path, &headers, Some(body), timeout)
+        .await
+}
+
 /// Asks another instance to carry the commands of the leader of a term. Returns the reason if the
 /// call fails.
 pub(crate) async fn ask_to_carry(
@@ -74,20 +93,8 @@
     request: &CarryRequest,
     timeout: Duration,
 ) -> Result<(), String> {
-    let address = member
-        .address
-        .parse()
-        .map_err(|e| format!("invalid address of the instance: {e}"))?;
     let body = serde_json::to_vec(request).map_err(|e| e.to_string())?;
-    let headers = [(SECRET_HEADER, &*member.secret)];
-    let call = client.bytes(
-        address,
-        Method::Post,
-        CARRY_PATH,
-        &headers,
-        Some(body),
-        timeout,
-    );
+    let call = post(client, member, CARRY_PATH, body, timeout);
     let (status, _) = call.await.map_err(|e| e.to_string())?;
     if status.is_success() {
         Ok(())
@@ -104,20 +111,8 @@
     poll: &Poll,
     timeout: Duration,
 ) -> Result<Option<Vec<Order>>, String> {
-    let address = leader
-        .address
-        .parse()
-        .map_err(|e| format!("invalid address of the leader: {e}"))?;
     let body = postcard::to_stdvec(poll).map_err(|e| e.to_string())?;
-    let headers = [(SECRET_HEADER, &*leader.secret)];
-    let call = client.bytes(
-        address,
-        Method::Post,
-        ORDERS_PATH,
-        &headers,
-        Some(body),
-        timeout,
-    );
+    let call = post(client, leader, ORDERS_PATH, body, timeout);
     match call.await.map_err(|e| e.to_string())? {
         (StatusCode::Ok, bytes) => Ok(Some(decode(&bytes)?)),
         (StatusCode::Conflict | StatusCode::Unauthorized, _) => Ok(None),
@@ -144,20 +139,8 @@
     timeout: Duration,
 ) -> Result<Reply, RelayError> {
     let not_taken = |reason: String| RelayError::NotTaken(reason);
-    let address = member
-        .address
-        .parse()
-        .map_err(|e| not_taken(format!("invalid address of the instance: {e}")))?;
     let body = postcard::to_stdvec(call).map_err(|e| not_taken(e.to_string()))?;
-    let headers = [(SECRET_HEADER, &*member.secret)];
-    let answer = client.bytes(
-        address,
-        Method::Post,
-        RELAY_PATH,
-        &headers,
-        Some(body),
-        timeout,
-    );
+    let answer = post(client, member, RELAY_PATH, body, timeout);
     match answer.await {
         Ok((StatusCode::Ok, bytes)) => decode(&bytes).map_err(RelayError::Lost),
         Ok((StatusCode::Unauthorized | StatusCode::Conflict | StatusCode::BadRequest, _)) => {
@@ -177,10 +160,6 @@
     minions: &[Name],
     timeout: Duration,
 ) -> Result<Advice, String> {
-    let address = member
-        .address
-        .parse()
-        .map_err(|e| format!("invalid address of the instance: {e}"))?;
     let request = AdviceRequest {
         job: step.job,
         occurrence: step.occurrence,
@@ -189,16 +168,7 @@
         timeout_ms: crate::lead::millis(timeout),
     };
     let body = serde_json::to_vec(&request).map_err(|e| e.to_string())?;
-    let headers = [(SECRET_HEADER, &*member.secret)];
-    let (status, bytes) = client
-        .bytes(
-            address,
-            Method::Post,
-            ADVICE_PATH,
-            &headers,
-            Some(body),
-            timeout,
-        )
+    let (status, bytes) = post(client, member, ADVICE_PATH, body, timeout)
         .await
         .map_err(|e| e.to_string())?;
     if !status.is_success() {
@@ -218,19 +188,10 @@
     records: &[Record],
     timeout: Duration,
 ) -> ForwardResult {
-    let (Ok(address), Ok(body)) = (leader.address.parse(), serde_json::to_vec(records)) else {
+    let Ok(body) = serde_json::to_vec(records) else {
         return ForwardResult::Not;
     };
-    let headers = [(SECRET_HEADER, &*leader.secret)];
-    let call = client.bytes(
-        address,
-        Method::Post,
-        RECORDS_PATH,
-        &headers,
-        Some(body),
-        timeout,
-    );
-    match call.await {
+    match post(client, leader, RECORDS_PATH, body, timeout).await {
         Ok((StatusCode::NoContent, _)) => ForwardResult::Durable,
         Ok((StatusCode::Accepted, _)) | Err(CallError::Lost { .. }) => ForwardResult::Unknown,
         Ok(_) | Err(_) => ForwardResult::Not,
