Assert in debug builds that the incremental state of the leader is complete

Ready steps and resources of accounts are kept by changes; a change that is missed would let a job wait for ever.

--- a/crates/primrosebay_cell/src/leader/ready.rs
+++ b/crates/primrosebay_cell/src/leader/ready.rs
@@ -141,6 +141,12 @@
         self.due.drain(..due).map(|d| d.1).collect()
     }
 
+    /// Returns all steps, sorted by key.
+    #[cfg(debug_assertions)]
+    pub(super) fn steps(&self) -> Vec<StepKey> {
+        self.entries.iter().map(|e| e.step.key).collect()
+    }
+
     /// Returns the first `count` steps in serving order, each with whether its job is late.
     pub(super) fn first(&self, count: usize) -> Vec<(StepKey, bool)> {
         let steps = self.order.iter().take(count);
--- a/crates/primrosebay_cell/src/leader/schedule.rs
+++ b/crates/primrosebay_cell/src/leader/schedule.rs
@@ -4,9 +4,13 @@
 
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
+#[cfg(debug_assertions)]
+use primrosebay_state::table::Table;
 use primrosebay_state::time::Time;
 
 use super::Leader;
+#[cfg(debug_assertions)]
+use super::active::ActiveJob;
 use super::advice::{MAX_CALL_MINIONS, StepAdvice};
 use super::command::Now;
 use super::minion::{Minion, count_fitting};
@@ -94,6 +98,8 @@
     /// Runs a scheduling pass: starts pending tasks, the most urgent first.
     pub(super) fn schedule(&mut self, now: Now) {
         self.update_ready(now);
+        #[cfg(debug_assertions)]
+        self.assert_consistent(now);
         let ready = self.ready.first(MAX_VISITED);
         self.blocked = super::BlockedSteps::default();
         if ready.is_empty() {
@@ -115,6 +121,27 @@
         }
     }
 
+    /// Asserts that what is kept up to date by changes equals what all jobs and runs show.
+    #[cfg(debug_assertions)]
+    fn assert_consistent(&self, now: Now) {
+        let early_ms = self.settings.early_start_ms;
+        let known = |j: &&ActiveJob| self.queues.get(&j.queue).is_some();
+        let jobs = self.jobs.iter().map(|(_, job)| &**job).filter(known);
+        let ready: Vec<StepKey> = jobs.flat_map(|j| j.ready_steps(now, early_ms)).collect();
+        assert_eq!(self.ready.steps(), ready, "ready steps");
+        let mut usage: Table<Name, Resources> = Table::default();
+        for run in self.minions.iter().flat_map(|(_, m)| &m.runs) {
+            if let Some(account) = &run.account {
+                let sum = usage.or_insert(account.clone(), Resources::ZERO);
+                *sum = sum.plus(&run.amount);
+            }
+        }
+        for (account, used) in self.usage.iter() {
+            let expected = usage.get(account).copied().unwrap_or_default();
+            assert_eq!(*used, expected, "resources of {account}");
+        }
+    }
+
     /// Updates the ready steps of the jobs that have changed since the last pass.
     fn update_ready(&mut self, now: Now) {
         let early = now.wall_ms.saturating_add(self.settings.early_start_ms);
