--- a/crates/primrosebay_member/src/carry.rs
+++ b/crates/primrosebay_member/src/carry.rs
@@ -26,6 +26,9 @@
 /// Number of polls in a row that may fail before a carrier gives up its term.
 const MAX_FAILURES: u32 = 5;
 
+/// Epoch of an instance that carries for no term.
+const NO_TERM: u64 = 0;
+
 /// Starts to carry commands of the leader of a term, unless this instance already does so for this
 /// term or a later one.
 pub(crate) fn start<P: Platform>(shared: &Arc<Shared<P>>, request: CarryRequest) {
@@ -40,11 +43,10 @@
         let reason = poll_until_rejected(&shared, &request).await;
         log::info!(epoch, reason; "carry: carrying has ended");
         // The leader may choose this instance again in the same term.
-        let zero = 0;
-        let _ =
-            shared
-                .carried_epoch
-                .compare_exchange(epoch, zero, Ordering::SeqCst, Ordering::SeqCst);
+        let order = Ordering::SeqCst;
+        let _ = shared
+            .carried_epoch
+            .compare_exchange(epoch, NO_TERM, order, order);
     });
 }
 
@@ -76,14 +78,8 @@
         match peer::poll(&shared.peer_client, leader, &poll, timeout).await {
             Ok(Some(orders)) => {
                 failures = 0;
-                let age = millis(shared.settings.order_age);
-                carry_out(
-                    shared,
-                    &answers,
-                    epoch,
-                    Permit::new(epoch, sent, age),
-                    orders,
-                );
+                let permit = Permit::new(epoch, sent, millis(shared.settings.order_age));
+                carry_out(shared, &answers, epoch, permit, orders);
             }
             Ok(None) => return "rejected by the leader",
             Err(reason) => {
@@ -92,7 +88,7 @@
                 if failures >= MAX_FAILURES {
                     return "leader out of reach";
                 }
-                // The leader takes answers more than once.
+                // The leader ignores those that it has taken already.
                 unsent = poll.answers;
             }
         }
--- a/crates/primrosebay_member/src/links.rs
+++ b/crates/primrosebay_member/src/links.rs
@@ -71,7 +71,7 @@
     }
 }
 
-/// The links of one term.
+/// The links of one term of leadership.
 #[derive(Debug)]
 struct Term {
     epoch: u64,
