--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -295,7 +295,7 @@
                  labels=("kind", "rack-1"), age_ms=600_000, work=None):
         self.name, self.store, self.monitor = name, store, monitor
         self.service, self.cpu, self.mem, self.zone, self.labels = service, cpu, mem, zone, list(labels)
-        self.work = work or (lambda task, run, spec: float(spec))
+        self.work = work or (lambda task, run, spec: float(spec.split()[0]))
         self.lock = threading.RLock()
         self.ended_changed = threading.Condition(self.lock)
         self.up, self.intercept, self.sequence, self.born = True, None, 0, 0
