--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -332,6 +332,8 @@
     def crash(self, down_s):
         """Ends everything at once and begins a new life under the same id after `down_s`."""
         with self.lock:
+            if not self.up:
+                return
             self.up = False
             for (task, run) in list(self.running):
                 self.monitor.ended(task, run, self.name, "lost with the minion")
