--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -10,6 +10,7 @@
 import json
 import os
 import shutil
+import signal
 import socket
 import struct
 import subprocess
@@ -17,6 +18,7 @@
 import tempfile
 import threading
 import time
+import traceback
 import urllib.parse
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
@@ -43,6 +45,24 @@
 }
 
 
+PROCESSES = []  # all processes that this script has started
+
+
+def abandon(*reason):
+    """Ends all processes and exits with 2: the case could not run."""
+    if len(reason) == 3:
+        traceback.print_exception(*reason)
+    for process in PROCESSES:
+        if process.poll() is None:
+            process.kill()
+    os._exit(2)
+
+
+sys.excepthook = abandon
+for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    signal.signal(number, abandon)
+
+
 class Record:
     """Writes what was sent, answered and run to a file, one JSON object a line."""
 
@@ -494,6 +514,7 @@
         log = open(os.path.join(self.cell.folder, self.name + ".log"), "ab")
         env = {"PATH": os.environ["PATH"], "PRIMROSEBAY_BOOT": self.settings}
         self.process = subprocess.Popen([PROGRAM, "member"], env=env, stdout=log, stderr=log, cwd=ROOT)
+        PROCESSES.append(self.process)
         self.cell.record("member started", member=self.name, pid=self.process.pid)
 
     def signal(self, number):
