Count steps that a pass leaves out, charges of waiting steps, and waits for leases

The summary of the leader could not tell why an accepted task does not run: whether its step was examined, whether the account's limit is used by runs or charged for steps that wait, or whether the task waits for the lease of a lost minion. Adds unexamined, charged_cores, silent_runs and lease_wait_ms to "lead: summary", and two of them to the metrics.

No decision changes.

--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -158,6 +158,11 @@
             .is_none_or(|seen| now.since(seen) > settings.silence_ms)
     }
 
+    /// Returns the time at which the task of a run can be restarted if the minion stays silent.
+    pub(super) fn restart_at(&self, run: &Run) -> Time {
+        self.expiry.max(run.expiry)
+    }
+
     /// Returns whether the minion may have restarted since its last answer. Its clock, its fencing
     /// epoch and the numbers of its ended runs are unknown then.
     pub(super) fn may_have_restarted(&self) -> bool {
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -67,6 +67,10 @@
     pub unstopped: usize,
     /// Advice calls in flight.
     pub advice_calls: usize,
+    /// Runs on silent minions, whose tasks can be restarted only once all leases there have expired.
+    pub silent_runs: usize,
+    /// Longest time until the tasks of these runs can be restarted, in milliseconds.
+    pub lease_wait_ms: u64,
     /// Steps that could not be started in full in the last pass.
     pub blocked: BlockedSteps,
     /// CPU that runs take or may take on usable minions, in thousandths of a core.
@@ -87,6 +91,10 @@
     pub advice_client: usize,
     /// Steps that wait for free resources on minions.
     pub capacity: usize,
+    /// Steps that the pass did not examine.
+    pub unexamined: usize,
+    /// CPU charged to the limits of accounts for steps that wait, in thousandths of a core.
+    pub charged_milli: u64,
 }
 
 /// Schedules the tasks of a cell during one leadership term.
@@ -398,6 +406,8 @@
             let unstopped = m.runs.iter().filter(|r| !stopping(r));
             unstopped.filter(|r| must_stop(name, r)).count()
         };
+        let silent = || minions().filter(|m| m.is_silent(now.time, &self.settings));
+        let lease_waits = silent().filter_map(|m| m.runs.iter().map(|r| m.restart_at(r)).max());
         Counts {
             jobs: self.jobs.len(),
             runs: runs().count(),
@@ -409,6 +419,8 @@
             stopping: runs().filter(stopping).count(),
             unstopped: self.minions.iter().map(unstopped).sum(),
             advice_calls: self.advice.pending_calls(),
+            silent_runs: silent().map(|m| m.runs.len()).sum(),
+            lease_wait_ms: lease_waits.map(|at| at.since(now.time)).max().unwrap_or(0),
             blocked: self.blocked,
             used_milli: usable()
                 .map(Minion::used_milli)
--- a/crates/primrosebay_cell/src/leader/quota.rs
+++ b/crates/primrosebay_cell/src/leader/quota.rs
@@ -38,6 +38,8 @@
     /// Collected on first use. A burst of one account can leave hundreds of steps blocked by its
     /// limit, and scanning all runs for each step took most of the leader's time.
     preemptible: Option<Table<Name, Preemptible>>,
+    /// CPU charged for steps that wait, in thousandths of a core.
+    pub(super) charged_milli: u64,
 }
 
 impl QuotaUsage {
@@ -53,6 +55,7 @@
     /// in the pass, does not use up its limit.
     pub(super) fn reserve(&mut self, request: &Request) {
         let amount = request.amount.times(request.pending.len() as u64);
+        self.charged_milli = self.charged_milli.saturating_add(amount.cores_milli);
         self.charge(request.account.as_ref(), &amount);
     }
 }
@@ -63,6 +66,7 @@
         QuotaUsage {
             usage: self.usage.clone(),
             preemptible: None,
+            charged_milli: 0,
         }
     }
 
--- a/crates/primrosebay_cell/src/leader/ready.rs
+++ b/crates/primrosebay_cell/src/leader/ready.rs
@@ -141,6 +141,11 @@
         self.due.drain(..due).map(|d| d.1).collect()
     }
 
+    /// Returns the number of ready steps.
+    pub(super) fn len(&self) -> usize {
+        self.order.len()
+    }
+
     /// Returns all steps, sorted by key.
     #[cfg(debug_assertions)]
     pub(super) fn steps(&self) -> Vec<StepKey> {
--- a/crates/primrosebay_cell/src/leader/runs.rs
+++ b/crates/primrosebay_cell/src/leader/runs.rs
@@ -182,10 +182,11 @@
     fn expire_silent(&mut self, now: Now) {
         let mut lost = Vec::new();
         for (name, minion) in self.minions.iter() {
-            if !minion.is_silent(now.time, &self.settings) || now.time < minion.expiry {
+            if !minion.is_silent(now.time, &self.settings) {
                 continue;
             }
-            let has_expired = |r: &&Run| r.phase != Phase::Committing && now.time >= r.expiry;
+            let has_expired =
+                |r: &&Run| r.phase != Phase::Committing && now.time >= minion.restart_at(r);
             let runs = minion.runs.iter().filter(has_expired);
             lost.extend(runs.map(|r| (name.clone(), r.task, r.number)));
         }
--- a/crates/primrosebay_cell/src/leader/schedule.rs
+++ b/crates/primrosebay_cell/src/leader/schedule.rs
@@ -108,7 +108,9 @@
         let mut quota = self.quota_usage();
         self.begin_room(now.time);
         let mut examined = 0;
+        let mut visited = 0;
         for (step, late) in ready {
+            visited += 1;
             if self.is_known_full(step) {
                 self.blocked.capacity += 1;
                 continue;
@@ -119,6 +121,8 @@
                 break;
             }
         }
+        self.blocked.unexamined = self.ready.len() - visited;
+        self.blocked.charged_milli = quota.charged_milli;
     }
 
     /// Asserts that what is kept up to date by changes equals what all jobs and runs show.
--- a/crates/primrosebay_member/src/lead.rs
+++ b/crates/primrosebay_member/src/lead.rs
@@ -313,7 +313,9 @@
             unstopped = counts.unstopped, asking = counts.advice_calls,
             used_cores = counts.used_milli / 1000, all_cores = counts.total_milli / 1000,
             wait_limit = waits.limit, wait_advice = waits.advice, wait_adviser = waits.advice_client,
-            wait_room = waits.capacity, carriers, carried;
+            wait_room = waits.capacity, unexamined = waits.unexamined,
+            charged_cores = waits.charged_milli / 1000, silent_runs = counts.silent_runs,
+            lease_wait_ms = counts.lease_wait_ms, carriers, carried;
             "lead: summary"
         );
     }
--- a/crates/primrosebay_member/src/metrics.rs
+++ b/crates/primrosebay_member/src/metrics.rs
@@ -97,6 +97,8 @@
             ("stopping", counts.stopping),
             ("unstopped", counts.unstopped),
             ("asking", counts.advice_calls),
+            ("unexamined", counts.blocked.unexamined),
+            ("silent_runs", counts.silent_runs),
         ];
         for (kind, value) in values {
             self.leader
