Examine steps behind those that cannot start

Cause: a pass ended after max_steps (400) examined steps, always counted from the front of the queue. Steps that wait for a limit, for the advice service or for an instance that can call it were examined again in each pass and counted; MAX_VISITED (5,000) did the same with steps that are known to lack room. A job that has expired is sorted by its deadline, behind older blocked ones.

Change: a quarter of the steps that a pass examines are taken in rotation from those that the front leaves over, so each ready step is examined after a bounded number of passes, whatever blocks the others. Late steps that need at least what the limit of their account has just refused are skipped without a look at their tasks, as steps without room are.

--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -36,7 +36,7 @@
 use commit::Deferred;
 use minion::Minion;
 use rate::TokenBucket;
-use ready::ReadyQueue;
+use ready::{ReadyQueue, SortKey};
 use room::Room;
 pub use settings::Settings;
 
@@ -128,6 +128,9 @@
     blocked: BlockedSteps,
     /// Steps with tasks that can be started.
     ready: ReadyQueue,
+    /// Position of the step with which the rotation of the next pass begins; none for the first one
+    /// that is left over.
+    next_rotated: Option<(SortKey, StepKey)>,
     /// Jobs with changes that have not been processed yet.
     changes: Changes,
     /// Free resources of the usable minions.
@@ -166,6 +169,7 @@
             deposed: false,
             blocked: BlockedSteps::default(),
             ready: ReadyQueue::default(),
+            next_rotated: None,
             changes: Changes::default(),
             room: Room::default(),
             usage: Table::default(),
--- a/crates/primrosebay_cell/src/leader/quota.rs
+++ b/crates/primrosebay_cell/src/leader/quota.rs
@@ -9,7 +9,10 @@
 use super::minion::{Phase, Run};
 use super::preempt::preemptible_priority;
 use super::schedule::Request;
-use crate::job::TaskKey;
+use crate::job::{StepKey, TaskKey};
+
+/// Maximum number of steps without room in their account's limit that are remembered in a pass.
+const MAX_LIMITED: usize = 64;
 
 /// A run that more urgent work of its account may preempt.
 #[derive(Debug)]
@@ -40,6 +43,9 @@
     preemptible: Option<Table<Name, Preemptible>>,
     /// CPU charged for steps that wait, in thousandths of a core.
     pub(super) charged_milli: u64,
+    /// Resources that the limit of an account did not allow a step. The usage of an account does not
+    /// fall during a pass.
+    limited: Vec<(Name, Resources)>,
 }
 
 impl QuotaUsage {
@@ -51,6 +57,23 @@
         }
     }
 
+    /// Remembers that the account's limit does not allow the step to start in this pass.
+    pub(super) fn note_limited(&mut self, request: &Request) {
+        if let Some(account) = &request.account
+            && self.limited.len() < MAX_LIMITED
+        {
+            let entry = (account.clone(), request.min_resources());
+            self.limited.push(entry);
+        }
+    }
+
+    /// Returns whether the account's limit did not allow as much as this to an earlier step of the
+    /// pass.
+    fn is_limited(&self, account: &Name, amount: &Resources) -> bool {
+        let covers = |entry: &(Name, Resources)| entry.0 == *account && entry.1.fits(amount);
+        self.limited.iter().any(covers)
+    }
+
     /// Counts pending tasks as running, so that less urgent work of the account, which comes later
     /// in the pass, does not use up its limit.
     pub(super) fn reserve(&mut self, request: &Request) {
@@ -67,6 +90,7 @@
             usage: self.usage.clone(),
             preemptible: None,
             charged_milli: 0,
+            limited: Vec::new(),
         }
     }
 
@@ -127,6 +151,22 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Returns whether a step is known not to start in this pass because of its account's limit,
+    /// without a look at its tasks.
+    pub(super) fn is_known_limited(&self, step: StepKey, quota: &QuotaUsage) -> bool {
+        if quota.limited.is_empty() {
+            return false;
+        }
+        let Some(job) = self.jobs.get(&step.job) else {
+            return false;
+        };
+        let (Some(account), Some(spec)) = (&job.account, job.step(step)) else {
+            return false;
+        };
+        let tasks = if spec.gang { u64::from(spec.count) } else { 1 };
+        quota.is_limited(account, &job.amount(step).times(tasks))
+    }
+
     /// Preempts less urgent runs of the account so that its limit allows the step to start. Stops
     /// none if that does not suffice.
     pub(super) fn preempt_in_account(
--- a/crates/primrosebay_cell/src/leader/ready.rs
+++ b/crates/primrosebay_cell/src/leader/ready.rs
@@ -152,12 +152,46 @@
         self.entries.iter().map(|e| e.step.key).collect()
     }
 
-    /// Returns the first `count` steps in serving order, each with whether its job is late.
-    pub(super) fn first(&self, count: usize) -> Vec<(StepKey, bool)> {
-        let steps = self.order.iter().take(count);
-        steps
-            .map(|((class, ..), step)| (*step, *class >= LATE_CLASS))
-            .collect()
+    /// Returns the first `count` steps in serving order.
+    pub(super) fn first(&self, count: usize) -> Vec<Ready> {
+        self.order.iter().take(count).map(Ready::new).collect()
+    }
+
+    /// Returns up to `count` steps from the position `from` on, without the first `skipped` ones.
+    /// After the last step, it goes on with the first one that is not skipped.
+    pub(super) fn rotate(
+        &self,
+        from: Option<(SortKey, StepKey)>,
+        skipped: usize,
+        count: usize,
+    ) -> Vec<Ready> {
+        let rest = &self.order[skipped.min(self.order.len())..];
+        let middle = from.map_or(0, |from| rest.partition_point(|entry| *entry < from));
+        let (before, after) = rest.split_at(middle);
+        let steps = after.iter().chain(before);
+        steps.take(count).map(Ready::new).collect()
+    }
+}
+
+/// A ready step in serving order.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Ready {
+    /// Position in the serving order.
+    pub(super) position: (SortKey, StepKey),
+    /// Whether the job can no longer meet its latency objective.
+    pub(super) late: bool,
+}
+
+impl Ready {
+    fn new(position: &(SortKey, StepKey)) -> Self {
+        Self {
+            position: *position,
+            late: position.0.0 >= LATE_CLASS,
+        }
+    }
+
+    pub(super) fn step(&self) -> StepKey {
+        self.position.1
     }
 }
 
--- a/crates/primrosebay_cell/src/leader/schedule.rs
+++ b/crates/primrosebay_cell/src/leader/schedule.rs
@@ -15,7 +15,7 @@
 use super::command::Now;
 use super::minion::{Minion, count_fitting};
 use super::quota::QuotaUsage;
-use super::ready::ReadyStep;
+use super::ready::{Ready, ReadyStep};
 use super::room::Slots;
 use crate::config::AdviceTiming;
 use crate::job::{StepKey, TaskKey};
@@ -34,9 +34,17 @@
 /// Multiple of its latency objective after which a job has expired.
 const EXPIRY_OBJECTIVES: u64 = 3;
 
-/// Maximum number of steps visited in one pass, including those that are known to lack room.
+/// Maximum number of steps visited in serving order in one pass, including those that are known not
+/// to start in it.
 const MAX_VISITED: usize = 5_000;
 
+/// One in this many of the steps that a pass examines is chosen in rotation, from those that the
+/// more urgent ones leave over.
+const ROTATED_FRACTION: usize = 4;
+
+/// Maximum number of steps visited in rotation in one pass.
+const MAX_ROTATED: usize = 1_000;
+
 /// Margin added to the expected time of an advice answer while resources are reserved for it, in
 /// milliseconds: the answer travels over two hops and waits for the next pass.
 const ANSWER_MARGIN_MS: u64 = 300;
@@ -100,29 +108,52 @@
         self.update_ready(now);
         #[cfg(debug_assertions)]
         self.assert_consistent(now);
-        let ready = self.ready.first(MAX_VISITED);
         self.blocked = super::BlockedSteps::default();
-        if ready.is_empty() {
+        if self.ready.len() == 0 {
             return;
         }
         let mut quota = self.quota_usage();
         self.begin_room(now.time);
+        let rotated = self.settings.max_steps / ROTATED_FRACTION;
+        let first = self.ready.first(MAX_VISITED);
+        let visited = self.visit(&first, self.settings.max_steps - rotated, &mut quota, now);
+        // Steps that cannot start may fill the front of the queue for as long as they like. So that
+        // they do not hide the others, the pass also examines some of the rest, each time others.
+        let rest = self
+            .ready
+            .rotate(self.next_rotated, visited, MAX_ROTATED + 1);
+        let next = &rest[..rest.len().min(MAX_ROTATED)];
+        let rest_visited = self.visit(next, rotated, &mut quota, now);
+        self.next_rotated = rest.get(rest_visited).map(|r| r.position);
+        self.blocked.unexamined = self.ready.len() - visited - rest_visited;
+        self.blocked.charged_milli = quota.charged_milli;
+    }
+
+    /// Places these steps until `max_steps` have been examined. Steps that are known not to start in
+    /// this pass do not count. Returns the number of steps up to the last one that was examined.
+    fn visit(
+        &mut self,
+        steps: &[Ready],
+        max_steps: usize,
+        quota: &mut QuotaUsage,
+        now: Now,
+    ) -> usize {
         let mut examined = 0;
-        let mut visited = 0;
-        for (step, late) in ready {
-            visited += 1;
+        for (visited, ready) in steps.iter().enumerate() {
+            if examined >= max_steps {
+                return visited;
+            }
+            let step = ready.step();
             if self.is_known_full(step) {
                 self.blocked.capacity += 1;
-                continue;
-            }
-            self.place_step(step, late, &mut quota, now);
-            examined += 1;
-            if examined >= self.settings.max_steps {
-                break;
+            } else if ready.late && self.is_known_limited(step, quota) {
+                self.blocked.limit += 1;
+            } else {
+                self.place_step(step, ready.late, quota, now);
+                examined += 1;
             }
         }
-        self.blocked.unexamined = self.ready.len() - visited;
-        self.blocked.charged_milli = quota.charged_milli;
+        steps.len()
     }
 
     /// Asserts that what is kept up to date by changes equals what all jobs and runs show.
@@ -235,7 +266,9 @@
         let quota_slots = self.quota_slots(&request, quota);
         if quota_slots == 0 || request.gang && quota_slots < request.count() {
             self.blocked.limit += 1;
-            if !late {
+            if late {
+                quota.note_limited(&request);
+            } else {
                 self.preempt_in_account(&request, quota, now);
                 quota.reserve(&request);
             }
--- a/crates/primrosebay_cell/tests/leader/simulation.rs
+++ b/crates/primrosebay_cell/tests/leader/simulation.rs
@@ -108,6 +108,8 @@
     pub config: Config,
     /// The advice service allows one in this many minions, a different set for each job.
     pub allow_one_in: usize,
+    /// Whether the advice service gives no answer.
+    pub advice_down: bool,
     /// Whether the leader's batches do not reach the log.
     pub log_down: bool,
     /// Starts sent by the leader.
@@ -198,6 +200,7 @@
             minions: minions.collect(),
             config,
             allow_one_in: 1,
+            advice_down: false,
             log_down: false,
             starts: Vec::new(),
             advice_calls: Vec::new(),
@@ -280,9 +283,14 @@
     }
 
     pub fn submit(&mut self, key: u64, queue: &str, spec: &JobSpec) -> JobKey {
+        self.submit_for("account", key, queue, spec)
+    }
+
+    /// Submits a job of the account `account`.
+    pub fn submit_for(&mut self, account: &str, key: u64, queue: &str, spec: &JobSpec) -> JobKey {
         let submission = Submission {
             queue: queue.into(),
-            account: Some("account".into()),
+            account: Some(account.into()),
             spec: Arc::new(spec.clone()),
             accepted_ms: WALL_START_MS + self.now,
         };
@@ -437,6 +445,9 @@
                 ..
             } => {
                 self.advice_calls.push((now, node.clone(), minions.len()));
+                if self.advice_down {
+                    return;
+                }
                 let queue = &self.ledger.submission(step.job).expect("job").queue;
                 let timing = self.config.queue(queue).and_then(|q| q.advice);
                 let cost = timing.expect("the queue has advice").call_ms(minions.len());
