Do not charge an account's limit for steps above it

Cause: a step that the limit blocks is charged to the pass, so that less urgent jobs of the account do not use up the limit before it. That also held for a step that needs more than the whole limit and cannot start however long it waits.

Change: a step is charged, and preempts runs of its account, only if the limit allows it when nothing else of the account runs. It starts as soon as the limit is raised.

Test: step_above_its_limit_does_not_block_the_account (a gang and a single task); both cases fail before with "not done after 100 ms". gang_within_its_limit_precedes_less_urgent_jobs_of_the_account shows that what the charge is for still holds; it passes before and after.

--- a/crates/primrosebay_cell/src/leader/quota.rs
+++ b/crates/primrosebay_cell/src/leader/quota.rs
@@ -151,6 +151,14 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Returns whether the account's limit allows the step to start when nothing else of the account
+    /// is running.
+    pub(super) fn is_within_limit(&self, request: &Request) -> bool {
+        let account = request.account.as_ref();
+        let limit = account.and_then(|a| self.accounts.get(a)).map(|a| a.limit);
+        limit.is_none_or(|limit| is_within(&request.min_resources(), &limit))
+    }
+
     /// Returns whether a step is known not to start in this pass because of its account's limit,
     /// without a look at its tasks.
     pub(super) fn is_known_limited(&self, step: StepKey, quota: &QuotaUsage) -> bool {
--- a/crates/primrosebay_cell/src/leader/schedule.rs
+++ b/crates/primrosebay_cell/src/leader/schedule.rs
@@ -268,7 +268,7 @@
             self.blocked.limit += 1;
             if late {
                 quota.note_limited(&request);
-            } else {
+            } else if self.is_within_limit(&request) {
                 self.preempt_in_account(&request, quota, now);
                 quota.reserve(&request);
             }
--- a/crates/primrosebay_cell/tests/leader/limits.rs
+++ b/crates/primrosebay_cell/tests/leader/limits.rs
@@ -82,3 +82,47 @@
     }
     sim.run_until(3_000, |s| has_started(s, key));
 }
+
+/// Guards against a gang or task above the limit of its account that keeps the account's other jobs
+/// from running although it can never start itself.
+#[rstest]
+#[case::gang(20, 1, true)]
+#[case::task(1, 16, false)]
+fn step_above_its_limit_does_not_block_the_account(
+    #[case] count: u32,
+    #[case] size: u64,
+    #[case] gang: bool,
+) {
+    let mut sim = cell(4, cores(12));
+    let mut wide = job(count, cores(size));
+    wide.steps[0].gang = gang;
+    wide.steps[0].estimate_ms = 16_000;
+    let wide = sim.submit(1, "urgent", &wide);
+    let small = sim.submit(2, "batch", &job(2, cores(1)));
+    sim.run_until(100, |s| has_started(s, small));
+    assert!(!has_started(&sim, wide), "the limit is exceeded");
+    // The wide step starts as soon as a higher limit allows it.
+    sim.config.accounts[0].limit = cores(32);
+    sim.leader.set_config(&sim.config);
+    sim.run_until(2_000, |s| has_started(s, wide));
+}
+
+/// Guards against the opposite fault: less urgent jobs of the account that use up its limit, so that
+/// a gang within it never starts.
+#[test]
+fn gang_within_its_limit_precedes_less_urgent_jobs_of_the_account() {
+    let mut sim = cell(4, cores(16));
+    for key in 0..8 {
+        sim.submit(key, "batch", &job(1, cores(2)));
+    }
+    sim.run(100);
+    let mut gang = job(16, cores(1));
+    gang.steps[0].gang = true;
+    gang.steps[0].estimate_ms = 16_000;
+    let gang = sim.submit(100, "urgent", &gang);
+    for key in 0..40 {
+        sim.submit(200 + key, "batch", &job(1, cores(2)));
+        sim.run(50);
+    }
+    assert!(has_started(&sim, gang));
+}
