Do not charge an account's limit for steps that no minion can hold

Change: a step is charged only if the usable minions could hold it when nothing else ran on them.

Test: step_without_a_minion_does_not_block_the_account, three cases; all fail before with "not done after 100 ms".

--- a/crates/primrosebay_cell/src/leader/room.rs
+++ b/crates/primrosebay_cell/src/leader/room.rs
@@ -408,6 +408,25 @@
         )
     }
 
+    /// Returns whether the usable minions could hold the step if nothing else ran on them.
+    pub(super) fn could_hold(&self, request: &Request) -> bool {
+        let Some(rows) = self.rows(request) else {
+            return false;
+        };
+        let limit = match request.per_minion {
+            0 => u32::MAX,
+            limit => limit,
+        };
+        let mut slots = 0_u32;
+        for row in rows.rows.iter().filter(|r| self.has_label(request, r)) {
+            slots = slots.saturating_add(count_fitting(&request.amount, &row.capacity).min(limit));
+            if slots >= request.min_tasks() {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Returns whether an earlier request of the pass found no room for as many tasks as this step
     /// needs at least. Room that becomes free during a pass makes it forget these requests.
     pub(super) fn is_full(&self, step: StepKey) -> bool {
--- a/crates/primrosebay_cell/src/leader/schedule.rs
+++ b/crates/primrosebay_cell/src/leader/schedule.rs
@@ -268,7 +268,7 @@
             self.blocked.limit += 1;
             if late {
                 quota.note_limited(&request);
-            } else if self.is_within_limit(&request) {
+            } else if self.is_within_limit(&request) && self.could_hold(&request) {
                 self.preempt_in_account(&request, quota, now);
                 quota.reserve(&request);
             }
--- a/crates/primrosebay_cell/tests/leader/limits.rs
+++ b/crates/primrosebay_cell/tests/leader/limits.rs
@@ -107,6 +107,32 @@
     sim.run_until(2_000, |s| has_started(s, wide));
 }
 
+/// Guards against a step that no minion can ever hold and that keeps its account's other jobs from
+/// running while the account uses a part of its limit.
+#[rstest]
+#[case::absent_label(1, 8, Some("absent"))]
+#[case::task_larger_than_each_minion(1, 20, None)]
+#[case::gang_larger_than_the_cell(5, 14, None)]
+fn step_without_a_minion_does_not_block_the_account(
+    #[case] count: u32,
+    #[case] size: u64,
+    #[case] label: Option<&str>,
+) {
+    let mut sim = cell(4, cores(u64::from(count) * size));
+    for minion in &mut sim.minions {
+        minion.stalled = true;
+    }
+    let running = sim.submit(1, "batch", &job(1, cores(1)));
+    sim.run_until(100, |s| has_started(s, running));
+    let mut hopeless = job(count, cores(size));
+    hopeless.steps[0].gang = count > 1;
+    hopeless.steps[0].label = label.map(Into::into);
+    hopeless.steps[0].estimate_ms = 16_000;
+    sim.submit(2, "urgent", &hopeless);
+    let small = sim.submit(3, "batch", &job(1, cores(1)));
+    sim.run_until(100, |s| has_started(s, small));
+}
+
 /// Guards against the opposite fault: less urgent jobs of the account that use up its limit, so that
 /// a gang within it never starts.
 #[test]
