Count the wait for inherited leases from what is known of the earlier leader

Cause: a successor assumed that its predecessor had renewed leases until the successor's own term began, plus the whole time for which a leader renews without the log, plus a lease. It took no account of the predecessor's last record, of its process having ended, or of what earlier terms knew of the minion. The same bound held for a minion that had already answered the successor.

Change: - Instances note when they read the claims of each term. The wait counts from the last one. - A claim names the process that leads. A successor that waits asks that address; another process there, or the answer that this one has ended the term, ends the renewals. A claim that resigns does so too. A leader that is asked by a successor gives up its term. - A claim lists the silent minions with the time that their leases still take, and says how long those of earlier terms take. A listed minion gets no lease before a claim without it is durable, so the list holds for any successor, and a series of changes does not prolong the wait. - A minion that has answered the successor refuses earlier leaders, so only a lease is waited for. - A minion that has restarted a short time ago may hold a lease that was computed for the clock of its former incarnation; the wait for it ends 20 s after its start at the earliest. - Renewals without the log end 12 s after the claim was sent, not after the term began, so that a leader that was paused in between renews for no longer than its successor expects.

Claims of earlier builds are read with defaults that make the wait as long as before.

Tests: crates/primrosebay_cell/tests/leader/takeover.rs.

--- a/crates/primrosebay_bench/src/leader.rs
+++ b/crates/primrosebay_bench/src/leader.rs
@@ -305,6 +305,7 @@
             node: "node-000".into(),
             batch: 0,
             resigned: false,
+            ..Claim::default()
         };
         let (epoch, now) = (claim.epoch, now_at(self.now));
         self.append(Record::Leader(claim));
--- a/crates/primrosebay_cell/src/leader/command.rs
+++ b/crates/primrosebay_cell/src/leader/command.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::job::{StepKey, TaskKey};
-use crate::record::Record;
+use crate::record::{LeaseWaits, Record};
 
 /// Command to start a run of a task on a minion.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -84,6 +84,8 @@
     pub records: Vec<Record>,
     /// Keys to remove from the log.
     pub removed: Vec<String>,
+    /// Lease waits for the claim that ends the batch.
+    pub waits: LeaseWaits,
 }
 
 /// Answer to a start.
--- a/crates/primrosebay_cell/src/leader/commit.rs
+++ b/crates/primrosebay_cell/src/leader/commit.rs
@@ -30,7 +30,8 @@
 
 impl Leader {
     /// Returns the next batch to append, or none while a batch is in flight. If nothing has
-    /// changed, returns an empty batch if `due` and none otherwise.
+    /// changed, returns an empty batch if `due` or if the lease waits have to be durable soon, and
+    /// none otherwise.
     pub fn take_batch(&mut self, due: bool) -> Option<Batch> {
         if self.in_flight.is_some() {
             return None;
@@ -41,16 +42,18 @@
             .flat_map(|job| [format!("j{job}"), format!("c{job}"), format!("p{job}")])
             .collect();
         let is_empty = records.is_empty() && removed.is_empty() && self.deferred.is_empty();
-        if is_empty && !due {
+        if is_empty && !due && !self.waits_due {
             return None;
         }
         self.last_batch += 1;
         let id = self.last_batch;
         self.in_flight = Some((id, std::mem::take(&mut self.deferred)));
+        let waits = self.report_waits(id);
         Some(Batch {
             id,
             records,
             removed,
+            waits,
         })
     }
 
@@ -61,6 +64,7 @@
             return false;
         };
         self.confirmed_at = self.confirmed_at.max(sent);
+        self.release_leases(id, now);
         let broken = self.broken_gangs(&deferred, now);
         for action in deferred {
             match action {
--- a/crates/primrosebay_cell/src/leader/directory.rs
+++ b/crates/primrosebay_cell/src/leader/directory.rs
@@ -2,7 +2,6 @@
 
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
-use primrosebay_state::time::Time;
 
 use super::Leader;
 use super::command::{DirectoryChange, DirectoryEntry, Now};
@@ -71,11 +70,15 @@
             log::info!(minion:% = entry.name, zone:% = entry.zone, draining = entry.drain_ms.is_some(); "leader: minion added to directory");
             // No record places a task on this minion. Should an earlier leader have started one
             // there, the first answer to a hold reports it.
-            let minion = Minion::new(entry.clone(), now.time, Time(0));
+            let mut minion = Minion::new(entry.clone(), now.time);
+            minion.note_start(entry.started_ms, now, &self.settings);
             self.minions.insert(entry.name, minion);
             return;
         };
         minion.listing = Listing::Listed;
+        if entry.started_ms != minion.entry.started_ms {
+            minion.note_start(entry.started_ms, now, &self.settings);
+        }
         match (entry.drain_ms, minion.drains_at) {
             (None, _) => minion.drains_at = None,
             (Some(ms), None) => {
--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -8,7 +8,7 @@
 use super::Leader;
 use super::command::{Command, End, EndedRun, HoldAnswer, HoldReport, Now};
 use super::commit::Deferred;
-use super::minion::{Phase, Run};
+use super::minion::{Lease, Phase, Run};
 use crate::config::Queue;
 use crate::job::{JobKey, TaskKey};
 use crate::record::{Outcome, Placement};
@@ -44,7 +44,9 @@
             minion.hold_pending = true;
             // A hold to a silent minion does not renew its lease. Unanswered renewals would
             // postpone the time after which its tasks may be restarted elsewhere.
-            let renew = renew && !minion.is_silent(now.time, &self.settings);
+            let renew = renew
+                && minion.lease == Lease::Granted
+                && !minion.is_silent(now.time, &self.settings);
             let clock = minion.min_clock(now.time).filter(|_| renew);
             let until_ms = clock.map(|c| c.saturating_add(self.settings.lease_ms));
             if until_ms.is_some() {
@@ -52,9 +54,11 @@
                 minion.expiry = minion.expiry.max(expiry);
             }
             // While an ended run is not acknowledged, the minion would answer a waiting hold at
-            // once, again and again.
+            // once, again and again. While its lease is withheld, the hold that renews it must not
+            // wait for the end of this one.
             let settled = minion.applied_end == minion.acked_end
                 && minion.clock.is_some()
+                && minion.lease == Lease::Granted
                 && !minion.may_have_restarted();
             let wait_ms = if settled {
                 self.settings.long_poll_ms
@@ -121,9 +125,18 @@
             minion.known_ack = minion.known_ack.max(minion.sent_ack);
         }
         let was_silent = minion.is_silent(now.time, &self.settings);
+        if report.started_ms != minion.started_ms || !minion.fenced {
+            minion.note_start(report.started_ms, now, &self.settings);
+        }
         minion.started_ms = report.started_ms;
         // The minion knows its start time better than the directory.
         minion.entry.started_ms = report.started_ms;
+        if !minion.fenced {
+            // From now on the minion refuses commands of earlier leaders.
+            let lease_ms = self.settings.upper_ms(self.settings.lease_ms);
+            minion.inherited = minion.inherited.min(now.time + lease_ms);
+        }
+        self.waits_due |= minion.lease == Lease::Withheld;
         minion.fenced = true;
         minion.hold_failed = false;
         minion.last_seen = Some(now.time);
@@ -137,7 +150,8 @@
         let Some(minion) = self.minions.get_mut(name) else {
             return;
         };
-        minion.next_hold = if minion.applied_end > minion.acked_end {
+        let is_waiting = minion.applied_end > minion.acked_end || minion.lease != Lease::Granted;
+        minion.next_hold = if is_waiting {
             now.time + self.settings.retry_ms
         } else {
             self.hold_next.push(name.clone());
--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -4,7 +4,7 @@
 use primrosebay_state::resources::Resources;
 use primrosebay_state::time::Time;
 
-use super::command::DirectoryEntry;
+use super::command::{DirectoryEntry, Now};
 use super::settings::Settings;
 use crate::job::{StepKey, TaskKey};
 
@@ -72,6 +72,17 @@
     }
 }
 
+/// Whether a minion may get a lease. A successor relies on what the log says of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Lease {
+    /// No durable claim of this term lists the minion as silent.
+    Granted,
+    /// The last claim lists the minion as silent.
+    Withheld,
+    /// The claim that ends this batch does not list the minion any more.
+    Released(u64),
+}
+
 #[derive(Debug)]
 pub(super) struct Minion {
     pub(super) entry: DirectoryEntry,
@@ -89,6 +100,13 @@
     pub(super) clock: Option<(Time, u64)>,
     /// Time by which all runs of the minion have ended if it receives no further command.
     pub(super) expiry: Time,
+    /// Time by which all leases that earlier leaders granted have expired; zero if no record places
+    /// a run of theirs on the minion.
+    pub(super) inherited: Time,
+    /// Time by which leases have expired that an earlier leader granted for the clock of the former
+    /// incarnation; zero if the current one has started long ago.
+    pub(super) reborn_until: Time,
+    pub(super) lease: Lease,
     pub(super) hold_pending: bool,
     /// Whether the last hold failed.
     pub(super) hold_failed: bool,
@@ -109,7 +127,7 @@
 }
 
 impl Minion {
-    pub(super) fn new(entry: DirectoryEntry, now: Time, expiry: Time) -> Self {
+    pub(super) fn new(entry: DirectoryEntry, now: Time) -> Self {
         let drains_at = entry.drain_ms.map(|ms| now + ms);
         let started_ms = entry.started_ms;
         Self {
@@ -120,7 +138,10 @@
             started_ms,
             last_seen: None,
             clock: None,
-            expiry,
+            expiry: Time(0),
+            inherited: Time(0),
+            reborn_until: Time(0),
+            lease: Lease::Granted,
             hold_pending: false,
             hold_failed: false,
             next_hold: now,
@@ -158,9 +179,26 @@
             .is_none_or(|seen| now.since(seen) > settings.silence_ms)
     }
 
+    /// Notes the start time of an incarnation, in Unix milliseconds.
+    pub(super) fn note_start(&mut self, started_ms: u64, now: Now, settings: &Settings) {
+        let left = started_ms
+            .saturating_add(settings.reborn_ms)
+            .saturating_sub(now.wall_ms);
+        if started_ms != 0 && left > 0 {
+            // The clock of the minion may be ahead by more than the margin.
+            let until = now.time + left.min(settings.reborn_ms);
+            self.reborn_until = self.reborn_until.max(until);
+        }
+    }
+
     /// Returns the time at which the task of a run can be restarted if the minion stays silent.
     pub(super) fn restart_at(&self, run: &Run) -> Time {
-        self.expiry.max(run.expiry)
+        let inherited = if self.inherited == Time(0) {
+            Time(0)
+        } else {
+            self.inherited.max(self.reborn_until)
+        };
+        self.expiry.max(inherited).max(run.expiry)
     }
 
     /// Returns whether the minion may have restarted since its last answer. Its clock, its fencing
@@ -182,6 +220,7 @@
             && self.drains_at.is_none()
             && !self.may_have_restarted()
             && !self.is_silent(now, settings)
+            && self.lease == Lease::Granted
             && now >= self.quarantined_until
     }
 
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -10,6 +10,7 @@
 mod commit;
 mod directory;
 mod dispatch;
+mod inheritance;
 mod leases;
 mod minion;
 mod preempt;
@@ -34,6 +35,7 @@
     HoldReport, Now, Refusal, Start, StartAnswer,
 };
 use commit::Deferred;
+use inheritance::Inheritance;
 use minion::Minion;
 use rate::TokenBucket;
 use ready::{ReadyQueue, SortKey};
@@ -122,8 +124,11 @@
     /// Time at which the latest durable append was sent. Its success proved that this instance
     /// still led.
     confirmed_at: Time,
-    /// Time by which all leases that earlier leaders granted have expired.
-    inherited_expiry: Time,
+    inheritance: Inheritance,
+    /// Time of the last pass.
+    last_tick: Time,
+    /// Whether the next claim has to be appended at once because of the lease waits that it holds.
+    waits_due: bool,
     deposed: bool,
     blocked: BlockedSteps,
     /// Steps with tasks that can be started.
@@ -148,7 +153,7 @@
     /// Starts a leadership term from the state of the ledger after the claim that began it.
     #[must_use]
     pub fn new(epoch: u64, node: Name, now: Now, ledger: &Ledger, settings: Settings) -> Self {
-        let inherited_ms = settings.renew_ms + settings.upper_ms(settings.lease_ms);
+        let inheritance = Inheritance::new(now.time, &settings);
         let mut leader = Self {
             epoch,
             queues: Table::default(),
@@ -165,7 +170,9 @@
             purged: Vec::new(),
             ended_jobs: Table::default(),
             confirmed_at: now.time,
-            inherited_expiry: now.time + inherited_ms,
+            inheritance,
+            last_tick: now.time,
+            waits_due: false,
             deposed: false,
             blocked: BlockedSteps::default(),
             ready: ReadyQueue::default(),
@@ -333,13 +340,17 @@
                 updated_at: now.time,
                 expiry: Time(0),
             };
-            let expiry = self.inherited_expiry;
-            let new_minion = || Minion::new(directory::placeholder(name.clone()), now.time, expiry);
+            let expiry = self.inherited_expiry(name);
+            let new_minion = || Minion::new(directory::placeholder(name.clone()), now.time);
             let minion = match self.minions.get_mut(name) {
                 Some(minion) => minion,
                 None => self.minions.or_insert(name.clone(), new_minion()),
             };
-            minion.expiry = minion.expiry.max(expiry);
+            minion.inherited = if minion.fenced {
+                expiry.min(now.time + self.settings.upper_ms(self.settings.lease_ms))
+            } else {
+                expiry
+            };
             self.room.mark_stale();
             let name = name.clone();
             self.add_run(&name, run);
@@ -375,6 +386,7 @@
 
     /// Advances the state to `now` and returns the commands to carry out.
     pub fn tick(&mut self, now: Now) -> Vec<Command> {
+        self.last_tick = now.time;
         let is_sweep = now.time >= self.next_sweep;
         if is_sweep {
             self.next_sweep = now.time + SWEEP_INTERVAL_MS;
--- a/crates/primrosebay_cell/src/leader/settings.rs
+++ b/crates/primrosebay_cell/src/leader/settings.rs
@@ -13,6 +13,12 @@
     /// Time after sending during which a minion may still carry out a start. It is short so that
     /// the fate of an unanswered start is known soon.
     pub start_ttl_ms: u64,
+    /// Time since the start of a minion's incarnation after which no lease is in force that was
+    /// granted for the clock of the former one: the time until a leader notices the restart, the
+    /// maximum lease and 5 s for the difference between the clocks of two machines.
+    pub reborn_ms: u64,
+    /// Time after which a command without an answer is given up.
+    pub command_ms: u64,
     /// Maximum clock drift between a minion and the leader, in percent.
     pub drift_percent: u64,
     /// Margin for the transit time of a message, added to each bound on a minion's clock.
@@ -66,6 +72,8 @@
             lease_ms: 6_000,
             max_lease_ms: 10_000,
             start_ttl_ms: 2_500,
+            reborn_ms: 20_000,
+            command_ms: 1_000,
             drift_percent: 2,
             slack_ms: 300,
             renew_ms: 12_000,
@@ -95,4 +103,16 @@
     pub(super) fn upper_ms(&self, ms: u64) -> u64 {
         ms + ms * (self.drift_percent + 1) / 100 + self.slack_ms
     }
+
+    /// Returns the time after a leader's last command by which all runs have ended on a minion that
+    /// gets no further one, whichever incarnation of the minion carries it out, in milliseconds.
+    pub(super) fn settled_ms(&self) -> u64 {
+        self.command_ms + self.upper_ms(self.max_lease_ms)
+    }
+
+    /// Returns the time after a leader's last durable record by which all of its leases have
+    /// expired, in milliseconds.
+    pub(super) fn inherited_ms(&self) -> u64 {
+        self.renew_ms + self.upper_ms(self.lease_ms)
+    }
 }
--- a/crates/primrosebay_cell/src/lib.rs
+++ b/crates/primrosebay_cell/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod leader;
 pub mod ledger;
 pub mod record;
+pub mod terms;
--- a/crates/primrosebay_cell/src/record.rs
+++ b/crates/primrosebay_cell/src/record.rs
@@ -17,9 +17,16 @@
 /// Version of the encoding, stored in the first byte of each record.
 const VERSION: u8 = 1;
 
+/// First byte of an encoded [`Record::Leader`] after the version.
+const LEADER_VARIANT: u8 = 3;
+
 /// First byte of an encoded [`Record::Member`] after the version.
 const MEMBER_VARIANT: u8 = 4;
 
+/// Encoding of the fields of a [`Claim`] that earlier builds did not write: no process, no address,
+/// no known wait and no list of silent minions.
+const CLAIM_DEFAULTS: [u8; 4] = [0; 4];
+
 /// An accepted job, as its caller submitted it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submission {
@@ -86,8 +93,28 @@
     pub tasks: Vec<TaskProgress>,
 }
 
+/// The process of an instance. An instance that restarts is another process.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Process {
+    /// Random number drawn at the start of the process; 0 if unknown.
+    pub id: u64,
+    /// Address for calls from other instances.
+    pub address: Name,
+}
+
+/// The time that a successor has to wait for leases, counted from the record that holds it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseWaits {
+    /// Time until all leases of earlier terms have expired, in milliseconds; none if unknown.
+    pub inherited_ms: Option<u64>,
+    /// Minions that get no lease of this term before a later list without them is durable, each with
+    /// the time until all leases there have expired, in milliseconds. Sorted by name. If there is
+    /// none, the last list of the term is still in force.
+    pub silent: Option<Vec<(Name, u64)>>,
+}
+
 /// A claim of leadership. The leader appends it again as a heartbeat.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
     /// Epoch of the leadership term. A higher epoch supersedes a lower one.
     pub epoch: u64,
@@ -98,6 +125,11 @@
     pub batch: u64,
     /// Whether the leader has resigned, so that another instance may claim leadership at once.
     pub resigned: bool,
+    /// Process of the leading instance.
+    pub process: Process,
+    /// Leases that the leader has granted or inherited. The last field but one and this one are
+    /// missing in records of earlier builds.
+    pub waits: LeaseWaits,
 }
 
 /// An instance that can lead the cell and serve callers.
@@ -182,11 +214,14 @@
         match bytes.split_first() {
             None => Err(RecordError::Empty),
             Some((&VERSION, rest)) => Ok(postcard::from_bytes(rest).or_else(|e| {
-                // An earlier build announced instances without their zone. An empty zone is one
-                // zero byte.
-                let is_member = rest.first() == Some(&MEMBER_VARIANT);
-                let with_zone = || postcard::from_bytes(&[rest, &[0]].concat());
-                if is_member { with_zone() } else { Err(e) }
+                // Earlier builds announced instances without their zone, and claimed without the
+                // process and the waits.
+                let missing: &[u8] = match rest.first() {
+                    Some(&MEMBER_VARIANT) => &[0],
+                    Some(&LEADER_VARIANT) => &CLAIM_DEFAULTS,
+                    _ => return Err(e),
+                };
+                postcard::from_bytes(&[rest, missing].concat())
             })?),
             Some((other, _)) => Err(RecordError::Version(*other)),
         }
--- a/crates/primrosebay_cell/tests/leader/ended_jobs.rs
+++ b/crates/primrosebay_cell/tests/leader/ended_jobs.rs
@@ -17,7 +17,7 @@
 /// Maximum time until all jobs have ended after the last fault, in milliseconds.
 const COMPLETION_MS: u64 = 180_000;
 
-fn random_job(cell: &mut Cell) -> (JobSpec, Option<u32>) {
+pub fn random_job(cell: &mut Cell) -> (JobSpec, Option<u32>) {
     let rng = &mut cell.rng;
     let steps = rng.random_range(1..=3);
     let mut spec = JobSpec {
@@ -47,7 +47,7 @@
     (spec, failing)
 }
 
-fn random_chances(cell: &mut Cell) -> Chances {
+pub fn random_chances(cell: &mut Cell) -> Chances {
     let rng = &mut cell.rng;
     let mut chances = Chances::default();
     match rng.random_range(0..6) {
@@ -155,7 +155,7 @@
 }
 
 /// Ends all faults, cancels the jobs that do not end by themselves and asserts that all jobs end.
-fn finish(cell: &mut Cell) {
+pub fn finish(cell: &mut Cell) {
     cell.clear_faults();
     cell.run(14_000);
     cell.clear_faults();
--- a/crates/primrosebay_cell/tests/leader/main.rs
+++ b/crates/primrosebay_cell/tests/leader/main.rs
@@ -12,4 +12,5 @@
 mod network;
 mod random;
 mod simulation;
+mod takeover;
 mod unused_service;
--- a/crates/primrosebay_cell/tests/leader/network.rs
+++ b/crates/primrosebay_cell/tests/leader/network.rs
@@ -14,7 +14,8 @@
     Leader, Refusal, Settings, Start, StartAnswer,
 };
 use primrosebay_cell::ledger::{JobState, Ledger};
-use primrosebay_cell::record::{Claim, Outcome, Placement, Record, Submission};
+use primrosebay_cell::record::{Claim, LeaseWaits, Outcome, Placement, Record, Submission};
+use primrosebay_cell::terms::Terms;
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
 use primrosebay_state::time::Time;
@@ -29,6 +30,12 @@
 /// Time after which a command counts as unanswered, in milliseconds; a hold adds its waiting time.
 const COMMAND_TIMEOUT_MS: u64 = 700;
 
+/// Interval at which an idle leader appends a batch, in milliseconds.
+const HEARTBEAT_MS: u64 = 200;
+
+/// Interval at which a leader learns which earlier ones have stopped, in milliseconds.
+const ASK_INTERVAL_MS: u64 = 250;
+
 /// Maximum time from the cancellation of a job to its last start, in milliseconds.
 const CANCEL_MS: u64 = 3_000;
 
@@ -110,6 +117,8 @@
     pub listed: bool,
     /// Time until which the minion cannot be reached.
     pub unreachable_until: u64,
+    /// Time until which only superseded leaders reach the minion.
+    pub hidden_until: u64,
     /// Time at which the draining minion shuts down.
     pub drains_at: Option<u64>,
     pub started_ms: u64,
@@ -179,6 +188,8 @@
     unanswered: Vec<u64>,
     /// Time at which the superseded leader stops.
     until: u64,
+    /// Whether the leader does not reach the log, so that it does not learn of its successor there.
+    cut_off: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -193,6 +204,17 @@
     command: Command,
 }
 
+/// A batch on its way to the log.
+#[derive(Debug)]
+struct Append {
+    epoch: u64,
+    batch: u64,
+    records: Vec<Record>,
+    waits: LeaseWaits,
+    cancels: Vec<JobKey>,
+    sent: u64,
+}
+
 #[derive(Debug)]
 enum Reply {
     Start(TaskKey, u32, StartAnswer),
@@ -204,7 +226,7 @@
 enum Event {
     Arrival(Order),
     Answer(u64, u64, Name, Reply),
-    Append(u64, u64, Vec<Record>, Vec<JobKey>, u64),
+    Append(Append),
     Committed(u64, u64, Vec<JobKey>, u64),
     Read(JobKey),
     Directory(u64),
@@ -230,6 +252,12 @@
     /// Jobs, sorted by key.
     pub jobs: Vec<Job>,
     pub ledger: Ledger,
+    /// Terms as an instance reads them that follows the log without delay.
+    history: Terms,
+    /// Whether a leader learns which earlier ones have stopped.
+    pub answers_terms: bool,
+    /// Whether idle leaders append batches.
+    pub heartbeats: bool,
     /// Time since which nothing has disturbed the cell.
     pub calm_since: u64,
     /// Time since which there was no disruption except minions that drain, which do not excuse runs
@@ -264,6 +292,7 @@
             address: 0,
             listed: true,
             unreachable_until: 0,
+            hidden_until: 0,
             drains_at: None,
             started_ms: 1,
             booted: 0,
@@ -295,6 +324,9 @@
             minions,
             jobs: Vec::new(),
             ledger: Ledger::default(),
+            history: Terms::default(),
+            answers_terms: true,
+            heartbeats: false,
             calm_since: 0,
             steady_since: 0,
             touch_since: 0,
@@ -408,18 +440,51 @@
         }
     }
 
+    /// Lets the current leader lose the log without notice. It sends commands to minions until it is
+    /// refused by one of them or `overlap_ms` after its successor has begun.
+    pub fn cut_off_leader(&mut self, gap_ms: u64, overlap_ms: u64) {
+        let epoch = self.epoch;
+        if let Some(term) = self.terms.iter_mut().find(|t| t.epoch == epoch) {
+            term.cut_off = true;
+        }
+        self.take_over(gap_ms, overlap_ms);
+    }
+
+    /// Appends the claim that ends a batch, and notes it as a successor reads it.
+    fn claim(&mut self, batch: u64, waits: LeaseWaits) {
+        let claim = Claim {
+            epoch: self.epoch,
+            node: "node-0".into(),
+            batch,
+            waits,
+            ..Claim::default()
+        };
+        self.append(&Record::Leader(claim.clone()));
+        self.history.observe(&claim, Time(self.now));
+    }
+
+    /// Tells the current leader which earlier leaders have stopped.
+    fn notify_ended(&mut self) {
+        let now = now_at(self.now);
+        let running: Vec<u64> = self.terms.iter().map(|t| t.epoch).collect();
+        let epoch = self.epoch;
+        if let Some(term) = self.terms.iter_mut().find(|t| t.epoch == epoch) {
+            for (earlier, ..) in term.leader.unproven_terms(now) {
+                if !running.contains(&earlier) {
+                    term.leader.on_term_ended(earlier, now);
+                }
+            }
+        }
+    }
+
     fn begin_term(&mut self) {
         self.next_term = None;
         self.epoch += 1_000;
-        self.append(&Record::Leader(Claim {
-            epoch: self.epoch,
-            node: "node-0".into(),
-            batch: 0,
-            resigned: false,
-        }));
+        self.claim(0, LeaseWaits::default());
         self.caller_cancels.clear();
         let (now, settings) = (now_at(self.now), Settings::default());
         let mut leader = Leader::new(self.epoch, "node-0".into(), now, &self.ledger, settings);
+        leader.inherit(Time(self.now), self.history.before(self.epoch));
         leader.set_config(&self.config);
         self.terms.push(Term {
             epoch: self.epoch,
@@ -427,6 +492,7 @@
             has_directory: false,
             unanswered: Vec::new(),
             until: u64::MAX,
+            cut_off: false,
         });
         let delay = self.delay(200);
         self.push(delay, Event::Directory(self.epoch));
@@ -436,7 +502,7 @@
     pub fn restart(&mut self, index: usize, down_ms: u64) {
         let now = self.now;
         let minion = &mut self.minions[index];
-        minion.started_ms += 1;
+        minion.started_ms = now_at(now).wall_ms.max(minion.started_ms + 1);
         minion.booted = now;
         minion.unreachable_until = minion.unreachable_until.max(now + down_ms);
         minion.drains_at = None;
@@ -508,6 +574,7 @@
         self.faults = Faults::default();
         for index in 0..self.minions.len() {
             self.minions[index].unreachable_until = 0;
+            self.minions[index].hidden_until = 0;
             if !self.minions[index].listed {
                 self.list(index);
             }
@@ -548,6 +615,9 @@
             self.take_batch(i);
         }
         let current = self.epoch;
+        if self.answers_terms && self.now.is_multiple_of(ASK_INTERVAL_MS) {
+            self.notify_ended();
+        }
         self.terms.retain(|t| {
             assert!(t.epoch != current || !t.leader.is_deposed());
             !t.leader.is_deposed() && now < t.until
@@ -559,7 +629,8 @@
     fn take_batch(&mut self, index: usize) {
         let term = &mut self.terms[index];
         let is_current = term.epoch == self.epoch;
-        let due = is_current && !self.caller_cancels.is_empty();
+        let heartbeat = self.heartbeats && self.now.is_multiple_of(HEARTBEAT_MS);
+        let due = heartbeat || is_current && !self.caller_cancels.is_empty();
         let Some(batch) = term.leader.take_batch(due) else {
             return;
         };
@@ -569,7 +640,15 @@
         } else {
             Vec::new()
         };
-        let event = Event::Append(epoch, batch.id, batch.records, cancels, self.now);
+        let append = Append {
+            epoch,
+            batch: batch.id,
+            records: batch.records,
+            waits: batch.waits,
+            cancels,
+            sent: self.now,
+        };
+        let event = Event::Append(append);
         let delay = self.rng.random_range(5..40);
         self.push(delay, event);
     }
@@ -582,7 +661,7 @@
         if !leads || self.faults.log_down {
             self.touch_since = now;
         }
-        let sound = |m: &Minion| m.listed && m.unreachable_until <= now;
+        let sound = |m: &Minion| m.listed && m.unreachable_until.max(m.hidden_until) <= now;
         let steady = self.faults == Faults::default()
             && leads
             && self.minions.iter().all(sound)
@@ -665,9 +744,7 @@
             match event {
                 Event::Arrival(order) => self.arrive(&order),
                 Event::Answer(epoch, id, name, reply) => self.answer(epoch, id, &name, reply),
-                Event::Append(epoch, batch, records, cancels, sent) => {
-                    self.store_batch(epoch, batch, records, cancels, sent);
-                }
+                Event::Append(append) => self.store_batch(append),
                 Event::Committed(epoch, batch, cancels, sent) => {
                     if let Some(term) = self.terms.iter_mut().find(|t| t.epoch == epoch) {
                         term.leader.on_committed(batch, Time(sent), now_at(now));
@@ -693,18 +770,20 @@
         }
     }
 
-    fn store_batch(
-        &mut self,
-        epoch: u64,
-        batch: u64,
-        records: Vec<Record>,
-        cancels: Vec<JobKey>,
-        sent: u64,
-    ) {
-        if self.faults.log_down {
-            self.push(50, Event::Append(epoch, batch, records, cancels, sent));
+    fn store_batch(&mut self, append: Append) {
+        let term = self.terms.iter().find(|t| t.epoch == append.epoch);
+        if self.faults.log_down || term.is_some_and(|t| t.cut_off) {
+            self.push(50, Event::Append(append));
             return;
         }
+        let Append {
+            epoch,
+            batch,
+            records,
+            waits,
+            cancels,
+            sent,
+        } = append;
         if epoch != self.epoch {
             if let Some(term) = self.terms.iter_mut().find(|t| t.epoch == epoch) {
                 term.leader.depose();
@@ -724,6 +803,7 @@
         for key in &cancels {
             self.store_cancellation(*key);
         }
+        self.claim(batch, waits);
         let max = 20 + self.faults.commit_ms;
         let delay = self.delay(max);
         self.push(delay, Event::Committed(epoch, batch, cancels, sent));
@@ -762,7 +842,8 @@
         let minion = &mut self.minions[index];
         let other = order.late && minion.started_ms != order.started_ms;
         let moved = !order.late && *sent_to != address(index, minion.address);
-        if now < minion.unreachable_until || other || moved {
+        let hidden = now < minion.hidden_until && order.epoch == self.epoch;
+        if now < minion.unreachable_until || hidden || other || moved {
             return;
         }
         let fenced = order.epoch < minion.max_epoch;
--- a/crates/primrosebay_cell/tests/leader/simulation.rs
+++ b/crates/primrosebay_cell/tests/leader/simulation.rs
@@ -265,6 +265,7 @@
             node: "node-0".into(),
             batch: 0,
             resigned: false,
+            ..Claim::default()
         };
         self.append(&Record::Leader(claim));
         self.pending_batches.clear();
--- a/crates/primrosebay_cell/tests/odd_records.rs
+++ b/crates/primrosebay_cell/tests/odd_records.rs
@@ -37,6 +37,7 @@
         node: "node".into(),
         batch: 1,
         resigned: false,
+        ..Claim::default()
     })
 }
 
@@ -85,6 +86,16 @@
     assert!(Record::read(&record.key(), &bytes).is_err());
 }
 
+/// Guards against claims of an earlier build, which hold no process and no waits, that a newer one
+/// skips: it would not know of the term.
+#[test]
+fn claim_of_an_earlier_build_is_read() {
+    let bytes = claim(7).encode().expect("claims are encodable");
+    let earlier = &bytes[..bytes.len() - 4];
+    let read = Record::read("leader", earlier).expect("the missing fields have defaults");
+    assert_eq!(read, claim(7));
+}
+
 /// Guards against a claim after which no instance can claim a higher term.
 #[test]
 fn claim_of_an_extreme_term_is_refused() {
--- a/crates/primrosebay_member/src/election.rs
+++ b/crates/primrosebay_member/src/election.rs
@@ -1,11 +1,12 @@
 //! Detects the loss of the leader and claims the leadership.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_std::task;
 use primrosebay_cell::ledger::Ledger;
-use primrosebay_cell::record::{Claim, Record};
+use primrosebay_cell::record::{Claim, LeaseWaits, Record};
 
 use crate::election_timeout::{ElectionTimeout, LastLeader};
 use crate::lead::{self, millis};
@@ -31,12 +32,15 @@
         if shared.is_stopping() || !is_election_due(&shared, jitter) {
             continue;
         }
-        if let Some(epoch) = claim_term(&shared).await {
-            lead::run(Arc::clone(&shared), epoch).await;
+        let claimed = shared.clock.now();
+        let epoch = claim_term(&shared).await;
+        if let Some(epoch) = epoch {
+            lead::run(Arc::clone(&shared), epoch, claimed).await;
             // The last known claim is this instance's own, but the claim of the instance that ended
             // the term may not have been read yet. The full election timeout has to pass first.
             restart_timeout(&shared);
         }
+        shared.leading_epoch.store(0, Ordering::SeqCst);
         jitter = random_jitter(&shared);
     }
 }
@@ -103,7 +107,10 @@
         node: shared.settings.name.clone(),
         batch: 0,
         resigned: false,
+        process: shared.own_process(),
+        waits: LeaseWaits::default(),
     };
+    shared.leading_epoch.store(epoch, Ordering::SeqCst);
     log::info!(epoch, known; "election: election timeout expired, claiming leadership");
     let record = Record::Leader(claim.clone());
     let bytes = match record.encode() {
--- a/crates/primrosebay_member/src/follow.rs
+++ b/crates/primrosebay_member/src/follow.rs
@@ -108,8 +108,11 @@
     }
     {
         let mut cell = shared.cell();
+        if is_snapshot {
+            cell.terms.clear();
+        }
         for record in read.records {
-            apply_record(&mut cell, record, &mut changes);
+            apply_record(&mut cell, record, now, &mut changes);
         }
         cell.loaded = true;
         cell.ledger.advance_to(read.next);
@@ -146,7 +149,7 @@
     }
 }
 
-fn apply_record(cell: &mut CellState, record: LogRecord, changes: &mut Changes) {
+fn apply_record(cell: &mut CellState, record: LogRecord, now: Time, changes: &mut Changes) {
     let Some(value) = record.value else {
         cell.ledger.remove(&record.key);
         return;
@@ -168,6 +171,7 @@
         Record::Leader(claim) => {
             changes.leader_active |= claim.epoch >= epoch;
             changes.claim = Some(claim.clone());
+            cell.terms.observe(claim, now);
             if claim.epoch > epoch {
                 log::info!(epoch = claim.epoch, node:% = claim.node; "follow: new leader");
             }
--- a/crates/primrosebay_member/src/lead.rs
+++ b/crates/primrosebay_member/src/lead.rs
@@ -12,15 +12,16 @@
 use primrosebay_cell::leader::{
     Advice, Batch, DirectoryChange, DirectoryEntry, HoldAnswer, Leader, Now, StartAnswer,
 };
-use primrosebay_cell::record::{Claim, Member, Record};
+use primrosebay_cell::record::{Claim, LeaseWaits, Member, Record};
+use primrosebay_cell::terms::Term;
 use primrosebay_state::Name;
 use primrosebay_state::time::Time;
 
 use crate::commands;
 use crate::log_limit::LogLimit;
-use crate::peer::{self, CarryRequest};
+use crate::peer::{self, CarryRequest, TermQuestion};
 use crate::platform::{AppendError, AppendId, Platform, ReadError, Stream};
-use crate::shared::Shared;
+use crate::shared::{CellState, Shared};
 use crate::submit::ForwardResult;
 
 /// Maximum size of one append in bytes, below the limit of the platform.
@@ -32,6 +33,13 @@
 /// Interval at which the links to carriers are checked, in milliseconds.
 const LINK_CHECK_MS: u64 = 100;
 
+/// Interval at which instances that led earlier terms are asked whether these have ended, in
+/// milliseconds.
+const TERM_CHECK_MS: u64 = 250;
+
+/// Timeout of such a question.
+const TERM_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Interval at which minions that have left are removed from the links, in milliseconds.
 const LINK_CLEANUP_MS: u64 = 60_000;
 
@@ -64,6 +72,10 @@
     HoldAnswered(Name, Time, HoldAnswer),
     /// A call of an instance to the advice service for a step was answered; `None` if it failed.
     AdviceAnswered(Name, StepKey, Option<Advice>),
+    /// The leader of an earlier term sends no more commands.
+    TermEnded(u64),
+    /// Another instance has the durable claim of this higher term.
+    Superseded(u64),
     /// A batch is durable; its append was sent at the given time.
     Committed(u64, Time),
     /// The log rejected an append of this term.
@@ -124,11 +136,13 @@
     link_check: Time,
     /// When the minions that have left are removed from the links next.
     link_cleanup: Time,
+    /// When the instances that led earlier terms are asked next.
+    term_check: Time,
 }
 
 /// Leads the cell until a higher term is seen, a larger instance can take over or this instance
-/// stops.
-pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>, epoch: u64) {
+/// stops. The claim of the term was sent at `claimed`.
+pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>, epoch: u64, claimed: Time) {
     let (events, receiver) = unbounded();
     shared.links.begin(epoch, &shared.settings);
     shared.set_leader_events(Some(events.clone()));
@@ -136,7 +150,12 @@
     let now = shared.now();
     let settings = shared.settings.leader.clone();
     let name = shared.settings.name.clone();
-    let leader = Leader::new(epoch, name, now, &shared.cell().ledger, settings);
+    let leader = {
+        let cell = shared.cell();
+        let mut leader = Leader::new(epoch, name, now, &cell.ledger, settings);
+        leader.inherit(claimed, earlier_terms(&shared, &cell, epoch, now.time));
+        leader
+    };
     let directory = task::spawn(follow_directory(Arc::clone(&shared), events.clone()));
     let mut term = TermLeader {
         shared: Arc::clone(&shared),
@@ -154,6 +173,7 @@
         started: now.time,
         link_check: now.time,
         link_cleanup: now.time + LINK_CLEANUP_MS,
+        term_check: now.time,
     };
     term.apply_operators();
     term.apply_members();
@@ -167,6 +187,28 @@
     log::info!(epoch; "lead: term ended");
 }
 
+/// Returns the terms before that of `epoch`. Those that this process or an earlier one at the same
+/// address led have ended.
+fn earlier_terms<P: Platform>(
+    shared: &Shared<P>,
+    cell: &CellState,
+    epoch: u64,
+    now: Time,
+) -> Vec<Term> {
+    let own = shared.own_process();
+    let mut terms = cell.terms.before(epoch);
+    for term in &mut terms {
+        let process = &term.claim.process;
+        let is_own = process.id != 0
+            && (process.id == own.id
+                || process.address == own.address && term.claim.node == shared.settings.name);
+        if is_own && term.ended.is_none() {
+            term.ended = Some(now);
+        }
+    }
+    terms
+}
+
 impl<P: Platform> TermLeader<P> {
     /// Handles events and runs scheduling passes until the term ends.
     async fn process_events(&mut self, receiver: &Receiver<Event>) {
@@ -198,6 +240,9 @@
         if now.time >= self.link_check {
             self.check_links(now);
         }
+        if now.time >= self.term_check {
+            self.check_terms(now);
+        }
         for command in self.leader.tick(now) {
             let (links, settings) = (&self.shared.links, &self.shared.settings);
             if let Some(command) = links.send(command, now.time, settings) {
@@ -273,6 +318,44 @@
         }
     }
 
+    /// Asks the instances that led earlier terms whether these have ended, while tasks of silent
+    /// minions wait for it.
+    fn check_terms(&mut self, now: Now) {
+        self.term_check = now.time + TERM_CHECK_MS;
+        for (earlier, node, process) in self.leader.unproven_terms(now) {
+            let secret = {
+                let cell = self.shared.cell();
+                let mut members = cell.ledger.members();
+                let member = members.find(|(name, _)| **name == node);
+                member.map(|(_, m)| m.secret.clone())
+            };
+            let Some(secret) = secret.filter(|_| process.id != 0) else {
+                continue;
+            };
+            let (shared, events, epoch) =
+                (Arc::clone(&self.shared), self.events.clone(), self.epoch);
+            let question = TermQuestion {
+                epoch: earlier,
+                successor: epoch,
+            };
+            task::spawn(async move {
+                let client = &shared.peer_client;
+                let leader = (node, process);
+                let asked = peer::has_term_ended(client, &leader, secret, question, TERM_TIMEOUT);
+                match asked.await {
+                    Ok(true) => {
+                        // Sending fails only after the term has ended.
+                        let _ = events.send(Event::TermEnded(earlier)).await;
+                    }
+                    Ok(false) => {}
+                    Err(reason) => {
+                        log::debug!(epoch, earlier, node:% = leader.0, reason:% = reason; "lead: leader of an earlier term does not answer");
+                    }
+                }
+            });
+        }
+    }
+
     /// Starts a background search for an instance that has at least twice the CPU share and can
     /// reach the log. If there is one, the leader hands over to it.
     fn probe_larger(&self) {
@@ -367,6 +450,13 @@
             Event::AdviceAnswered(node, step, advice) => {
                 self.leader.on_advice(&node, step, advice, now);
             }
+            Event::TermEnded(earlier) => self.leader.on_term_ended(earlier, now),
+            Event::Superseded(epoch) => {
+                if epoch > self.epoch {
+                    log::warn!(epoch = self.epoch, other = epoch; "lead: deposed by the question of a successor");
+                    self.leader.depose();
+                }
+            }
             Event::Committed(batch, sent) => self.commit(batch, sent, now),
             Event::Append(records, ack) => self.caller_records.pending.push((records, ack)),
             Event::Fenced => {
@@ -434,7 +524,7 @@
     /// Appends a batch in the background, with retries until it is known to be durable.
     fn append(&mut self, batch: &Batch, now: Time) {
         self.last_append = now;
-        let claim = Record::Leader(self.claim(batch.id, false));
+        let claim = Record::Leader(self.claim(batch.id, false, batch.waits.clone()));
         let mut calls = split_appends(batch, &claim);
         let first = self.sequence;
         self.sequence += calls.len() as u64;
@@ -458,12 +548,14 @@
     }
 
     /// Returns the claim record that ends a batch.
-    fn claim(&self, batch: u64, resigned: bool) -> Claim {
+    fn claim(&self, batch: u64, resigned: bool, waits: LeaseWaits) -> Claim {
         Claim {
             epoch: self.epoch,
             node: self.shared.settings.name.clone(),
             batch,
             resigned,
+            process: self.shared.own_process(),
+            waits,
         }
     }
 
@@ -474,7 +566,8 @@
             let grace = Duration::from_millis(500);
             let _ = async_std::future::timeout(grace, task).await;
         }
-        let claim = Record::Leader(self.claim(0, true));
+        let waits = self.leader.last_waits();
+        let claim = Record::Leader(self.claim(0, true, waits));
         let Ok(bytes) = claim.encode() else { return };
         let id = AppendId {
             epoch: self.epoch,
--- a/crates/primrosebay_member/src/peer.rs
+++ b/crates/primrosebay_member/src/peer.rs
@@ -10,18 +10,20 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http_types::Method;
 use primrosebay_cell::job::{JobKey, StepKey};
 use primrosebay_cell::leader::Advice;
-use primrosebay_cell::record::{Member, Record};
+use primrosebay_cell::record::{Member, Process, Record};
 use primrosebay_state::Name;
 use primrosebay_transport::http_client::{CallError, Client};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tide::{Request, Response, StatusCode};
 
+use crate::lead::Event;
 use crate::links::{Order, Poll, Polled};
 use crate::platform::Platform;
 use crate::relay::{Call, Reply};
@@ -37,6 +39,8 @@
 const CARRY_PATH: &str = "/v1/carry";
 /// Path of callers' requests that a relaying instance passes on.
 const RELAY_PATH: &str = "/v1/relay";
+/// Path of a leader's question whether an earlier term has ended.
+const TERM_PATH: &str = "/v1/term";
 /// Path of a carrier's polls for commands of the leader.
 const ORDERS_PATH: &str = "/v1/orders";
 const SECRET_HEADER: &str = "primrosebay-secret";
@@ -67,6 +71,24 @@
     pub(crate) gap_ms: u64,
 }
 
+/// The question of a leader whether an earlier term has ended.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct TermQuestion {
+    /// The earlier term.
+    pub(crate) epoch: u64,
+    /// The term of the leader that asks, whose claim is durable.
+    pub(crate) successor: u64,
+}
+
+/// The answer of the instance that led the earlier term.
+#[derive(Debug, Serialize, Deserialize)]
+struct TermAnswer {
+    node: Name,
+    process: u64,
+    /// Whether this process neither leads the term nor will.
+    ended: bool,
+}
+
 /// Sends a message to another instance with its secret.
 async fn post(
     client: &Client,
@@ -103,6 +125,32 @@
     }
 }
 
+/// Asks for an earlier term whether its leader, the process `process` of the instance `node` with
+/// this secret, sends no more commands. Returns the reason if the call fails.
+///
+/// Another process of the instance at the same address proves that the one that led is gone.
+pub(crate) async fn has_term_ended(
+    client: &Client,
+    (node, process): &(Name, Process),
+    secret: Name,
+    question: TermQuestion,
+    timeout: Duration,
+) -> Result<bool, String> {
+    let member = Member {
+        address: process.address.clone(),
+        secret,
+        ..Member::default()
+    };
+    let body = serde_json::to_vec(&question).map_err(|e| e.to_string())?;
+    let call = post(client, &member, TERM_PATH, body, timeout);
+    let (status, bytes) = call.await.map_err(|e| e.to_string())?;
+    if !status.is_success() {
+        return Err(format!("unexpected status {status}"));
+    }
+    let answer: TermAnswer = serde_json::from_slice(&bytes).map_err(|e| e.to_string())?;
+    Ok(answer.node == *node && (answer.ended || answer.process != process.id))
+}
+
 /// Polls the leader for commands. Returns none if it has no use for this carrier in this term, and
 /// the reason if the call fails.
 pub(crate) async fn poll(
@@ -221,6 +269,7 @@
     app.at(RELAY_PATH).post(serve_relay);
     app.at(CARRY_PATH).post(serve_carry);
     app.at(ORDERS_PATH).post(serve_poll);
+    app.at(TERM_PATH).post(serve_term);
     app.at(LOG_CHECK_PATH)
         .get(async |call: Request<Arc<Shared<P>>>| {
             let status = if call.state().is_log_reachable() {
@@ -380,6 +429,32 @@
     Ok(response)
 }
 
+async fn serve_term<P: Platform>(mut request: Request<Arc<Shared<P>>>) -> tide::Result {
+    if !is_trusted(&request) {
+        return Ok(Response::new(StatusCode::Unauthorized));
+    }
+    let question: TermQuestion = match request.body_json().await {
+        Ok(question) => question,
+        Err(e) => {
+            log::warn!(reason:% = e; "peer: cannot decode the question about a term");
+            return Ok(Response::new(StatusCode::BadRequest));
+        }
+    };
+    let shared = request.state();
+    let ended = shared.leading_epoch.load(Ordering::SeqCst) != question.epoch;
+    if !ended {
+        shared.notify_leader(|| Event::Superseded(question.successor));
+    }
+    let answer = TermAnswer {
+        node: shared.settings.name.clone(),
+        process: shared.process_id,
+        ended,
+    };
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(tide::Body::from_json(&answer)?);
+    Ok(response)
+}
+
 async fn serve_metrics<P: Platform>(request: Request<Arc<Shared<P>>>) -> tide::Result {
     let mut response = Response::new(StatusCode::Ok);
     response.set_content_type("text/plain; version=0.0.4");
--- a/crates/primrosebay_member/src/shared.rs
+++ b/crates/primrosebay_member/src/shared.rs
@@ -8,7 +8,8 @@
 use primrosebay_cell::config::Config;
 use primrosebay_cell::leader::Now;
 use primrosebay_cell::ledger::Ledger;
-use primrosebay_cell::record::Member;
+use primrosebay_cell::record::{Member, Process};
+use primrosebay_cell::terms::Terms;
 use primrosebay_state::Name;
 use primrosebay_state::time::Time;
 use primrosebay_transport::clock::Clock;
@@ -38,6 +39,8 @@
     /// Whether a claim of this instance has failed, or a term of it has ended, since the last
     /// record of a leader.
     pub(crate) contested: bool,
+    /// The latest terms of leadership, by the claims that were read.
+    pub(crate) terms: Terms,
     /// Limits the log lines about records that cannot be decoded.
     pub(crate) odd_records: LogLimit,
 }
@@ -77,10 +80,14 @@
     pub(crate) links: Links,
     /// The term for which this instance carries commands; 0 for none.
     pub(crate) carried_epoch: AtomicU64,
+    /// The term for which this instance has a claim in flight or leads; 0 for none.
+    pub(crate) leading_epoch: AtomicU64,
     /// The bound address for calls of other instances, once the server has started.
     pub(crate) address: OnceLock<Name>,
     /// The secret that other instances have to present, created at each start.
     pub(crate) secret: Name,
+    /// The random number by which other instances tell this process from earlier ones.
+    pub(crate) process_id: u64,
     pub(crate) stopping: AtomicBool,
     /// Whether neither this instance nor any reachable peer it asked can reach the log.
     pub(crate) outage: AtomicBool,
@@ -116,6 +123,14 @@
         }
     }
 
+    /// Returns this process as its claims name it.
+    pub(crate) fn own_process(&self) -> Process {
+        Process {
+            id: self.process_id,
+            address: self.address.get().cloned().unwrap_or_default(),
+        }
+    }
+
     /// Sends an event to the leader if this instance leads.
     pub(crate) fn notify_leader(&self, event: impl FnOnce() -> Event) {
         let events = self
