Abandon a start whose record was confirmed too late

A start follows once its record is durable. A repeated append can be answered long after it took effect, by the log's answer to the first one, although a successor has claimed meanwhile. A start that was sent then began a run with a new lease when the successor had already waited for all leases of this leader.

Change: a start is sent only while the leader may renew leases, that is within 12 s of the sending of the last append known to be durable; later it is abandoned and the task is placed again.

Test: start_is_abandoned_when_its_record_is_confirmed_too_late; the case too_late fails before.

--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -14,6 +14,12 @@
 use crate::record::{Outcome, Placement};
 
 impl Leader {
+    /// Returns whether the leader may grant leases. If it cannot reach the log, it stops after a
+    /// while, because a successor relies on their expiry.
+    pub(super) fn may_grant_leases(&self, now: Now) -> bool {
+        now.time.since(self.confirmed_at) <= self.settings.renew_ms
+    }
+
     /// Sends a hold to each minion that is due for one. Between sweeps, only minions whose last hold
     /// was answered or whose ends became durable since the last pass are looked at.
     pub(super) fn hold_minions(&mut self, is_sweep: bool, now: Now) {
@@ -21,9 +27,7 @@
         if is_sweep {
             names = self.minions.iter().map(|(name, _)| name.clone()).collect();
         }
-        // A leader that cannot reach the log stops renewing leases after a while, because a
-        // successor relies on their expiry.
-        let renew = now.time.since(self.confirmed_at) <= self.settings.renew_ms;
+        let renew = self.may_grant_leases(now);
         for name in names {
             let Some(minion) = self.minions.get_mut(&name) else {
                 continue;
--- a/crates/primrosebay_cell/tests/leader/takeover.rs
+++ b/crates/primrosebay_cell/tests/leader/takeover.rs
@@ -10,7 +10,6 @@
 };
 use primrosebay_cell::ledger::{JobState, Ledger};
 use primrosebay_cell::record::Outcome;
-use primrosebay_state::Name;
 use primrosebay_state::time::Time;
 use rand::Rng;
 use rstest::rstest;
@@ -268,6 +267,51 @@
     assert!(failed.is_empty(), "{} failed: {failed:?}", failed.len());
 }
 
+/// Answers a hold of the minion of [`Simulation::new`] without runs.
+fn answer_hold(leader: &mut Leader, now: u64) {
+    let report = HoldReport {
+        clock_ms: now,
+        started_ms: 1,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
+    let answer = HoldAnswer::Held(report);
+    leader.on_hold(&"minion-000".into(), Time(now), answer, now_at(now));
+}
+
+/// Guards against a leader that learns late that a placement is durable and then starts the task,
+/// although a successor has waited long enough to start it elsewhere.
+#[rstest]
+#[case::in_time(11_900, true)]
+#[case::too_late(12_100, false)]
+fn start_is_abandoned_when_its_record_is_confirmed_too_late(
+    #[case] delay_ms: u64,
+    #[case] starts: bool,
+) {
+    let settings = Settings {
+        renew_ms: 12_000,
+        ..Settings::default()
+    };
+    let mut jobs = Simulation::new(1);
+    let began = 1_000;
+    let ledger = Ledger::default();
+    let mut leader = Leader::new(1, "node-0".into(), now_at(began), &ledger, settings);
+    leader.set_config(&jobs.config);
+    leader.on_directory(DirectoryChange::Listed(jobs.entry(0)), now_at(began));
+    leader.tick(now_at(began));
+    answer_hold(&mut leader, began);
+    let key = jobs.submit(1, "urgent", &job(1, cores(1)));
+    leader.sync_job(key, now_at(began), &jobs.ledger);
+    leader.tick(now_at(began));
+    let batch = leader.take_batch(false).expect("the placement").id;
+    let now = began + delay_ms;
+    answer_hold(&mut leader, now);
+    leader.on_committed(batch, Time(began), now_at(now));
+    let commands = leader.tick(now_at(now));
+    let sent = commands.iter().any(|c| matches!(c, Command::Start(_)));
+    assert_eq!(sent, starts);
+}
+
 /// Guards against a leader that was paused between its claim and its first pass and then renews
 /// leases for longer than a successor expects, which counts from the claim.
 #[test]
@@ -277,7 +321,6 @@
         renew_ms: 12_000,
         ..Settings::default()
     };
-    let name: Name = "minion-000".into();
     let ledger = Ledger::default();
     let mut leader = Leader::new(1, "node-0".into(), now_at(began), &ledger, settings);
     leader.inherit(Time(claimed), Vec::new());
@@ -286,14 +329,7 @@
     leader.on_directory(DirectoryChange::Listed(jobs.entry(0)), now_at(began));
     leader.tick(now_at(began));
     let mut renews = |now: u64| {
-        let report = HoldReport {
-            clock_ms: now,
-            started_ms: 1,
-            running: Vec::new(),
-            ended: Vec::new(),
-        };
-        let answer = HoldAnswer::Held(report);
-        leader.on_hold(&name, Time(now), answer, now_at(now));
+        answer_hold(&mut leader, now);
         let commands = leader.tick(now_at(now)).into_iter();
         let mut until = commands.filter_map(|command| match command {
             Command::Hold { until_ms, .. } => Some(until_ms),
