Test with processes that a successor learns of the end of the former leader

The question to the former leader's address, the process in the claim and the answer of the restarted process are only exercised with real members. The minions become unreachable and the leader is killed and restarted; a successor has to log that the earlier term has ended.

--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -404,6 +404,23 @@
         assert!(wait_until(Duration::from_secs(10), is_replaced).await);
     }
 
+    /// Makes all minions unreachable, and kills the leading member, which is restarted.
+    pub async fn lose_minions_and_leader(&mut self) {
+        let all = vec![CommandKind::Start, CommandKind::Stop, CommandKind::Hold];
+        let fault = MinionFault {
+            effect: Effect::Lost,
+            commands: all,
+        };
+        let minions = self.minions.iter();
+        minions.for_each(|m| m.set_fault(Some(fault.clone())));
+        let former = self.claim();
+        let leader = self.members.iter().position(|m| m.name == *former.node);
+        self.apply(Action::Signal(leader.unwrap(), Signal::KILL));
+        self.run_for(Duration::from_secs(1)).await;
+        let is_replaced = || self.claim().epoch > former.epoch;
+        assert!(wait_until(Duration::from_secs(10), is_replaced).await);
+    }
+
     /// Returns the claim of the latest leader.
     fn claim(&self) -> Claim {
         match self.record("leader") {
--- a/crates/primrosebay/tests/soak/main.rs
+++ b/crates/primrosebay/tests/soak/main.rs
@@ -214,6 +214,30 @@
     });
 }
 
+/// Guards against a successor that learns nothing of the former leader, whose process has ended, and
+/// so waits longer than a lease before it restarts the tasks of lost minions.
+#[test]
+fn successor_learns_that_the_former_leader_has_ended() {
+    task::block_on(async {
+        let mut cell = Cell::start(Size::default()).await;
+        cell.wait_ready().await;
+        let job = "000000000000000a";
+        cell.start_long_job(job, 3).await;
+        cell.lose_minions_and_leader().await;
+        let is_lapsed = || cell.running_count(job) == 0;
+        assert!(wait_until(COMPLETION_TIMEOUT, is_lapsed).await);
+        cell.clear_faults();
+        let is_running = || cell.running_count(job) == 3;
+        assert!(wait_until(COMPLETION_TIMEOUT, is_running).await);
+        let logs: Vec<String> = (0..3).map(|i| cell.stop_and_read(i)).collect();
+        let learns = |log: &String| log.contains("leader: earlier term has ended");
+        let leads = |log: &&String| log.contains("lead: term started");
+        // If the restarted member leads again, it knows the end of its own former term.
+        let leads_again = logs.iter().filter(leads).count() == 1;
+        assert!(leads_again || logs.iter().any(learns));
+    });
+}
+
 /// Guards against ends of runs that a restarted minion forgets because a hold acknowledges the ends
 /// of its former incarnation; the task then runs again. Found by soak seed 119.
 #[test]
