Log what jobs wait for, and what the leader's and the instances' time goes to

The logs could not tell whether late urgent work waits for the leader's processor time, for carriers or for the instance that accepts, nor which of limit, advice and room held a job. lead: summary now counts passes, events and appends with their time, and how long commands wait for carriers; leader: job ended says what the job waited for; member: load tells the processor time and the lateness of timers of each instance that follows the log. No decision changes.

--- a/crates/primrosebay_cell/src/leader/active.rs
+++ b/crates/primrosebay_cell/src/leader/active.rs
@@ -4,6 +4,7 @@
 
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
+use primrosebay_state::time::Time;
 
 use super::command::Now;
 use crate::config::Queue;
@@ -30,6 +31,10 @@
     /// Result of [`JobSpec::remaining_paths_ms`].
     pub(super) remaining_paths: Vec<u64>,
     pub(super) accepted_ms: u64,
+    /// Time from the acceptance until the leader knew the job, in milliseconds.
+    pub(super) known_ms: u64,
+    /// Latency objective by the last known queue, in milliseconds.
+    pub(super) objective: u64,
     /// Whether the account exceeded the submission rate of its share when the job was added.
     pub(super) over_share: bool,
     pub(super) cancelled: bool,
@@ -49,6 +54,43 @@
     pub(super) is_dirty: bool,
     /// Whether the job has changed since its ready steps were determined.
     pub(super) is_changed: bool,
+    pub(super) waits: Waits,
+}
+
+/// What a pass found that a step waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Wait {
+    /// The account's limit.
+    Limit,
+    /// An answer of the advice service.
+    Advice,
+    /// An instance that can call the advice service.
+    Client,
+    /// Free resources on minions.
+    Room,
+}
+
+/// Time for which steps of a job have waited after a pass had examined them, by cause.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Waits {
+    /// Cause that the last pass found, and the time of the pass.
+    current: Option<(Wait, Time)>,
+    /// Milliseconds by cause, in the order of [`Wait`].
+    sums: [u64; 4],
+}
+
+impl Waits {
+    /// Notes what a step waits for from now on; none if it does not wait any more.
+    pub(super) fn note(&mut self, cause: Option<Wait>, now: Time) {
+        if let Some((earlier, since)) = self.current {
+            self.sums[earlier as usize] += now.since(since);
+        }
+        self.current = cause.map(|cause| (cause, now));
+    }
+
+    pub(super) fn sum_ms(&self, cause: Wait) -> u64 {
+        self.sums[cause as usize]
+    }
 }
 
 /// Jobs with changes that have not been processed yet.
@@ -141,9 +183,9 @@
 
     /// Returns the time by which an occurrence has to end to meet its latency objective, in Unix
     /// milliseconds.
-    pub(super) fn deadline_ms(&self, queue: &Queue, occurrence: u32) -> u64 {
+    pub(super) fn deadline_ms(&self, occurrence: u32) -> u64 {
         let from = self.accepted_ms.max(self.spec.due_ms(occurrence));
-        from.saturating_add(self.objective_ms(queue))
+        from.saturating_add(self.objective)
     }
 
     /// Returns the last time at which the step can start so that the job, if the dependents follow
@@ -239,7 +281,12 @@
         self.mark_changed(changes);
         log::info!(
             job:% = self.key, queue:% = self.queue, outcome:? = outcome,
-            age_ms = now.wall_ms.saturating_sub(self.accepted_ms);
+            age_ms = now.wall_ms.saturating_sub(self.accepted_ms),
+            known_ms = self.known_ms, objective_ms = self.objective,
+            wait_limit_ms = self.waits.sum_ms(Wait::Limit),
+            wait_advice_ms = self.waits.sum_ms(Wait::Advice),
+            wait_adviser_ms = self.waits.sum_ms(Wait::Client),
+            wait_room_ms = self.waits.sum_ms(Wait::Room);
             "leader: job ended"
         );
     }
--- a/crates/primrosebay_cell/src/leader/dispatch.rs
+++ b/crates/primrosebay_cell/src/leader/dispatch.rs
@@ -37,6 +37,7 @@
             }
         }
         request.pending = pending.collect();
+        self.note_wait(request.step, None, now.time);
         if request.gang {
             self.cancel_reservations(request.step);
         }
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -28,7 +28,7 @@
 use primrosebay_state::table::Table;
 use primrosebay_state::time::Time;
 
-use active::{ActiveJob, Changes};
+use active::{ActiveJob, Changes, Wait, Waits};
 use advice::AdviceState;
 pub use command::{
     ActiveRun, Advice, Batch, Command, DirectoryChange, DirectoryEntry, End, EndedRun, HoldAnswer,
@@ -99,6 +99,19 @@
     pub charged_milli: u64,
 }
 
+impl BlockedSteps {
+    /// Counts a step that this cause blocks.
+    fn count(&mut self, cause: Wait) {
+        let count = match cause {
+            Wait::Limit => &mut self.limit,
+            Wait::Advice => &mut self.advice,
+            Wait::Client => &mut self.advice_client,
+            Wait::Room => &mut self.capacity,
+        };
+        *count += 1;
+    }
+}
+
 /// Schedules the tasks of a cell during one leadership term.
 #[derive(Debug)]
 pub struct Leader {
@@ -295,6 +308,8 @@
             spec: spec.clone(),
             remaining_paths: spec.remaining_paths_ms(),
             accepted_ms: submission.accepted_ms,
+            known_ms: now.wall_ms.saturating_sub(submission.accepted_ms),
+            objective: 0,
             over_share,
             cancelled: false,
             begun: progress.is_some_and(|p| p.begun),
@@ -306,6 +321,7 @@
             moved: Vec::new(),
             is_dirty: false,
             is_changed: true,
+            waits: Waits::default(),
         };
         if let Some(outcome) = active.outcome {
             log::info!(
--- a/crates/primrosebay_cell/src/leader/schedule.rs
+++ b/crates/primrosebay_cell/src/leader/schedule.rs
@@ -11,6 +11,7 @@
 use super::Leader;
 #[cfg(debug_assertions)]
 use super::active::ActiveJob;
+use super::active::Wait;
 use super::advice::{MAX_CALL_MINIONS, StepAdvice};
 use super::command::Now;
 use super::minion::{Minion, count_fitting};
@@ -192,12 +193,11 @@
                 self.ready.remove_job(key);
                 continue;
             };
-            let grace = job
-                .objective_ms(queue)
-                .saturating_mul(EXPIRY_OBJECTIVES - 1);
+            job.objective = job.objective_ms(queue);
+            let grace = job.objective.saturating_mul(EXPIRY_OBJECTIVES - 1);
             let steps = job.ready_steps(now, self.settings.early_start_ms);
             let steps = steps.into_iter().map(|step| {
-                let deadline = job.deadline_ms(queue, step.occurrence);
+                let deadline = job.deadline_ms(step.occurrence);
                 ReadyStep {
                     key: step,
                     priority: queue.priority,
@@ -249,6 +249,19 @@
         })
     }
 
+    /// Counts a step that cannot be started in full, and notes the cause for its job.
+    fn block(&mut self, step: StepKey, cause: Wait, now: Time) {
+        self.blocked.count(cause);
+        self.note_wait(step, Some(cause), now);
+    }
+
+    /// Notes for a step's job what it waits for; none if it does not wait any more.
+    pub(super) fn note_wait(&mut self, step: StepKey, cause: Option<Wait>, now: Time) {
+        if let Some(job) = self.jobs.get_mut(&step.job) {
+            job.waits.note(cause, now);
+        }
+    }
+
     fn is_asking(&self, step: StepKey) -> bool {
         self.advice.get(step).is_some_and(StepAdvice::is_pending)
     }
@@ -265,7 +278,7 @@
         };
         let quota_slots = self.quota_slots(&request, quota);
         if quota_slots == 0 || request.gang && quota_slots < request.count() {
-            self.blocked.limit += 1;
+            self.block(step, Wait::Limit, now.time);
             if late {
                 quota.note_limited(&request);
             } else if self.is_within_limit(&request) && self.could_hold(&request) {
@@ -282,7 +295,7 @@
             .and_then(|q| q.advice);
         // Most blocked steps wait for advice; checking this first avoids a scan of the minions.
         if timing.is_some() && self.is_asking(step) {
-            self.blocked.advice += 1;
+            self.block(step, Wait::Advice, now.time);
             if !late {
                 quota.reserve(&request);
             }
@@ -295,7 +308,7 @@
                 .advice
                 .can_call(timing.call_ms(1), late, now.time, &self.settings)
         {
-            self.blocked.advice_client += 1;
+            self.block(step, Wait::Client, now.time);
             return;
         }
         let before = request.pending.len();
@@ -373,9 +386,10 @@
     ) {
         let expected = self.start_call(request.step, timing, names.to_vec(), request.late, now);
         let Some(wait_ms) = expected else {
-            self.blocked.advice_client += 1;
+            self.block(request.step, Wait::Client, now.time);
             return;
         };
+        self.note_wait(request.step, Some(Wait::Advice), now.time);
         if request.gang {
             let until = now.time + wait_ms + ANSWER_MARGIN_MS;
             self.reserve_slots(request, allowed, request.count(), until, now.time);
@@ -427,7 +441,7 @@
         let want = want.saturating_sub(total_slots(&allowed_candidates)).max(1);
         let min_slots = if request.gang { want } else { 1 };
         if total_slots(&candidates) < min_slots {
-            self.blocked.capacity += 1;
+            self.block(request.step, Wait::Room, now.time);
             return false;
         }
         let allow_rate = self.advice.allow_rate(&request.queue);
@@ -487,7 +501,11 @@
     /// for all of them, so that the step only has to wait.
     fn make_room_for_rest(&mut self, request: &Request, names: Option<&[Name]>, now: Now) -> bool {
         let want = request.count();
-        want == 0 || self.make_room(request, names, want, now) >= want
+        if want == 0 {
+            return true;
+        }
+        self.note_wait(request.step, Some(Wait::Room), now.time);
+        self.make_room(request, names, want, now) >= want
     }
 }
 
--- a/crates/primrosebay_member/src/lead.rs
+++ b/crates/primrosebay_member/src/lead.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::channel::{Receiver, Sender, bounded, unbounded};
 use async_std::task::{self, JoinHandle};
@@ -113,6 +113,26 @@
     in_flight: Vec<(Vec<Record>, Sender<()>)>,
 }
 
+/// What the leader has done since the last summary.
+#[derive(Debug, Default)]
+struct Work {
+    /// Number of events handled.
+    events: u64,
+    /// Time spent on events.
+    handling: Duration,
+    /// Number of passes.
+    passes: u64,
+    /// Time spent in passes.
+    passing: Duration,
+    /// Number of durable batches.
+    batches: u64,
+    /// Time from the sending of an append until the leader knew that it was durable, summed over
+    /// batches, in milliseconds.
+    append_ms: u64,
+    /// Number of callers' records that became durable.
+    records: u64,
+}
+
 /// The leader's state during one term of this instance.
 #[derive(Debug)]
 struct TermLeader<P> {
@@ -132,6 +152,7 @@
     started: Time,
     /// When the last summary was logged.
     last_summary: Time,
+    work: Work,
     /// When the links to carriers are checked next.
     link_check: Time,
     /// When the minions that have left are removed from the links next.
@@ -168,6 +189,7 @@
         append_task: None,
         last_append: now.time,
         last_summary: now.time,
+        work: Work::default(),
         caller_records: CallerRecords::default(),
         handover: Arc::new(AtomicBool::new(false)),
         started: now.time,
@@ -214,14 +236,13 @@
     async fn process_events(&mut self, receiver: &Receiver<Event>) {
         loop {
             let tick = self.shared.settings.tick_interval;
-            if let Ok(Ok(event)) = async_std::future::timeout(tick, receiver.recv()).await {
-                self.handle(event);
+            let first = async_std::future::timeout(tick, receiver.recv()).await;
+            if let Ok(Ok(event)) = first {
+                self.handle_all([event]);
                 // Collects events that arrive shortly after, to handle them in one pass.
                 task::sleep(self.shared.settings.batch_delay).await;
             }
-            while let Ok(event) = receiver.try_recv() {
-                self.handle(event);
-            }
+            self.handle_all(std::iter::from_fn(|| receiver.try_recv().ok()));
             if self.leader.is_deposed() {
                 return;
             }
@@ -229,8 +250,20 @@
                 self.resign().await;
                 return;
             }
+            let begin = Instant::now();
             self.run_pass();
+            self.work.passes += 1;
+            self.work.passing += begin.elapsed();
+        }
+    }
+
+    fn handle_all(&mut self, events: impl IntoIterator<Item = Event>) {
+        let begin = Instant::now();
+        for event in events {
+            self.handle(event);
+            self.work.events += 1;
         }
+        self.work.handling += begin.elapsed();
     }
 
     /// Runs one scheduling pass: executes the resulting commands, appends a batch if one is due and
@@ -385,7 +418,9 @@
     }
 
     /// Logs a summary of the scheduler's state and updates the metrics.
-    fn summarize(&self, now: Now) {
+    fn summarize(&mut self, now: Now) {
+        let work = std::mem::take(&mut self.work);
+        let delays = self.shared.links.take_delays();
         let counts = self.leader.counts(now);
         self.shared.metrics.record_leader(&counts);
         let waits = counts.blocked;
@@ -398,7 +433,12 @@
             wait_limit = waits.limit, wait_advice = waits.advice, wait_adviser = waits.advice_client,
             wait_room = waits.capacity, unexamined = waits.unexamined,
             charged_cores = waits.charged_milli / 1000, silent_runs = counts.silent_runs,
-            lease_wait_ms = counts.lease_wait_ms, carriers, carried;
+            lease_wait_ms = counts.lease_wait_ms, carriers, carried,
+            events = work.events, event_ms = millis(work.handling), passes = work.passes,
+            pass_ms = millis(work.passing), batches = work.batches,
+            append_ms = work.append_ms / work.batches.max(1), records = work.records,
+            fetch_ms = delays.fetch_ms / delays.fetched.max(1),
+            start_ms = delays.start_ms / delays.started.max(1);
             "lead: summary"
         );
     }
@@ -473,7 +513,10 @@
         if !self.leader.on_committed(batch, sent, now) {
             return;
         }
+        self.work.batches += 1;
+        self.work.append_ms += now.time.since(sent);
         for (records, ack) in std::mem::take(&mut self.caller_records.in_flight) {
+            self.work.records += records.len() as u64;
             for record in records {
                 self.apply_record(record, now);
             }
--- a/crates/primrosebay_member/src/lib.rs
+++ b/crates/primrosebay_member/src/lib.rs
@@ -13,6 +13,7 @@
 mod follow;
 mod lead;
 mod links;
+mod load;
 pub mod log_limit;
 pub mod metrics;
 pub mod node;
--- a/crates/primrosebay_member/src/links.rs
+++ b/crates/primrosebay_member/src/links.rs
@@ -71,10 +71,24 @@
     }
 }
 
+/// How long commands took since the last summary. Times are sums in milliseconds.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Delays {
+    /// Number of starts and stops that carriers have fetched.
+    pub(crate) fetched: u64,
+    /// Time until these were fetched.
+    pub(crate) fetch_ms: u64,
+    /// Number of starts that minions have answered.
+    pub(crate) started: u64,
+    /// Time from the sending of these until their answer was known.
+    pub(crate) start_ms: u64,
+}
+
 /// The links of one term of leadership.
 #[derive(Debug)]
 struct Term {
     epoch: u64,
+    delays: Delays,
     carriers: Carriers,
     outboxes: Table<Name, Outbox>,
     /// By the number of the command, which increases.
@@ -106,6 +120,7 @@
     pub(crate) fn begin(&self, epoch: u64, settings: &Settings) {
         *self.term() = Some(Term {
             epoch,
+            delays: Delays::default(),
             carriers: Carriers::new(settings.name.clone(), settings.carriers.clone()),
             outboxes: Table::default(),
             pending: Table::default(),
@@ -192,6 +207,10 @@
             let Some(pending) = term.pending.remove(&id) else {
                 continue;
             };
+            if let Answer::Start(_) = &answer {
+                term.delays.started += 1;
+                term.delays.start_ms += now.since(pending.sent);
+            }
             if let Answer::Hold(hold) = &answer {
                 let answered = *hold != HoldAnswer::Failed;
                 term.carriers.on_hold(&pending.carrier, answered);
@@ -206,7 +225,7 @@
     }
 
     /// Returns the commands for a carrier, which it has fetched with that.
-    pub(crate) fn fetch(&self, carrier: &Name, epoch: u64) -> Vec<Order> {
+    pub(crate) fn fetch(&self, carrier: &Name, epoch: u64, now: Time) -> Vec<Order> {
         let mut guard = self.term();
         let Some(term) = guard.as_mut().filter(|t| t.epoch == epoch) else {
             return Vec::new();
@@ -222,6 +241,10 @@
         for order in &orders {
             if let Some(pending) = term.pending.get_mut(&order.id) {
                 pending.fetched = true;
+                if !matches!(order.command, Command::Hold { .. }) {
+                    term.delays.fetched += 1;
+                    term.delays.fetch_ms += now.since(pending.sent);
+                }
             }
         }
         orders
@@ -254,6 +277,14 @@
         (events, lost, chosen)
     }
 
+    /// Returns how long commands took since the last call.
+    pub(crate) fn take_delays(&self) -> Delays {
+        let mut guard = self.term();
+        let term = guard.as_mut();
+        term.map(|t| std::mem::take(&mut t.delays))
+            .unwrap_or_default()
+    }
+
     /// Returns the numbers of carriers and of commands whose answer is awaited.
     pub(crate) fn counts(&self) -> (usize, usize) {
         let guard = self.term();
--- a/crates/primrosebay_member/src/node.rs
+++ b/crates/primrosebay_member/src/node.rs
@@ -21,7 +21,7 @@
 use crate::shared::{CellState, OperatorState, Shared};
 use crate::submit::PendingRecord;
 use crate::waiters::Waiters;
-use crate::{election, follow, operators, outage, peer, relay, submit};
+use crate::{election, follow, load, operators, outage, peer, relay, submit};
 
 /// Time at shutdown for completing calls of other instances that are in flight.
 const PEER_GRACE: Duration = Duration::from_millis(200);
@@ -79,6 +79,7 @@
             task::spawn(submit::run(Arc::clone(&shared), pending)),
             task::spawn(election::run(Arc::clone(&shared))),
             task::spawn(outage::run(Arc::clone(&shared))),
+            task::spawn(load::run(Arc::clone(&shared))),
             task::spawn(announce(Arc::clone(&shared))),
         ];
         Ok(Self {
--- a/crates/primrosebay_member/src/peer.rs
+++ b/crates/primrosebay_member/src/peer.rs
@@ -418,11 +418,12 @@
     for event in events {
         shared.notify_leader(|| event);
     }
-    let mut orders = shared.links.fetch(&name, epoch);
+    let fetch = || shared.links.fetch(&name, epoch, shared.clock.now());
+    let mut orders = fetch();
     if orders.is_empty() {
         let wait = shared.settings.poll_wait;
         let _ = async_std::future::timeout(wait, woken.recv()).await;
-        orders = shared.links.fetch(&name, epoch);
+        orders = fetch();
     }
     let mut response = Response::new(StatusCode::Ok);
     response.set_body(postcard::to_stdvec(&orders)?);
--- a/crates/primrosebay_transport/src/clock.rs
+++ b/crates/primrosebay_transport/src/clock.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use primrosebay_state::time::Time;
 
@@ -35,6 +35,15 @@
     }
 }
 
+/// Returns the processor time that this process has used.
+#[must_use]
+pub fn processor_time() -> Duration {
+    let used = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
+    let secs = u64::try_from(used.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(used.tv_nsec).unwrap_or(0);
+    Duration::new(secs, nanos)
+}
+
 impl Default for Clock {
     /// Creates a clock that starts at 0 and follows the machine's monotonic clock.
     fn default() -> Self {
