Count waiting jobs as records are read, and move less for each new job

Cause: each question for a queue's number of waiting jobs looked at all jobs ever accepted, and each new job moved half of the table's entries of 80 bytes and more. Both grow with the hours, on every instance that follows the log. Change: the ledger counts jobs that are pending by queue, and boxes the entries, so that 16 bytes move.

--- a/crates/primrosebay_cell/src/ledger.rs
+++ b/crates/primrosebay_cell/src/ledger.rs
@@ -28,16 +28,19 @@
 /// State of the cell. Every instance builds the same state from the log.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    submitted: Table<JobKey, Versioned<Submission>>,
+    /// Boxed, as is `progress`, since an insertion moves the entries behind it.
+    submitted: Table<JobKey, Box<Submission>>,
     cancelled: Table<JobKey, u64>,
-    progress: Table<JobKey, Versioned<Progress>>,
+    progress: Table<JobKey, Box<Versioned<Progress>>>,
+    /// Numbers of jobs in the state [`JobState::Pending`], by queue.
+    pending: Table<Name, usize>,
     members: Table<Name, Versioned<Member>>,
     leader: Option<Versioned<Claim>>,
     next_offset: u64,
 }
 
-fn is_newer<K: Ord, T>(table: &Table<K, Versioned<T>>, key: &K, offset: u64) -> bool {
-    table.get(key).is_none_or(|current| current.offset < offset)
+fn is_newer<T>(current: Option<&Versioned<T>>, offset: u64) -> bool {
+    current.is_none_or(|current| current.offset < offset)
 }
 
 impl Ledger {
@@ -55,6 +58,35 @@
     /// Applies a record and returns whether it changed the state. A record that is older than the
     /// known state has no effect, so records may be read again.
     pub fn apply(&mut self, offset: u64, record: Record) -> bool {
+        let job = record.job();
+        self.uncount(job);
+        let is_changed = self.replace(offset, record);
+        self.count(job);
+        is_changed
+    }
+
+    /// Counts a job among the pending ones of its queue if it is.
+    fn count(&mut self, job: Option<JobKey>) {
+        if let Some(queue) = self.pending_queue(job) {
+            *self.pending.or_insert(queue, 0) += 1;
+        }
+    }
+
+    /// Reverts [`Self::count`] before a change of the job.
+    fn uncount(&mut self, job: Option<JobKey>) {
+        let queue = self.pending_queue(job);
+        if let Some(count) = queue.and_then(|queue| self.pending.get_mut(&queue)) {
+            *count -= 1;
+        }
+    }
+
+    /// Returns the queue of a job that is pending; none if it is not.
+    fn pending_queue(&self, job: Option<JobKey>) -> Option<Name> {
+        let job = job.filter(|job| self.state(*job) == Some(JobState::Pending))?;
+        Some(self.submission(job)?.queue.clone())
+    }
+
+    fn replace(&mut self, offset: u64, record: Record) -> bool {
         match record {
             Record::Submitted(job, value) => {
                 // Repeated submissions of a job have the same content. The first one read counts,
@@ -62,7 +94,7 @@
                 if self.submitted.get(&job).is_some() {
                     return false;
                 }
-                self.submitted.insert(job, Versioned { offset, value });
+                self.submitted.insert(job, Box::new(value));
             }
             Record::Cancelled(job) => {
                 if self.cancelled.get(&job).is_some() {
@@ -71,10 +103,12 @@
                 self.cancelled.insert(job, offset);
             }
             Record::Progress(job, value) => {
-                if !is_newer(&self.progress, &job, offset) {
+                let current = self.progress.get(&job);
+                if !is_newer(current.map(|c| &**c), offset) {
                     return false;
                 }
-                self.progress.insert(job, Versioned { offset, value });
+                self.progress
+                    .insert(job, Box::new(Versioned { offset, value }));
             }
             Record::Leader(value) => {
                 let current = self.leader.as_ref();
@@ -84,7 +118,7 @@
                 self.leader = Some(Versioned { offset, value });
             }
             Record::Member(name, value) => {
-                if !is_newer(&self.members, &name, offset) {
+                if !is_newer(self.members.get(&name), offset) {
                     return false;
                 }
                 self.members.insert(name, Versioned { offset, value });
@@ -96,6 +130,7 @@
     /// Applies the removal of a key from the log. Unknown keys are ignored.
     pub fn remove(&mut self, key: &str) {
         let job = key.get(1..).and_then(|text| text.parse::<JobKey>().ok());
+        self.uncount(job);
         match (key.as_bytes().first(), job) {
             (Some(b'j'), Some(job)) => drop(self.submitted.remove(&job)),
             (Some(b'c'), Some(job)) => drop(self.cancelled.remove(&job)),
@@ -103,6 +138,7 @@
             (Some(b'm'), _) => drop(self.members.remove(&key[1..])),
             _ => {}
         }
+        self.count(job);
     }
 
     /// Returns the claim of the latest leader; none if the log has no claim.
@@ -119,7 +155,7 @@
     /// Returns the submission of a job, if known.
     #[must_use]
     pub fn submission(&self, job: JobKey) -> Option<&Submission> {
-        self.submitted.get(&job).map(|s| &s.value)
+        self.submitted.get(&job).map(|s| &**s)
     }
 
     /// Returns the durable state of a job's tasks; none before the leader's first record of the
@@ -159,17 +195,12 @@
     /// Returns the number of a queue's jobs in the state [`JobState::Pending`].
     #[must_use]
     pub fn pending_jobs(&self, queue: &str) -> usize {
-        let jobs = self
-            .submitted
-            .iter()
-            .filter(|(_, s)| &*s.value.queue == queue);
-        jobs.filter(|(job, _)| self.state(**job) == Some(JobState::Pending))
-            .count()
+        self.pending.get(queue).copied().unwrap_or(0)
     }
 
     /// Returns all jobs, sorted by key.
     pub fn jobs(&self) -> impl Iterator<Item = (JobKey, &Submission)> {
-        self.submitted.iter().map(|(job, s)| (*job, &s.value))
+        self.submitted.iter().map(|(job, s)| (*job, &**s))
     }
 
     /// Returns the jobs that ended before `before_ms`, in Unix milliseconds, and have no task on a
--- a/crates/primrosebay_cell/src/record.rs
+++ b/crates/primrosebay_cell/src/record.rs
@@ -198,6 +198,15 @@
         }
     }
 
+    /// Returns the job that the record is about; none if it is about none.
+    #[must_use]
+    pub fn job(&self) -> Option<JobKey> {
+        match self {
+            Self::Submitted(job, _) | Self::Cancelled(job) | Self::Progress(job, _) => Some(*job),
+            Self::Leader(_) | Self::Member(..) => None,
+        }
+    }
+
     /// Encodes the record, with the encoding version in the first byte.
     ///
     /// # Errors
