Do not log the ends of the other tasks of a gang as superseded

Cause: a gang is done with the first end that says so. Change: the line is written only for a task that is not done, of a job that has not ended. No test: log lines only.

--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -187,7 +187,9 @@
     fn apply_end(&mut self, name: &Name, end: &EndedRun, now: Now) {
         let key = end.task.step.job;
         let Some((position, gang)) = self.placed_run(name, end.task, end.run) else {
-            log::info!(task:% = end.task, run = end.run, minion:% = name, end:? = end.end; "leader: end of a superseded run ignored");
+            if !self.is_done(end.task) {
+                log::info!(task:% = end.task, run = end.run, minion:% = name, end:? = end.end; "leader: end of a superseded run ignored");
+            }
             return;
         };
         log::info!(task:% = end.task, run = end.run, minion:% = name, end:? = end.end, number = end.sequence; "leader: run ended");
@@ -234,6 +236,15 @@
         is_placed.then_some((position, gang))
     }
 
+    /// Returns whether a task is done, as all tasks of a gang are after the first end that says so.
+    fn is_done(&self, task: TaskKey) -> bool {
+        let Some(job) = self.jobs.get(&task.step.job) else {
+            return self.ended_jobs.get(&task.step.job).is_some();
+        };
+        let state = job.spec.position(task).and_then(|p| job.tasks.get(p));
+        state.is_some_and(|t| t.placement == Placement::Done)
+    }
+
     /// Marks a task whose run is over as pending. A gang that loses a task is stopped as a whole.
     pub(super) fn requeue(&mut self, name: &Name, task: TaskKey, run: u32, now: Now) {
         let Some((position, gang)) = self.placed_run(name, task, run) else {
