Look only at the runs of an account for what it may preempt

Cause: for a step that waits for its account's limit a pass collected the preemptible runs of all accounts. Change: it collects those of that account. The leader example has a column of jobs at their account's limit. The effect is tested by urgent_work_preempts_batch_tasks_of_account_at_its_limit, as before.

--- a/crates/primrosebay_bench/src/leader.rs
+++ b/crates/primrosebay_bench/src/leader.rs
@@ -79,6 +79,9 @@
     },
 ];
 
+/// Account with a low limit.
+const LIMITED: &str = "limited";
+
 /// Label of one minion in a hundred, which the waiting jobs need.
 const RARE_LABEL: &str = "rare";
 
@@ -89,6 +92,8 @@
     pub minions: usize,
     /// Number of jobs of 200 tasks that wait for room on a few minions.
     pub waiting: u64,
+    /// Number of jobs of 40 tasks that wait for the limit of their account.
+    pub limited: u64,
 }
 
 impl Default for Size {
@@ -96,6 +101,7 @@
         Self {
             minions: 48,
             waiting: 0,
+            limited: 0,
         }
     }
 }
@@ -214,6 +220,11 @@
                 weight: 100,
                 limit: Resources::ZERO,
             })
+            .chain([Account {
+                name: LIMITED.into(),
+                weight: 100,
+                limit: cores(500),
+            }])
             .collect(),
         ..Config::default()
     }
@@ -269,6 +280,16 @@
         for _ in 0..size.waiting {
             cell.submit("waiting", step.clone());
         }
+        let step = Step {
+            count: 40,
+            amount: cores(10),
+            estimate_ms: 100_000_000,
+            checkpoints: true,
+            ..Step::default()
+        };
+        for _ in 0..size.limited {
+            cell.submit_for(LIMITED, "batch", step.clone());
+        }
         cell
     }
 
@@ -349,12 +370,17 @@
     }
 
     fn submit(&mut self, queue: &str, step: Step) {
+        let account = format!("account-{:02}", (self.next_job + 1) % 60);
+        self.submit_for(&account, queue, step);
+    }
+
+    fn submit_for(&mut self, account: &str, queue: &str, step: Step) {
         self.next_job += 1;
         // Callers choose random keys.
         let key = JobKey(self.next_job.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let submission = Submission {
             queue: queue.into(),
-            account: Some(format!("account-{:02}", self.next_job % 60).into()),
+            account: Some(account.into()),
             spec: Arc::new(JobSpec {
                 payload: "run".into(),
                 steps: vec![step],
--- a/crates/primrosebay_cell/src/leader/quota.rs
+++ b/crates/primrosebay_cell/src/leader/quota.rs
@@ -38,9 +38,9 @@
 #[derive(Debug)]
 pub(super) struct QuotaUsage {
     usage: Table<Name, Resources>,
-    /// Collected on first use. A burst of one account can leave hundreds of steps blocked by its
-    /// limit, and scanning all runs for each step took most of the leader's time.
-    preemptible: Option<Table<Name, Preemptible>>,
+    /// Collected on first use for an account. A burst of one account can leave hundreds of steps
+    /// blocked by its limit, and scanning all runs for each step took most of the leader's time.
+    preemptible: Table<Name, Preemptible>,
     /// CPU charged for steps that wait, in thousandths of a core.
     pub(super) charged_milli: u64,
     /// Resources that the limit of an account did not allow a step. The usage of an account does not
@@ -88,7 +88,7 @@
     pub(super) fn quota_usage(&self) -> QuotaUsage {
         QuotaUsage {
             usage: self.usage.clone(),
-            preemptible: None,
+            preemptible: Table::default(),
             charged_milli: 0,
             limited: Vec::new(),
         }
@@ -190,10 +190,11 @@
             return;
         };
         let used = quota.usage.get(account).copied().unwrap_or_default();
-        let preemptible = quota
-            .preemptible
-            .get_or_insert_with(|| self.collect_preemptible(now));
-        let Some(preemptible) = preemptible.get_mut(account) else {
+        if quota.preemptible.get(account).is_none() {
+            let collected = self.collect_preemptible(account, now);
+            quota.preemptible.insert(account.clone(), collected);
+        }
+        let Some(preemptible) = quota.preemptible.get_mut(account) else {
             return;
         };
         let mut used = used.minus(&preemptible.stopping);
@@ -224,36 +225,30 @@
         }
     }
 
-    /// Collects the preemptible and stopping runs of each account.
-    fn collect_preemptible(&self, now: Now) -> Table<Name, Preemptible> {
-        let mut preemptible = Table::default();
-        for (minion, run) in self
-            .minions
-            .iter()
-            .flat_map(|(n, m)| m.runs.iter().map(move |r| (n, r)))
-        {
-            let Some(account) = &run.account else {
-                continue;
-            };
-            let entry: &mut Preemptible =
-                preemptible.or_insert(account.clone(), Preemptible::default());
-            if matches!(run.phase, Phase::Stopping(..)) {
-                entry.stopping = entry.stopping.plus(&run.amount);
-            } else if let Some(priority) = preemptible_priority(run, now.time) {
-                entry.victims.push(Victim {
-                    minion: minion.clone(),
-                    task: run.task,
-                    run: run.number,
-                    priority,
-                    amount: run.amount,
-                });
+    /// Collects the preemptible and stopping runs of an account.
+    fn collect_preemptible(&self, account: &Name, now: Now) -> Preemptible {
+        let mut collected = Preemptible::default();
+        for (minion, state) in self.minions.iter() {
+            for run in &state.runs {
+                if run.account.as_ref() != Some(account) {
+                    continue;
+                }
+                if matches!(run.phase, Phase::Stopping(..)) {
+                    collected.stopping = collected.stopping.plus(&run.amount);
+                } else if let Some(priority) = preemptible_priority(run, now.time) {
+                    collected.victims.push(Victim {
+                        minion: minion.clone(),
+                        task: run.task,
+                        run: run.number,
+                        priority,
+                        amount: run.amount,
+                    });
+                }
             }
         }
-        for (_, entry) in preemptible.iter_mut() {
-            let victims = &mut entry.victims;
-            victims.sort_by_key(|v| std::cmp::Reverse(v.amount.cores_milli));
-        }
-        preemptible
+        let victims = &mut collected.victims;
+        victims.sort_by_key(|v| std::cmp::Reverse(v.amount.cores_milli));
+        collected
     }
 }
 
