Leave steps that wait out of some passes

What callers saw: on a large cell, urgent jobs of half a second are late while hundreds of other steps wait. Cause: a pass examines each step that waits for a limit, advice or room, at the cost of one that starts, or more. Acceptance, advice and start all wait for passes. Change: a step that a pass could not start in full is left out for an eighth of its time to spare, at most 50 ms, and 50 ms if it is late; 20 ms if resources are reserved for it. It stays charged to its account's limit. Tickets and allowed minions of a step are kept sorted, since each pass searched them for each minion. Who else: limit, advice and room share one path. Steps that wait for an instance that can call the advice service are still examined in each pass; that check reads neither runs nor minions.

--- a/crates/primrosebay_cell/src/leader/advice.rs
+++ b/crates/primrosebay_cell/src/leader/advice.rs
@@ -37,11 +37,12 @@
 /// Advice for the tasks of a step.
 #[derive(Debug, Default)]
 pub(super) struct StepAdvice {
-    /// Minions that may run the step. The service never changes its answer for a step and minion.
+    /// Minions that may run the step, sorted. The service never changes its answer for a step and
+    /// minion.
     pub(super) allowed: Vec<Name>,
     /// Minions named in an answered call, sorted.
     pub(super) queried: Vec<Name>,
-    /// Minions with their tickets and the expiry of each ticket.
+    /// Minions with their tickets and the expiry of each ticket, sorted by minion.
     tickets: Vec<(Name, Name, Time)>,
     /// Call in flight: the calling instance, its deadline and the named minions.
     call: Option<(Name, Time, Vec<Name>)>,
@@ -55,8 +56,21 @@
 
     /// Returns the valid ticket for a minion, if any.
     pub(super) fn ticket(&self, minion: &Name, now: Time) -> Option<&Name> {
-        let valid = |t: &&(Name, Name, Time)| t.0 == *minion && now < t.2;
-        self.tickets.iter().find(valid).map(|t| &t.1)
+        let found = self.tickets.binary_search_by(|t| t.0.cmp(minion));
+        let (_, ticket, until) = &self.tickets[found.ok()?];
+        (now < *until).then_some(ticket)
+    }
+
+    /// Adds a minion that may run the step, with its ticket.
+    fn allow(&mut self, minion: Name, ticket: Name, until: Time) {
+        if let Err(index) = self.allowed.binary_search(&minion) {
+            self.allowed.insert(index, minion.clone());
+        }
+        let entry = (minion, ticket, until);
+        match self.tickets.binary_search_by(|t| t.0.cmp(&entry.0)) {
+            Ok(index) => self.tickets[index] = entry,
+            Err(index) => self.tickets.insert(index, entry),
+        }
     }
 
     pub(super) fn is_pending(&self) -> bool {
@@ -268,6 +282,7 @@
 
     /// Applies the answer to an advice call; `advice` is none if the call failed.
     pub fn on_advice(&mut self, node: &Name, step: StepKey, advice: Option<Advice>, now: Now) {
+        self.ready.wake(step);
         let state = &mut self.advice;
         let failed = advice.is_none();
         if let Some(client) = state.clients.iter_mut().find(|c| c.name == *node) {
@@ -302,11 +317,7 @@
             }
         }
         for (name, ticket) in advice.allowed {
-            entry.tickets.retain(|t| t.0 != name);
-            if !entry.allowed.contains(&name) {
-                entry.allowed.push(name.clone());
-            }
-            entry.tickets.push((name, ticket, until));
+            entry.allow(name, ticket, until);
         }
         if let Some(queue) = queue.filter(|_| new_count > 0) {
             state.update_allow_rate(queue, new_count, allowed);
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -95,6 +95,8 @@
     pub capacity: usize,
     /// Steps that the pass did not examine.
     pub unexamined: usize,
+    /// Steps that the pass examined.
+    pub examined: usize,
     /// CPU charged to the limits of accounts for steps that wait, in thousandths of a core.
     pub charged_milli: u64,
 }
--- a/crates/primrosebay_cell/src/leader/quota.rs
+++ b/crates/primrosebay_cell/src/leader/quota.rs
@@ -75,11 +75,19 @@
     }
 
     /// Counts pending tasks as running, so that less urgent work of the account, which comes later
-    /// in the pass, does not use up its limit.
-    pub(super) fn reserve(&mut self, request: &Request) {
+    /// in the pass, does not use up its limit. Returns what they need.
+    pub(super) fn reserve(&mut self, request: &Request) -> Resources {
         let amount = request.amount.times(request.pending.len() as u64);
+        if let Some(account) = &request.account {
+            self.charge_waiting(account, &amount);
+        }
+        amount
+    }
+
+    /// Charges an account for a step that waits.
+    pub(super) fn charge_waiting(&mut self, account: &Name, amount: &Resources) {
         self.charged_milli = self.charged_milli.saturating_add(amount.cores_milli);
-        self.charge(request.account.as_ref(), &amount);
+        self.charge(Some(account), amount);
     }
 }
 
--- a/crates/primrosebay_cell/src/leader/ready.rs
+++ b/crates/primrosebay_cell/src/leader/ready.rs
@@ -3,6 +3,11 @@
 //! A step changes its place when its job changes or when it can no longer be in time. Neither needs
 //! a visit to the other steps.
 
+use primrosebay_state::Name;
+use primrosebay_state::resources::Resources;
+use primrosebay_state::time::Time;
+
+use super::active::Wait;
 use crate::job::{JobKey, StepKey};
 
 /// Added to the priority of jobs that can no longer meet their latency objective, so that jobs
@@ -53,12 +58,24 @@
     }
 }
 
+/// What a pass found about a step that it could not start in full.
+#[derive(Debug, Clone)]
+pub(super) struct Backoff {
+    /// Time at which the step is examined again.
+    pub(super) until: Time,
+    pub(super) cause: Wait,
+    /// Account whose limit the step is charged for while it waits, and the amount.
+    pub(super) charge: Option<(Name, Resources)>,
+}
+
 /// A ready step with its current place.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct Entry {
     step: ReadyStep,
     sort_key: SortKey,
     next_change: Option<u64>,
+    /// Ends early if the step's place or job changes, or an advice call of it ends.
+    backoff: Option<Backoff>,
 }
 
 /// The ready steps of all jobs.
@@ -112,6 +129,7 @@
             step,
             sort_key: step.sort_key(now),
             next_change: step.next_change(now),
+            backoff: None,
         };
         let key = step.key;
         insert_sorted(&mut self.order, (entry.sort_key, key));
@@ -141,6 +159,37 @@
         self.due.drain(..due).map(|d| d.1).collect()
     }
 
+    fn entry(&mut self, step: StepKey) -> Option<&mut Entry> {
+        let found = self.entries.binary_search_by_key(&step, |e| e.step.key);
+        found.ok().map(|index| &mut self.entries[index])
+    }
+
+    /// Returns the last time at which a start of the step can still meet its deadline.
+    pub(super) fn last_start(&mut self, step: StepKey) -> Option<u64> {
+        self.entry(step).map(|e| e.step.last_start)
+    }
+
+    /// Sets what is known about a step that a pass could not start in full.
+    pub(super) fn set_backoff(&mut self, step: StepKey, backoff: Backoff) {
+        if let Some(entry) = self.entry(step) {
+            entry.backoff = Some(backoff);
+        }
+    }
+
+    /// Makes the next pass examine a step.
+    pub(super) fn wake(&mut self, step: StepKey) {
+        if let Some(entry) = self.entry(step) {
+            entry.backoff = None;
+        }
+    }
+
+    /// Returns what is known about a step that need not be examined yet.
+    pub(super) fn backoff(&self, step: StepKey, now: Time) -> Option<&Backoff> {
+        let found = self.entries.binary_search_by_key(&step, |e| e.step.key);
+        let backoff = self.entries[found.ok()?].backoff.as_ref();
+        backoff.filter(|b| now < b.until)
+    }
+
     /// Returns the number of ready steps.
     pub(super) fn len(&self) -> usize {
         self.order.len()
--- a/crates/primrosebay_cell/src/leader/room.rs
+++ b/crates/primrosebay_cell/src/leader/room.rs
@@ -108,18 +108,13 @@
         }
     }
 
-    fn is_holder(&self, step: StepKey) -> bool {
+    pub(super) fn is_holder(&self, step: StepKey) -> bool {
         self.holders.binary_search(&step).is_ok()
     }
 
     fn level(&self, priority: u32) -> usize {
         self.priorities.partition_point(|p| *p < priority)
     }
-
-    fn row(&self, service: &Name, minion: usize) -> Option<usize> {
-        let rows = &self.services.get(service)?.rows;
-        rows.binary_search_by_key(&minion, |r| r.minion).ok()
-    }
 }
 
 /// Returns the row of a minion. Writes its free resources after preemption for each priority to
@@ -326,7 +321,8 @@
         };
         let found = names.iter().filter_map(|name| {
             let index = self.minions.index_of(name)?;
-            let row = &rows.rows[self.room.row(&queue.service, index)?];
+            let row = rows.rows.binary_search_by_key(&index, |r| r.minion);
+            let row = &rows.rows[row.ok()?];
             let matches = request.amount.fits(&row.capacity) && self.has_label(request, row);
             matches.then_some(row)
         });
--- a/crates/primrosebay_cell/src/leader/schedule.rs
+++ b/crates/primrosebay_cell/src/leader/schedule.rs
@@ -16,7 +16,7 @@
 use super::command::Now;
 use super::minion::{Minion, count_fitting};
 use super::quota::QuotaUsage;
-use super::ready::{Ready, ReadyStep};
+use super::ready::{Backoff, Ready, ReadyStep};
 use super::room::Slots;
 use crate::config::AdviceTiming;
 use crate::job::{StepKey, TaskKey};
@@ -50,6 +50,21 @@
 /// milliseconds: the answer travels over two hops and waits for the next pass.
 const ANSWER_MARGIN_MS: u64 = 300;
 
+/// Time before its last start from which on a step that waits is examined in each pass, in
+/// milliseconds.
+const URGENT_MS: u64 = 500;
+
+/// Fraction of the time before that, after which a step that waits is examined again.
+const BACKOFF_DIVISOR: u64 = 8;
+
+/// Longest time after which a step that waits is examined again, in milliseconds. Steps that are
+/// late already wait this long.
+const MAX_BACKOFF_MS: u64 = 50;
+
+/// Longest time after which a step for which resources are reserved is examined again, in
+/// milliseconds. Until then nothing else uses them.
+const HOLDER_BACKOFF_MS: u64 = 20;
+
 /// Tasks of a step to place.
 #[derive(Debug)]
 pub(super) struct Request {
@@ -149,8 +164,14 @@
                 self.blocked.capacity += 1;
             } else if ready.late && self.is_known_limited(step, quota) {
                 self.blocked.limit += 1;
+            } else if let Some(backoff) = self.ready.backoff(step, now.time) {
+                self.blocked.count(backoff.cause);
+                if let Some((account, amount)) = &backoff.charge {
+                    quota.charge_waiting(account, amount);
+                }
             } else {
                 self.place_step(step, ready.late, quota, now);
+                self.blocked.examined += 1;
                 examined += 1;
             }
         }
@@ -255,6 +276,33 @@
         self.note_wait(step, Some(cause), now);
     }
 
+    /// Lets the next passes leave out a step that they cannot start in full, if it is late or has
+    /// time left. Meanwhile the limit of its account is charged for `charge`.
+    fn back_off(&mut self, request: &Request, cause: Wait, charge: Option<Resources>, now: Now) {
+        let step = request.step;
+        let longest = if self.room.is_holder(step) {
+            HOLDER_BACKOFF_MS
+        } else {
+            MAX_BACKOFF_MS
+        };
+        let last_start = self.ready.last_start(step).unwrap_or(0);
+        let urgent = now.wall_ms.saturating_add(URGENT_MS);
+        let wait_ms = if request.late {
+            longest
+        } else {
+            let slack = last_start.saturating_sub(urgent);
+            longest.min(slack / BACKOFF_DIVISOR)
+        };
+        if wait_ms > 0 {
+            let backoff = Backoff {
+                until: now.time + wait_ms,
+                cause,
+                charge: request.account.clone().zip(charge),
+            };
+            self.ready.set_backoff(step, backoff);
+        }
+    }
+
     /// Notes for a step's job what it waits for; none if it does not wait any more.
     pub(super) fn note_wait(&mut self, step: StepKey, cause: Option<Wait>, now: Time) {
         if let Some(job) = self.jobs.get_mut(&step.job) {
@@ -279,12 +327,14 @@
         let quota_slots = self.quota_slots(&request, quota);
         if quota_slots == 0 || request.gang && quota_slots < request.count() {
             self.block(step, Wait::Limit, now.time);
+            let mut charge = None;
             if late {
                 quota.note_limited(&request);
             } else if self.is_within_limit(&request) && self.could_hold(&request) {
                 self.preempt_in_account(&request, quota, now);
-                quota.reserve(&request);
+                charge = Some(quota.reserve(&request));
             }
+            self.back_off(&request, Wait::Limit, charge, now);
             return;
         }
         request.pending.truncate(quota_slots as usize);
@@ -296,9 +346,8 @@
         // Most blocked steps wait for advice; checking this first avoids a scan of the minions.
         if timing.is_some() && self.is_asking(step) {
             self.block(step, Wait::Advice, now.time);
-            if !late {
-                quota.reserve(&request);
-            }
+            let charge = (!late).then(|| quota.reserve(&request));
+            self.back_off(&request, Wait::Advice, charge, now);
             return;
         }
         let advice = self.advice.get(step);
@@ -323,6 +372,15 @@
             self.update_room(now.time);
             self.note_if_full(&request, now.time);
         }
+        if request.pending.is_empty() {
+            return;
+        }
+        if self.is_asking(step) {
+            let charge = (!late).then(|| quota.reserve(&request));
+            self.back_off(&request, Wait::Advice, charge, now);
+        } else {
+            self.back_off(&request, Wait::Room, None, now);
+        }
     }
 
     /// Places tasks of a queue that needs advice. Returns whether the step has what it needs or
@@ -337,6 +395,7 @@
         let advice = self.advice.get(request.step);
         let allowed_names = advice.map(|a| a.allowed.clone()).unwrap_or_default();
         let allowed_names = self.matching(request, &allowed_names);
+        // Sorted, as the allowed names are.
         let has_ticket = |n: &&Name| advice.is_some_and(|a| a.ticket(n, now.time).is_some());
         let ticketed: Vec<Name> = allowed_names.iter().filter(has_ticket).cloned().collect();
         if !ticketed.is_empty() {
@@ -367,7 +426,7 @@
         // tickets would not help.
         let total = total_slots(&candidates);
         let names = self.names(&candidates);
-        if total < min_slots || names.iter().all(|n| ticketed.contains(n)) {
+        if total < min_slots || names.iter().all(|n| ticketed.binary_search(n).is_ok()) {
             return false;
         }
         self.call_advice(request, timing, &names, &names, now);
--- a/crates/primrosebay_cell/tests/leader/load.rs
+++ b/crates/primrosebay_cell/tests/leader/load.rs
@@ -1,5 +1,7 @@
 //! Load patterns of the users' busiest days.
 
+use rstest::rstest;
+
 use crate::simulation::{Simulation, cores, job};
 
 /// Batch tasks with checkpoints fill the cell when urgent work arrives. Guards against urgent work
@@ -187,3 +189,53 @@
     let started = |key| sim.starts.iter().any(|s| s.task.step.job == key);
     assert!(started(in_time) && !started(late));
 }
+
+/// Why the steps of a backlog wait although they still have time.
+#[derive(Debug, Clone, Copy)]
+enum Obstacle {
+    Limit,
+    Advice,
+    Room,
+}
+
+/// A backlog waits. Guards against passes that examine all of it each time, so that an urgent job,
+/// whose acceptance and start take several passes, waits for the leader's processor time.
+#[rstest]
+fn passes_do_not_examine_a_whole_backlog(
+    #[values(Obstacle::Limit, Obstacle::Advice, Obstacle::Room)] obstacle: Obstacle,
+) {
+    const BACKLOG: u64 = 100;
+    const PASSES: usize = 50;
+    let mut sim = Simulation::new(8);
+    sim.config.accounts[0].weight = 10_000;
+    let mut spec = job(1, cores(1));
+    spec.steps[0].estimate_ms = 20_000;
+    match obstacle {
+        Obstacle::Limit => sim.config.accounts[0].limit = cores(1),
+        Obstacle::Advice => {
+            sim.set_advice("batch", 900.0, 0.1);
+            sim.set_members(400);
+            sim.advice_down = true;
+        }
+        Obstacle::Room => {
+            spec.steps[0].amount = cores(16);
+            // The limit of tasks on one minion keeps steps from being known to lack room.
+            spec.steps[0].per_minion = 1;
+        }
+    }
+    sim.leader.set_config(&sim.config);
+    for key in 0..BACKLOG {
+        sim.submit(key, "batch", &spec);
+    }
+    sim.run(100);
+    let mut examined = 0;
+    for _ in 0..PASSES {
+        sim.run(10);
+        examined += sim.blocked().examined;
+    }
+    let all = PASSES * usize::try_from(BACKLOG).expect("the backlog is small");
+    assert!(
+        examined <= all / 3,
+        "{examined} examined in {PASSES} passes"
+    );
+}
--- a/crates/primrosebay_cell/tests/leader/simulation.rs
+++ b/crates/primrosebay_cell/tests/leader/simulation.rs
@@ -7,8 +7,8 @@
 use primrosebay_cell::config::{Account, AdviceTiming, Config, Queue};
 use primrosebay_cell::job::{JobKey, JobSpec, Step, TaskKey};
 use primrosebay_cell::leader::{
-    ActiveRun, Advice, Batch, Command, DirectoryChange, DirectoryEntry, End, EndedRun, HoldAnswer,
-    HoldReport, Leader, Now, Refusal, Settings, Start, StartAnswer,
+    ActiveRun, Advice, Batch, BlockedSteps, Command, DirectoryChange, DirectoryEntry, End,
+    EndedRun, HoldAnswer, HoldReport, Leader, Now, Refusal, Settings, Start, StartAnswer,
 };
 use primrosebay_cell::ledger::{JobState, Ledger};
 use primrosebay_cell::record::{Claim, Outcome, Record, Submission};
@@ -301,6 +301,11 @@
         key
     }
 
+    /// Returns what the last pass counted.
+    pub fn blocked(&self) -> BlockedSteps {
+        self.leader.counts(now_at(self.now)).blocked
+    }
+
     pub fn cancel(&mut self, key: JobKey) {
         self.append(&Record::Cancelled(key));
         self.leader.sync_job(key, now_at(self.now), &self.ledger);
--- a/crates/primrosebay_member/src/lead.rs
+++ b/crates/primrosebay_member/src/lead.rs
@@ -431,7 +431,7 @@
             unstopped = counts.unstopped, asking = counts.advice_calls,
             used_cores = counts.used_milli / 1000, all_cores = counts.total_milli / 1000,
             wait_limit = waits.limit, wait_advice = waits.advice, wait_adviser = waits.advice_client,
-            wait_room = waits.capacity, unexamined = waits.unexamined,
+            wait_room = waits.capacity, unexamined = waits.unexamined, examined = waits.examined,
             charged_cores = waits.charged_milli / 1000, silent_runs = counts.silent_runs,
             lease_wait_ms = counts.lease_wait_ms, carriers, carried,
             events = work.events, event_ms = millis(work.handling), passes = work.passes,
