Ask for advice about minions on which urgent tasks fit at once

What callers saw: urgent jobs wait for room although the cell has free resources. Cause: an advice call names the minions with the most room after preemption. One full of preemptible runs came before one with room for fewer tasks, so urgent tasks got tickets for full minions and waited until runs there had stopped. Change: for tasks that start one by one, a call names the minions on which as many as possible fit without stopping anything, up to the number of tasks to start; among these by a hash, as before. For a gang the order stays, since it needs enough minions in any case.

--- a/crates/primrosebay_cell/src/leader/schedule.rs
+++ b/crates/primrosebay_cell/src/leader/schedule.rs
@@ -505,11 +505,15 @@
         }
         let allow_rate = self.advice.allow_rate(&request.queue);
         let deviations = if request.gang { GANG_DEVIATIONS } else { 0.0 };
+        // A gang needs enough minions in any case. Other tasks start sooner where nothing has to be
+        // stopped for them.
         let order = |c: &Slots| {
-            (
-                Reverse((c.total, c.free)),
-                minion_order(request.step, c.minion),
-            )
+            let preferred = if request.gang {
+                (c.total, c.free)
+            } else {
+                (c.free.min(request.count()), c.total)
+            };
+            (Reverse(preferred), minion_order(request.step, c.minion))
         };
         smallest_by_key(&mut candidates, MAX_CALL_MINIONS, order);
         let count = call_size(&candidates, want, timing, allow_rate, deviations);
--- a/crates/primrosebay_cell/tests/leader/load.rs
+++ b/crates/primrosebay_cell/tests/leader/load.rs
@@ -190,6 +190,28 @@
     assert!(started(in_time) && !started(late));
 }
 
+/// Batch tasks with checkpoints fill half of the minions, and the others have room for fewer urgent
+/// tasks each. Guards against advice calls for urgent work that name the full minions, so that it
+/// waits until batch tasks have stopped.
+#[test]
+fn urgent_work_starts_where_nothing_has_to_stop() {
+    let mut sim = Simulation::new(48);
+    sim.set_advice("urgent", 9.0, 0.13);
+    let mut lossless = job(96, cores(4));
+    lossless.steps[0].checkpoints = true;
+    lossless.steps[0].per_minion = 4;
+    sim.submit(1, "batch", &lossless);
+    sim.submit(2, "batch", &job(24, cores(9)));
+    sim.run(700);
+    assert_eq!(sim.starts.len(), 120);
+    let urgent = sim.submit(3, "urgent", &job(4, cores(7)));
+    sim.run_until(100, |s| s.starts.len() >= 124);
+    let started = sim.starts.iter().filter(|s| s.task.step.job == urgent);
+    assert_eq!(started.count(), 4);
+    sim.run(300);
+    assert_eq!(sim.starts.len(), 124, "batch tasks were stopped");
+}
+
 /// Why the steps of a backlog wait although they still have time.
 #[derive(Debug, Clone, Copy)]
 enum Obstacle {
