Let the answer about a running job wait for its end

What callers saw: the end of a job about 250 ms after it. Cause: callers ask just after the last task has ended, and again 250 ms later. The leader then takes a batch to make the end durable, and the other instances read the log every 150 ms. Change: the answer about a job whose tasks are all done or placed waits for its end, for 200 ms or a quarter of the caller's deadline at most. While a caller waits, the instance reads the log every 30 ms. Everything else is answered at once. Who else: a cancellation looks at the state first and does not wait; submissions are acknowledged by the leader directly.

--- /dev/null
+++ b/crates/primrosebay/tests/members/mod.rs
@@ -0,0 +1,63 @@
+//! Member processes, which are killed when they are dropped.
+
+use std::fs::{self, File};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+
+use primrosebay_platform::BOOT_VARIABLE;
+use primrosebay_platform_standin::{MemberAddresses, boot_file};
+
+/// A member and its process.
+#[derive(Debug)]
+pub struct Member {
+    pub addresses: MemberAddresses,
+    settings_file: PathBuf,
+    pub child: Child,
+}
+
+impl Member {
+    /// Starts a member with a loopback address of its own. `net` is unique among the tests of the
+    /// crate that run at the same time.
+    pub fn start(directory: &Path, number: usize, net: u8, store: SocketAddr) -> Self {
+        let octet = |n: u32| u8::try_from(n % 250).unwrap_or(0);
+        let last = octet(u32::try_from(number).unwrap_or(0));
+        let ip = Ipv4Addr::new(127, 1 + octet(std::process::id()), net, 1 + last);
+        let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).unwrap());
+        let [front, ready, internal] = listeners.map(|l| l.local_addr().unwrap());
+        let addresses = MemberAddresses {
+            front,
+            ready,
+            internal,
+            store,
+        };
+        let settings_file = directory.join(format!("member-{number}"));
+        let text = boot_file(&format!("member-{number}"), addresses);
+        fs::write(&settings_file, text).unwrap();
+        let log = |kind| File::create(settings_file.with_extension(kind)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_primrosebay"))
+            .arg("member")
+            .env(BOOT_VARIABLE, &settings_file)
+            .stdout(log("log"))
+            .stderr(log("err"))
+            .spawn()
+            .unwrap();
+        Self {
+            addresses,
+            settings_file,
+            child,
+        }
+    }
+
+    /// Returns what the member has written: `log` for its log, `err` for its errors.
+    pub fn output(&self, kind: &str) -> String {
+        fs::read_to_string(self.settings_file.with_extension(kind)).unwrap()
+    }
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/primrosebay/tests/odd_entries.rs
+++ b/crates/primrosebay/tests/odd_entries.rs
@@ -1,23 +1,23 @@
 //! Member processes over a store with records of other writers: no process ends, the members stay
 //! ready, and accepted jobs complete on the good minions.
 
-use std::fs::{self, File};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+mod members;
+
+use std::fs;
 use std::path::PathBuf;
-use std::process::{Child, Command};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_std::task;
 use http_types::Method;
 use primrosebay_cell::record::Record;
-use primrosebay_platform::BOOT_VARIABLE;
 use primrosebay_platform_standin::{
-    API_KEY, HOST, MemberAddresses, Minion, PATH_PREFIX, RunMonitor, Store, boot_file, config,
-    job_body,
+    API_KEY, HOST, Minion, PATH_PREFIX, RunMonitor, Store, config, job_body,
 };
 use primrosebay_transport::http_client::Client;
 
+use members::Member;
+
 const MEMBERS: usize = 3;
 
 /// Maximum time until a member is ready or a job has completed. Covers the election of a leader and
@@ -31,58 +31,6 @@
 /// for each stream, and the test takes less than 100 s.
 const MAX_ODD_LINES: usize = 300;
 
-/// A member and its process.
-#[derive(Debug)]
-struct Member {
-    addresses: MemberAddresses,
-    settings_file: PathBuf,
-    child: Child,
-}
-
-impl Member {
-    fn start(directory: &std::path::Path, number: usize, store: SocketAddr) -> Self {
-        let octet = |n: u32| u8::try_from(n % 250).unwrap_or(0);
-        let last = octet(u32::try_from(number).unwrap_or(0));
-        let third = if directory.to_string_lossy().contains("large") {
-            252
-        } else {
-            251
-        };
-        let ip = Ipv4Addr::new(127, 1 + octet(std::process::id()), third, 1 + last);
-        let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).unwrap());
-        let [front, ready, internal] = listeners.map(|l| l.local_addr().unwrap());
-        let addresses = MemberAddresses {
-            front,
-            ready,
-            internal,
-            store,
-        };
-        let settings_file = directory.join(format!("member-{number}"));
-        let text = boot_file(&format!("member-{number}"), addresses);
-        fs::write(&settings_file, text).unwrap();
-        let log = |kind| File::create(settings_file.with_extension(kind)).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_primrosebay"))
-            .arg("member")
-            .env(BOOT_VARIABLE, &settings_file)
-            .stdout(log("log"))
-            .stderr(log("err"))
-            .spawn()
-            .unwrap();
-        Self {
-            addresses,
-            settings_file,
-            child,
-        }
-    }
-}
-
-impl Drop for Member {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 struct Cell {
     store: Store,
     members: Vec<Member>,
@@ -109,7 +57,12 @@
     /// Starts the members with the numbers from `first` on.
     fn start_members(&mut self, first: usize) {
         for number in first..first + MEMBERS {
-            let member = Member::start(&self.directory, number, self.store.address());
+            let net = if self.directory.to_string_lossy().contains("large") {
+                252
+            } else {
+                251
+            };
+            let member = Member::start(&self.directory, number, net, self.store.address());
             self.members.push(member);
         }
     }
@@ -140,7 +93,7 @@
         for (i, member) in self.members.iter_mut().enumerate() {
             let status = member.child.try_wait().unwrap();
             assert!(status.is_none(), "member {i} ended: {status:?}");
-            let errors = fs::read_to_string(member.settings_file.with_extension("err")).unwrap();
+            let errors = member.output("err");
             assert!(!errors.contains("panicked"), "member {i}: {errors}");
         }
     }
--- a/crates/primrosebay_cell/src/ledger.rs
+++ b/crates/primrosebay_cell/src/ledger.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::job::JobKey;
-use crate::record::{Claim, Member, Outcome, Progress, Record, Submission};
+use crate::record::{
+    Claim, Member, Outcome, Placement, Progress, Record, Submission, TaskProgress,
+};
 
 /// State of a job as reported to callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -192,6 +194,15 @@
         })
     }
 
+    /// Returns whether the next end of a run may be the end of the job: each of its tasks is done or
+    /// placed on a minion.
+    #[must_use]
+    pub fn may_end_next(&self, job: JobKey) -> bool {
+        let progress = self.progress(job);
+        let is_pending = |t: &TaskProgress| t.placement == Placement::Pending;
+        progress.is_some_and(|p| p.outcome.is_none() && !p.tasks.iter().any(is_pending))
+    }
+
     /// Returns the number of a queue's jobs in the state [`JobState::Pending`].
     #[must_use]
     pub fn pending_jobs(&self, queue: &str) -> usize {
--- a/crates/primrosebay_cell/tests/ledger.rs
+++ b/crates/primrosebay_cell/tests/ledger.rs
@@ -8,6 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
+use rstest::rstest;
 
 const QUEUES: [&str; 2] = ["urgent", "batch"];
 
@@ -65,3 +66,42 @@
         }
     }
 }
+
+/// Guards against answers that wait for the end of a job which cannot be near.
+#[rstest]
+#[case::placed(&["minion", "minion"], true)]
+#[case::done(&["done", "minion"], true)]
+#[case::not_placed(&["pending", "minion"], false)]
+fn job_may_end_next_if_all_its_tasks_are_placed(#[case] tasks: &[&str], #[case] expected: bool) {
+    let task = |placement: &&str| TaskProgress {
+        placement: match *placement {
+            "pending" => Placement::Pending,
+            "done" => Placement::Done,
+            minion => Placement::Minion(minion.into()),
+        },
+        ..TaskProgress::default()
+    };
+    let progress = Progress {
+        begun: true,
+        tasks: tasks.iter().map(task).collect(),
+        ..Progress::default()
+    };
+    let job = JobKey(1);
+    let mut ledger = Ledger::default();
+    ledger.apply(1, Record::Submitted(job, submission("urgent")));
+    assert!(!ledger.may_end_next(job), "nothing has been placed");
+    ledger.apply(2, Record::Progress(job, progress.clone()));
+    assert_eq!(ledger.may_end_next(job), expected);
+    let outcome = Some(Outcome::Completed);
+    ledger.apply(
+        3,
+        Record::Progress(
+            job,
+            Progress {
+                outcome,
+                ..progress
+            },
+        ),
+    );
+    assert!(!ledger.may_end_next(job), "the job has ended");
+}
--- a/crates/primrosebay_member/src/calls.rs
+++ b/crates/primrosebay_member/src/calls.rs
@@ -184,13 +184,17 @@
         }
     }
 
-    /// Returns the status of a job. Reads further records from the log before it reports a job as
-    /// not found, since another instance may just have accepted it.
-    pub async fn status(&self, access: &Access, job: JobKey) -> JobStatus {
-        let within = self.shared.settings.request_timeout;
-        let kind = CallKind::Status { job };
+    /// Returns the status of a job within `within`. Reads further records from the log before it
+    /// reports a job as not found, since another instance may just have accepted it. Waits for up to
+    /// [`end_wait`](crate::settings::Settings::end_wait) for the end of a job whose tasks are all
+    /// placed.
+    pub async fn status(&self, access: &Access, job: JobKey, within: Duration) -> JobStatus {
+        // A caller with a short deadline gets an answer at once.
+        let wait = self.shared.settings.end_wait.min(within / 4);
+        let wait_ms = millis(wait);
+        let kind = CallKind::Status { job, wait_ms };
         match self.relay(access, kind, within).await {
-            None => status(&self.shared, &access.owner(), job).await,
+            None => status(&self.shared, &access.owner(), job, wait).await,
             Some(Asked::Answered(Reply::Status(status))) => status,
             Some(_) => JobStatus::Stale,
         }
@@ -267,7 +271,7 @@
     job: JobKey,
     within: Duration,
 ) -> CancelResult {
-    match status(shared, owner, job).await {
+    match status(shared, owner, job, Duration::ZERO).await {
         JobStatus::Stale => return CancelResult::Refused,
         JobStatus::Known(JobState::Ended(Outcome::Cancelled)) => return CancelResult::Done,
         JobStatus::NotFound | JobStatus::Known(JobState::Ended(_)) => {
@@ -302,13 +306,18 @@
     result.ok()?.ok()
 }
 
-/// Returns the status of a job at an instance that follows the log; see [`Node::status`].
+/// Returns the status of a job at an instance that follows the log; see [`Node::status`]. Waits for
+/// up to `wait` for the end of the job.
 pub(crate) async fn status<P: Platform>(
     shared: &Shared<P>,
     owner: &Owner,
     job: JobKey,
+    wait: Duration,
 ) -> JobStatus {
     let status = known_status(shared, owner, job);
+    if status == JobStatus::Known(JobState::Running) && wait > Duration::ZERO {
+        return status_after_end(shared, owner, job, wait).await;
+    }
     if status != JobStatus::NotFound {
         return status;
     }
@@ -321,6 +330,24 @@
     }
 }
 
+/// Waits for the end of a running job, unless it has tasks that are not placed, and returns its
+/// status then.
+async fn status_after_end<P: Platform>(
+    shared: &Shared<P>,
+    owner: &Owner,
+    job: JobKey,
+    wait: Duration,
+) -> JobStatus {
+    let ended = shared.waiters.register(WriteKind::End, job);
+    // Read after the registration, so that no end is missed.
+    if shared.cell().ledger.may_end_next(job) {
+        // The channel has an item already if the reader is about to be woken.
+        let _ = shared.end_awaited.0.try_send(());
+        let _ = async_std::future::timeout(wait, ended.recv()).await;
+    }
+    known_status(shared, owner, job)
+}
+
 /// Returns the status of a job according to the records read so far.
 fn known_status<P>(shared: &Shared<P>, owner: &Owner, job: JobKey) -> JobStatus {
     let cell = shared.cell();
--- a/crates/primrosebay_member/src/follow.rs
+++ b/crates/primrosebay_member/src/follow.rs
@@ -18,6 +18,8 @@
 struct Changes {
     submitted: Vec<JobKey>,
     cancelled: Vec<JobKey>,
+    /// Jobs of which the end was read.
+    ended: Vec<JobKey>,
     claim: Option<Claim>,
     members: bool,
     /// Whether a record of the current leader or of a newer one was read.
@@ -39,7 +41,7 @@
                     log::info!("follow: log is readable again");
                 }
                 if *records > 0 && !shared.is_leading() {
-                    task::sleep(shared.settings.read_pause).await;
+                    pause(&shared).await;
                 }
             }
             Err(reason) => {
@@ -52,6 +54,16 @@
     }
 }
 
+/// Pauses between two reads, less long while callers wait for the end of a job.
+async fn pause<P>(shared: &Shared<P>) {
+    let settings = &shared.settings;
+    task::sleep(settings.awaited_pause).await;
+    if !shared.waiters.awaits_end() {
+        let rest = settings.read_pause.saturating_sub(settings.awaited_pause);
+        let _ = async_std::future::timeout(rest, shared.end_awaited.1.recv()).await;
+    }
+}
+
 /// Reads the next records, with a long poll if the stream has been read to its end before. Returns
 /// the number of records read.
 async fn poll<P: Platform>(shared: &Shared<P>) -> Result<usize, String> {
@@ -134,6 +146,10 @@
         let kind = WriteKind::Cancellation;
         shared.waiters.resolve(kind, *job, &WriteResult::Durable);
     }
+    for job in &changes.ended {
+        let kind = WriteKind::End;
+        shared.waiters.resolve(kind, *job, &WriteResult::Durable);
+    }
     if !changes.submitted.is_empty() || !changes.cancelled.is_empty() {
         shared.notify_leader(|| {
             let mut jobs = changes.submitted.clone();
@@ -167,7 +183,12 @@
     match &decoded {
         Record::Submitted(job, _) => changes.submitted.push(*job),
         Record::Cancelled(job) => changes.cancelled.push(*job),
-        Record::Progress(_, progress) => changes.leader_active |= progress.epoch >= epoch,
+        Record::Progress(job, progress) => {
+            changes.leader_active |= progress.epoch >= epoch;
+            if progress.outcome.is_some() {
+                changes.ended.push(*job);
+            }
+        }
         Record::Leader(claim) => {
             changes.leader_active |= claim.epoch >= epoch;
             changes.claim = Some(claim.clone());
--- a/crates/primrosebay_member/src/node.rs
+++ b/crates/primrosebay_member/src/node.rs
@@ -6,7 +6,7 @@
 use std::sync::{Mutex, OnceLock};
 use std::time::Duration;
 
-use async_std::channel::unbounded;
+use async_std::channel::{bounded, unbounded};
 use async_std::task::{self, JoinHandle};
 use primrosebay_cell::record::Record;
 use primrosebay_state::Name;
@@ -50,6 +50,7 @@
             cell: Mutex::new(CellState::default()),
             operators: Mutex::new(OperatorState::default()),
             waiters: Waiters::default(),
+            end_awaited: bounded(1),
             submit_queue,
             leader_events: Mutex::new(None),
             announcements: Mutex::default(),
--- a/crates/primrosebay_member/src/relay.rs
+++ b/crates/primrosebay_member/src/relay.rs
@@ -53,8 +53,10 @@
         job: JobKey,
         within_ms: u64,
     },
+    /// The answer waits for up to `wait_ms` for the end of the job.
     Status {
         job: JobKey,
+        wait_ms: u64,
     },
     Backlog,
 }
@@ -316,7 +318,10 @@
             let within = Duration::from_millis(within_ms);
             Reply::Cancel(calls::cancel(shared, &owner, job, within).await)
         }
-        CallKind::Status { job } => Reply::Status(calls::status(shared, &owner, job).await),
+        CallKind::Status { job, wait_ms } => {
+            let wait = Duration::from_millis(wait_ms).min(shared.settings.end_wait);
+            Reply::Status(calls::status(shared, &owner, job, wait).await)
+        }
         CallKind::Backlog => Reply::Backlog(calls::backlog(shared, &owner)),
     })
 }
--- a/crates/primrosebay_member/src/settings.rs
+++ b/crates/primrosebay_member/src/settings.rs
@@ -32,6 +32,11 @@
     /// Pause between reads on an instance that is not the leader. A longer pause means fewer calls
     /// to the log but older job states in answers.
     pub read_pause: Duration,
+    /// Pause between reads instead of [`Self::read_pause`] while callers wait for the end of a job.
+    pub awaited_pause: Duration,
+    /// Maximum time for which the answer about a running job's state waits for the job's end, if all
+    /// of its tasks are placed. Callers then learn of the end without asking again.
+    pub end_wait: Duration,
     /// Pause before a failed call to the log is retried.
     pub retry_pause: Duration,
     /// Time without a record of the leader after which another instance claims the leadership,
@@ -105,6 +110,8 @@
             ready_age: Duration::from_millis(1_200),
             read_wait: Duration::from_millis(400),
             read_pause: Duration::from_millis(150),
+            awaited_pause: Duration::from_millis(30),
+            end_wait: Duration::from_millis(200),
             retry_pause: Duration::from_millis(100),
             election_timeout: Duration::from_millis(700),
             latency_factor: 3,
--- a/crates/primrosebay_member/src/shared.rs
+++ b/crates/primrosebay_member/src/shared.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use async_std::channel::Sender;
+use async_std::channel::{Receiver, Sender};
 use primrosebay_cell::config::Config;
 use primrosebay_cell::leader::Now;
 use primrosebay_cell::ledger::Ledger;
@@ -69,6 +69,8 @@
     pub(crate) cell: Mutex<CellState>,
     pub(crate) operators: Mutex<OperatorState>,
     pub(crate) waiters: Waiters,
+    /// Has an item once a caller waits for the end of a job.
+    pub(crate) end_awaited: (Sender<()>, Receiver<()>),
     pub(crate) submit_queue: Sender<PendingRecord>,
     /// The leader's event channel; `None` while this instance does not lead.
     pub(crate) leader_events: Mutex<Option<Sender<Event>>>,
--- a/crates/primrosebay_member/src/waiters.rs
+++ b/crates/primrosebay_member/src/waiters.rs
@@ -1,4 +1,4 @@
-//! Callers that wait until their records are durable.
+//! Callers that wait until records are durable: their own, or that of a job's end.
 
 use std::sync::{Mutex, PoisonError};
 
@@ -10,6 +10,8 @@
 pub(crate) enum WriteKind {
     Submission,
     Cancellation,
+    /// The leader's record of the job's end.
+    End,
 }
 
 /// The result of writing a record to the log.
@@ -49,6 +51,14 @@
         receiver
     }
 
+    /// Returns whether a caller still waits for the end of a job.
+    pub(crate) fn awaits_end(&self) -> bool {
+        let waiters = self.waiters.lock().unwrap_or_else(PoisonError::into_inner);
+        waiters
+            .iter()
+            .any(|w| w.kind == WriteKind::End && !w.sender.is_closed())
+    }
+
     /// Returns whether a caller still waits for the write.
     pub(crate) fn is_pending(&self, kind: WriteKind, job: JobKey) -> bool {
         let waiters = self.waiters.lock().unwrap_or_else(PoisonError::into_inner);
