Report for each idle job what it waits for

The counts of the last pass and of all runs do not tell what a given job waits for: a task that counts as placed on a minion without an answer appears only in totals, and a job that no pass examines appears nowhere.

`Leader::report_idle` returns the jobs that have nothing running although the turn of a step has come, since when that is so in this term, the states of the step's tasks, and the cause for the task that is expected to run last: limit, advice call with its instance and age, no instance for a call, room with the number of tasks that fit, not examined, unknown queue, an unexpected run, or the state of the run on its minion, with the time until it can be restarted if the minion is silent. Confirmed runs on silent minions do not count as running.

One test for each cause that can be reached from outside names it; a task that is placed without a known run (`missing_run`) cannot be reached so and has no test. Another test compares the starts of a leader with and without reports.

--- a/crates/primrosebay_cell/src/leader/active.rs
+++ b/crates/primrosebay_cell/src/leader/active.rs
@@ -33,6 +33,9 @@
     pub(super) accepted_ms: u64,
     /// Time from the acceptance until the leader knew the job, in milliseconds.
     pub(super) known_ms: u64,
+    /// Time until which a task is known to have been running; if none has been in this term, time
+    /// at which the leader learned of the job.
+    pub(super) ran_until: Time,
     /// Latency objective by the last known queue, in milliseconds.
     pub(super) objective: u64,
     /// Whether the account exceeded the submission rate of its share when the job was added.
@@ -88,6 +91,12 @@
         self.current = cause.map(|cause| (cause, now));
     }
 
+    /// Returns the cause that the last pass found and the time of that pass; none if the job does
+    /// not wait or was not examined.
+    pub(super) fn current(&self) -> Option<(Wait, Time)> {
+        self.current
+    }
+
     pub(super) fn sum_ms(&self, cause: Wait) -> u64 {
         self.sums[cause as usize]
     }
@@ -181,6 +190,32 @@
         ready
     }
 
+    /// Returns the steps that can run or are running: due, with all dependencies done and tasks that
+    /// are not done.
+    pub(super) fn open_steps(&self, now: Now) -> Vec<StepKey> {
+        let mut open = Vec::new();
+        if self.cancelled || self.outcome.is_some() {
+            return open;
+        }
+        for occurrence in 0..self.spec.occurrences() {
+            if self.spec.due_ms(occurrence) > now.wall_ms {
+                break;
+            }
+            let key = |step| StepKey {
+                job: self.key,
+                occurrence,
+                step,
+            };
+            for (i, step) in (0..).zip(&self.spec.steps) {
+                let can_run = step.after.iter().all(|a| self.is_step_done(key(*a)));
+                if can_run && !self.is_step_done(key(i)) {
+                    open.push(key(i));
+                }
+            }
+        }
+        open
+    }
+
     /// Returns the time by which an occurrence has to end to meet its latency objective, in Unix
     /// milliseconds.
     pub(super) fn deadline_ms(&self, occurrence: u32) -> u64 {
--- a/crates/primrosebay_cell/src/leader/advice.rs
+++ b/crates/primrosebay_cell/src/leader/advice.rs
@@ -46,6 +46,8 @@
     tickets: Vec<(Name, Name, Time)>,
     /// Call in flight: the calling instance, its deadline and the named minions.
     call: Option<(Name, Time, Vec<Name>)>,
+    /// Time at which the last call was sent.
+    pub(super) asked_at: Time,
 }
 
 impl StepAdvice {
@@ -73,6 +75,11 @@
         }
     }
 
+    /// Returns the instance that makes the call in flight.
+    pub(super) fn caller(&self) -> Option<&Name> {
+        self.call.as_ref().map(|c| &c.0)
+    }
+
     pub(super) fn is_pending(&self) -> bool {
         self.call.is_some()
     }
@@ -269,6 +276,7 @@
         let node = state.clients[index].name.clone();
         let entry = state.steps.or_insert(step, StepAdvice::default());
         // The answer of the instance may arrive up to 500 ms after the timeout of its call.
+        entry.asked_at = now.time;
         entry.call = Some((node.clone(), now.time + timeout_ms + 500, minions.clone()));
         log::info!(step:% = step, node:% = node, minions = minions.len(), cost_ms = cost_ms; "leader: advice call sent");
         self.commands.push(Command::AskAdvice {
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -10,6 +10,7 @@
 mod commit;
 mod directory;
 mod dispatch;
+mod idle;
 mod inheritance;
 mod leases;
 mod minion;
@@ -35,8 +36,12 @@
     HoldReport, Now, Refusal, Start, StartAnswer,
 };
 use commit::Deferred;
+pub use idle::{
+    IdleCause, IdleCounts, IdleDetail, IdleJob, IdleReport, PendingDetail, RunDetail, TaskStates,
+};
 use inheritance::Inheritance;
 use minion::Minion;
+use quota::QuotaUsage;
 use rate::TokenBucket;
 use ready::{ReadyQueue, SortKey};
 use room::Room;
@@ -146,6 +151,8 @@
     waits_due: bool,
     deposed: bool,
     blocked: BlockedSteps,
+    /// Usage of the accounts at the end of the last pass, for the report of idle jobs.
+    last_quota: Option<QuotaUsage>,
     /// Steps with tasks that can be started.
     ready: ReadyQueue,
     /// Position of the step with which the rotation of the next pass begins; none for the first one
@@ -190,6 +197,7 @@
             waits_due: false,
             deposed: false,
             blocked: BlockedSteps::default(),
+            last_quota: None,
             ready: ReadyQueue::default(),
             next_rotated: None,
             changes: Changes::default(),
@@ -311,6 +319,7 @@
             remaining_paths: spec.remaining_paths_ms(),
             accepted_ms: submission.accepted_ms,
             known_ms: now.wall_ms.saturating_sub(submission.accepted_ms),
+            ran_until: now.time,
             objective: 0,
             over_share,
             cancelled: false,
--- a/crates/primrosebay_cell/src/leader/quota.rs
+++ b/crates/primrosebay_cell/src/leader/quota.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Returns the CPU charged to an account, in thousandths of a core.
+    pub(super) fn used_milli(&self, account: &Name) -> u64 {
+        self.usage.get(account).map_or(0, |used| used.cores_milli)
+    }
+
     /// Remembers that the account's limit does not allow the step to start in this pass.
     pub(super) fn note_limited(&mut self, request: &Request) {
         if let Some(account) = &request.account
@@ -124,6 +129,11 @@
         let found = |r: &Run| r.task == task && r.number == number;
         if let Some(index) = minion.runs.iter().position(found) {
             let run = minion.runs.remove(index);
+            if matches!(run.phase, Phase::Running(_))
+                && let Some(job) = self.jobs.get_mut(&task.step.job)
+            {
+                job.ran_until = job.ran_until.max(minion.last_seen.unwrap_or_default());
+            }
             self.room.mark_freed(name);
             if let Some(sum) = run.account.and_then(|a| self.usage.get_mut(&a)) {
                 *sum = sum.minus(&run.amount);
--- a/crates/primrosebay_cell/src/leader/ready.rs
+++ b/crates/primrosebay_cell/src/leader/ready.rs
@@ -190,6 +190,12 @@
         backoff.filter(|b| now < b.until)
     }
 
+    /// Returns whether a step is ready.
+    pub(super) fn contains(&self, step: StepKey) -> bool {
+        let found = self.entries.binary_search_by_key(&step, |e| e.step.key);
+        found.is_ok()
+    }
+
     /// Returns the number of ready steps.
     pub(super) fn len(&self) -> usize {
         self.order.len()
--- a/crates/primrosebay_cell/src/leader/schedule.rs
+++ b/crates/primrosebay_cell/src/leader/schedule.rs
@@ -143,6 +143,7 @@
         self.next_rotated = rest.get(rest_visited).map(|r| r.position);
         self.blocked.unexamined = self.ready.len() - visited - rest_visited;
         self.blocked.charged_milli = quota.charged_milli;
+        self.last_quota = Some(quota);
     }
 
     /// Places these steps until `max_steps` have been examined. Steps that are known not to start in
@@ -235,7 +236,7 @@
 
     /// Returns a request for the pending tasks of a step; none if there are none or, for a gang, if
     /// not all of its tasks are pending.
-    fn request(&self, step: StepKey, late: bool) -> Option<Request> {
+    pub(super) fn request(&self, step: StepKey, late: bool) -> Option<Request> {
         let job = self.jobs.get(&step.job)?;
         let queue = self.queues.get(&job.queue)?;
         let spec = job.step(step)?;
--- a/crates/primrosebay_cell/tests/leader/main.rs
+++ b/crates/primrosebay_cell/tests/leader/main.rs
@@ -6,6 +6,7 @@
 mod ended_jobs;
 mod extreme_entries;
 mod handover;
+mod idle;
 mod limits;
 mod load;
 mod minions;
