Log idle jobs once a second, and what a term takes over

To follow one job over seconds and over changes of the leader, the log has to name it and its cause.

After each summary the leader writes one line `leader: job idle` for each of the 20 jobs that have been idle longest, and the number of the others. The summary and the metrics have the number of idle jobs by cause and the longest wait. `lead: jobs taken over` says at the beginning of a term how many jobs, runs and minions with runs were taken over, and the longest time until the tasks on these can be restarted.

--- a/crates/primrosebay_member/src/lead.rs
+++ b/crates/primrosebay_member/src/lead.rs
@@ -10,7 +10,8 @@
 use primrosebay_cell::carriers::Instance;
 use primrosebay_cell::job::{JobKey, StepKey, TaskKey};
 use primrosebay_cell::leader::{
-    Advice, Batch, DirectoryChange, DirectoryEntry, HoldAnswer, Leader, Now, StartAnswer,
+    Advice, Batch, DirectoryChange, DirectoryEntry, HoldAnswer, IdleCounts, Leader, Now,
+    StartAnswer,
 };
 use primrosebay_cell::record::{Claim, LeaseWaits, Member, Record};
 use primrosebay_cell::terms::Term;
@@ -30,6 +31,9 @@
 /// Interval of the summary in log and metrics.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum number of idle jobs that are logged with each summary.
+const MAX_IDLE_JOBS: usize = 20;
+
 /// Interval at which the links to carriers are checked, in milliseconds.
 const LINK_CHECK_MS: u64 = 100;
 
@@ -177,6 +181,12 @@
         leader.inherit(claimed, earlier_terms(&shared, &cell, epoch, now.time));
         leader
     };
+    let counts = leader.counts(now);
+    log::info!(
+        epoch, jobs = counts.jobs, runs = counts.runs, minions = counts.minions,
+        lease_wait_ms = counts.lease_wait_ms;
+        "lead: jobs taken over"
+    );
     let directory = task::spawn(follow_directory(Arc::clone(&shared), events.clone()));
     let mut term = TermLeader {
         shared: Arc::clone(&shared),
@@ -202,6 +212,7 @@
     term.process_events(&receiver).await;
     shared.links.end();
     shared.set_leader_events(None);
+    shared.metrics.record_idle(&IdleCounts::default());
     directory.cancel().await;
     if let Some(task) = term.append_task.take() {
         task.cancel().await;
@@ -423,6 +434,8 @@
         let delays = self.shared.links.take_delays();
         let counts = self.leader.counts(now);
         self.shared.metrics.record_leader(&counts);
+        let idle = self.leader.report_idle(MAX_IDLE_JOBS, now);
+        self.shared.metrics.record_idle(&idle.counts);
         let waits = counts.blocked;
         let (carriers, carried) = self.shared.links.counts();
         log::info!(
@@ -433,7 +446,8 @@
             wait_limit = waits.limit, wait_advice = waits.advice, wait_adviser = waits.advice_client,
             wait_room = waits.capacity, unexamined = waits.unexamined, examined = waits.examined,
             charged_cores = waits.charged_milli / 1000, silent_runs = counts.silent_runs,
-            lease_wait_ms = counts.lease_wait_ms, carriers, carried,
+            lease_wait_ms = counts.lease_wait_ms, idle = idle.counts.jobs,
+            idle_ms = idle.counts.longest_ms, idle_causes:% = idle.counts, carriers, carried,
             events = work.events, event_ms = millis(work.handling), passes = work.passes,
             pass_ms = millis(work.passing), batches = work.batches,
             append_ms = work.append_ms / work.batches.max(1), records = work.records,
@@ -441,6 +455,7 @@
             start_ms = delays.start_ms / delays.started.max(1);
             "lead: summary"
         );
+        idle.log(self.epoch);
     }
 
     fn handle(&mut self, event: Event) {
--- a/crates/primrosebay_member/src/metrics.rs
+++ b/crates/primrosebay_member/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use opentelemetry::{KeyValue, global};
-use primrosebay_cell::leader::Counts;
+use primrosebay_cell::leader::{Counts, IdleCounts};
 use primrosebay_transport::metrics as registry;
 
 use crate::platform::AppendError;
@@ -17,6 +17,8 @@
     latency: Histogram<f64>,
     appends: Counter<u64>,
     leader: Gauge<u64>,
+    idle: Gauge<u64>,
+    idle_ms: Gauge<u64>,
 }
 
 impl Default for Metrics {
@@ -43,6 +45,14 @@
                 .u64_gauge("leader")
                 .with_description("What the leader knows, by kind.")
                 .build(),
+            idle: meter
+                .u64_gauge("idle_jobs")
+                .with_description("Jobs that could run and have nothing running, by cause.")
+                .build(),
+            idle_ms: meter
+                .u64_gauge("idle_ms")
+                .with_description("Longest time for which one of these jobs has been idle.")
+                .build(),
         }
     }
 }
@@ -106,6 +116,15 @@
         }
     }
 
+    /// Sets the gauges of the leader's idle jobs.
+    pub(crate) fn record_idle(&self, counts: &IdleCounts) {
+        for (cause, jobs) in counts.causes() {
+            self.idle
+                .record(jobs as u64, &[KeyValue::new("cause", cause.name())]);
+        }
+        self.idle_ms.record(counts.longest_ms, &[]);
+    }
+
     /// Returns all metrics of the process in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> String {
