--- a/crates/primrosebay_cell/src/config.rs
+++ b/crates/primrosebay_cell/src/config.rs
@@ -4,9 +4,10 @@
 
 use primrosebay_state::Name;
 use primrosebay_state::resources::Resources;
+use serde::{Deserialize, Serialize};
 
 /// Timing of a queue's advice service, which decides which minions may run a step.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct AdviceTiming {
     /// Fixed duration of a call, in milliseconds.
     pub fixed_ms: f64,
@@ -33,7 +34,7 @@
 }
 
 /// A queue: a route on which callers submit jobs and the rules by which these run.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// Name of the queue, unique in the configuration. Submissions refer to it.
     pub name: Name,
--- a/crates/primrosebay_cell/src/leader/command.rs
+++ b/crates/primrosebay_cell/src/leader/command.rs
@@ -76,7 +76,7 @@
 
 /// Log changes that become durable as one batch, possibly in several appends. Actions that depend
 /// on them wait until the whole batch is durable.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Batch {
     /// Number of the batch in the leadership term, from 1.
     pub id: u64,
--- a/crates/primrosebay_cell/src/leader/commit.rs
+++ b/crates/primrosebay_cell/src/leader/commit.rs
@@ -36,7 +36,8 @@
         if self.in_flight.is_some() {
             return None;
         }
-        let records = self.take_changed();
+        let mut records = self.take_changed();
+        records.extend(self.take_changed_queues());
         let removed: Vec<String> = std::mem::take(&mut self.purged)
             .into_iter()
             .flat_map(|job| [format!("j{job}"), format!("c{job}"), format!("p{job}")])
@@ -195,6 +196,21 @@
             .unwrap_or_default()
     }
 
+    /// Returns the records of queues with jobs that differ from those in the log.
+    fn take_changed_queues(&mut self) -> Vec<Record> {
+        let mut records = Vec::new();
+        for name in std::mem::take(&mut self.unsaved_queues) {
+            let Some(queue) = self.queues.get(&name) else {
+                continue;
+            };
+            if self.saved_queues.get(&name) != Some(queue) {
+                self.saved_queues.insert(name, queue.clone());
+                records.push(Record::Queue(queue.clone()));
+            }
+        }
+        records
+    }
+
     /// Returns the records of changed jobs, and removes jobs that have ended from the active ones.
     fn take_changed(&mut self) -> Vec<Record> {
         let mut unsaved = std::mem::take(&mut self.changes.unsaved);
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -125,6 +125,10 @@
     epoch: u64,
     settings: Settings,
     queues: Table<Name, Queue>,
+    /// Queues as the log has them.
+    saved_queues: Table<Name, Queue>,
+    /// Names of queues with jobs, whose records may be out of date. Sorted.
+    unsaved_queues: Vec<Name>,
     accounts: Table<Name, crate::config::Account>,
     evacuated: Vec<Name>,
     minions: Table<Name, Minion>,
@@ -179,6 +183,8 @@
         let mut leader = Self {
             epoch,
             queues: Table::default(),
+            saved_queues: Table::default(),
+            unsaved_queues: Vec::new(),
             accounts: Table::default(),
             evacuated: Vec::new(),
             minions: Table::default(),
@@ -208,6 +214,12 @@
             commands: Vec::new(),
             settings,
         };
+        for queue in ledger.queues() {
+            leader.queues.insert(queue.name.clone(), queue.clone());
+            leader
+                .saved_queues
+                .insert(queue.name.clone(), queue.clone());
+        }
         let mut keys: Vec<JobKey> = ledger.jobs().map(|(key, _)| key).collect();
         keys.sort_by_key(|key| ledger.submission(*key).map(|s| s.accepted_ms));
         for key in keys {
@@ -255,6 +267,7 @@
             if !std::mem::replace(&mut job.is_changed, true) {
                 self.changes.unsorted.push(*key);
             }
+            insert_sorted(&mut self.unsaved_queues, &job.queue);
         }
     }
 
@@ -342,6 +355,7 @@
             );
         }
         self.adopt_runs(&active, now);
+        insert_sorted(&mut self.unsaved_queues, &active.queue);
         self.changes.unsorted.push(key);
         self.jobs.insert(key, Box::new(active));
     }
@@ -475,6 +489,13 @@
     }
 }
 
+/// Inserts a name into a sorted list that does not contain it.
+fn insert_sorted(names: &mut Vec<Name>, name: &Name) {
+    if let Err(index) = names.binary_search(name) {
+        names.insert(index, name.clone());
+    }
+}
+
 /// Returns the step and index of each task of a job.
 fn task_keys(job: &ActiveJob) -> Vec<(StepKey, u32)> {
     let mut keys = Vec::with_capacity(job.tasks.len());
--- a/crates/primrosebay_cell/src/ledger.rs
+++ b/crates/primrosebay_cell/src/ledger.rs
@@ -4,6 +4,7 @@
 use primrosebay_state::table::Table;
 use serde::{Deserialize, Serialize};
 
+use crate::config::Queue;
 use crate::job::JobKey;
 use crate::record::{
     Claim, Member, Outcome, Placement, Progress, Record, Submission, TaskProgress,
@@ -37,6 +38,7 @@
     /// Numbers of jobs in the state [`JobState::Pending`], by queue.
     pending: Table<Name, usize>,
     members: Table<Name, Versioned<Member>>,
+    queues: Table<Name, Versioned<Queue>>,
     leader: Option<Versioned<Claim>>,
     next_offset: u64,
 }
@@ -125,6 +127,13 @@
                 }
                 self.members.insert(name, Versioned { offset, value });
             }
+            Record::Queue(value) => {
+                if !is_newer(self.queues.get(&value.name), offset) {
+                    return false;
+                }
+                let name = value.name.clone();
+                self.queues.insert(name, Versioned { offset, value });
+            }
         }
         true
     }
@@ -138,6 +147,7 @@
             (Some(b'c'), Some(job)) => drop(self.cancelled.remove(&job)),
             (Some(b'p'), Some(job)) => drop(self.progress.remove(&job)),
             (Some(b'm'), _) => drop(self.members.remove(&key[1..])),
+            (Some(b'q'), _) => drop(self.queues.remove(&key[1..])),
             _ => {}
         }
         self.count(job);
@@ -154,6 +164,11 @@
         self.members.iter().map(|(name, m)| (name, &m.value))
     }
 
+    /// Returns the queues on which jobs were accepted, as a leader last recorded them.
+    pub fn queues(&self) -> impl Iterator<Item = &Queue> {
+        self.queues.iter().map(|(_, q)| &q.value)
+    }
+
     /// Returns the submission of a job, if known.
     #[must_use]
     pub fn submission(&self, job: JobKey) -> Option<&Submission> {
--- a/crates/primrosebay_cell/src/record.rs
+++ b/crates/primrosebay_cell/src/record.rs
@@ -8,6 +8,7 @@
 use primrosebay_state::Name;
 use serde::{Deserialize, Serialize};
 
+use crate::config::Queue;
 use crate::job::{JobKey, JobSpec, SpecError};
 
 /// Highest term of a claim. Fencing tokens above 2^53 are not exact in JSON implementations that
@@ -148,7 +149,7 @@
 }
 
 /// A record of the cell's log.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Record {
     /// A job was accepted.
     Submitted(JobKey, Submission),
@@ -160,6 +161,9 @@
     Leader(Claim),
     /// An instance has announced itself.
     Member(Name, Member),
+    /// The rules by which the accepted jobs of a queue are scheduled. They are kept after the queue
+    /// has left the configuration.
+    Queue(Queue),
 }
 
 /// Reason why a record cannot be encoded or decoded.
@@ -195,6 +199,7 @@
             Self::Progress(job, _) => format!("p{job}"),
             Self::Leader(_) => "leader".into(),
             Self::Member(name, _) => format!("m{name}"),
+            Self::Queue(queue) => format!("q{}", queue.name),
         }
     }
 
@@ -203,7 +208,7 @@
     pub fn job(&self) -> Option<JobKey> {
         match self {
             Self::Submitted(job, _) | Self::Cancelled(job) | Self::Progress(job, _) => Some(*job),
-            Self::Leader(_) | Self::Member(..) => None,
+            Self::Leader(_) | Self::Member(..) | Self::Queue(_) => None,
         }
     }
 
--- a/crates/primrosebay_cell/tests/leader/handover.rs
+++ b/crates/primrosebay_cell/tests/leader/handover.rs
@@ -168,6 +168,45 @@
     sim.run_until(5_000, |s| s.is_completed(key));
 }
 
+/// Guards against an accepted job that never starts because its queue was removed from the
+/// configuration, and the process that leads has started after the removal.
+#[test]
+fn successor_that_never_knew_a_queue_starts_its_jobs() {
+    let mut sim = Simulation::new(1);
+    sim.minions[0].unreachable = true;
+    sim.run(3_000);
+    let key = sim.submit(1, "batch", &job(1, cores(1)));
+    sim.run(200);
+    sim.config.version += 1;
+    sim.config.queues.retain(|queue| &*queue.name != "batch");
+    for _ in 0..3 {
+        sim.take_over();
+    }
+    sim.minions[0].unreachable = false;
+    sim.run_until(5_000, |s| s.is_completed(key));
+}
+
+/// Guards against a successor that schedules the jobs of a removed queue by an outdated version of
+/// its rules.
+#[test]
+fn log_holds_the_latest_rules_of_a_queue_with_jobs() {
+    let mut sim = Simulation::new(1);
+    sim.minions[0].unreachable = true;
+    sim.submit(1, "batch", &job(1, cores(1)));
+    sim.run(200);
+    let attempts = |s: &Simulation| {
+        let mut queues = s.ledger.queues();
+        queues.find(|q| &*q.name == "batch").map(|q| q.attempts)
+    };
+    let before = attempts(&sim).expect("the queue is in the log");
+    for queue in &mut sim.config.queues {
+        queue.attempts += 1;
+    }
+    sim.leader.set_config(&sim.config);
+    sim.run(200);
+    assert_eq!(attempts(&sim), Some(before + 1));
+}
+
 /// Guards against ends that a minion forgets although the leader has not read them: it restarted
 /// between two holds, and the second one acknowledged the ends of the former incarnation again.
 #[test]
--- a/crates/primrosebay_member/src/lead.rs
+++ b/crates/primrosebay_member/src/lead.rs
@@ -553,7 +553,7 @@
                 }
             }
             Record::Cancelled(job) => self.leader.cancel(job, now),
-            Record::Progress(..) | Record::Leader(_) | Record::Member(..) => {}
+            Record::Progress(..) | Record::Leader(_) | Record::Member(..) | Record::Queue(_) => {}
         }
     }
 
