Resolve a lost start without waiting holds

What callers saw: a task whose start was lost had nothing running for more than the 3 s that are allowed, and a gang with it as a whole.

Cause: a hold waits up to 1 s for the end of a run. A run that never began has no end, so two holds in a row waited in full: the one in flight when the start timed out, and the one after the answer to the stop.

--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -64,10 +64,11 @@
                 && minion.clock.is_some()
                 && minion.lease == Lease::Granted
                 && !minion.may_have_restarted();
-            let wait_ms = if settled {
-                self.settings.long_poll_ms
-            } else {
-                0
+            // A run that never began has no end for which a hold could wait.
+            let wait_ms = match (settled, minion.has_open_command()) {
+                (true, false) => self.settings.long_poll_ms,
+                (true, true) => self.settings.retry_ms,
+                (false, _) => 0,
             };
             // A restarted minion numbers its ended runs from 1 again, and would remove those up to
             // the acknowledged number although the leader has not seen them. So a number is sent
--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -201,6 +201,17 @@
         self.expiry.max(inherited).max(run.expiry)
     }
 
+    /// Returns whether the fate of a start or stop is open, which the next holds resolve.
+    pub(super) fn has_open_command(&self) -> bool {
+        let is_open = |r: &Run| {
+            matches!(
+                r.phase,
+                Phase::Sent | Phase::Unconfirmed | Phase::Stopping(..)
+            )
+        };
+        self.runs.iter().any(is_open)
+    }
+
     /// Returns whether the minion may have restarted since its last answer. Its clock, its fencing
     /// epoch and the numbers of its ended runs are unknown then.
     pub(super) fn may_have_restarted(&self) -> bool {
--- a/crates/primrosebay_cell/tests/leader/main.rs
+++ b/crates/primrosebay_cell/tests/leader/main.rs
@@ -14,3 +14,4 @@
 mod simulation;
 mod takeover;
 mod unused_service;
+mod waits;
--- a/crates/primrosebay_cell/tests/leader/network.rs
+++ b/crates/primrosebay_cell/tests/leader/network.rs
@@ -54,6 +54,13 @@
 /// Time for which a job may have nothing running although there is room, in milliseconds.
 const IDLE_MS: u64 = 3_000;
 
+/// Time after the end of the traffic after which no job may wait that can run, whatever was disturbed
+/// before, in milliseconds.
+const FINISH_MS: u64 = 14_000;
+
+/// Time after the last run of a task that lasts after which it has to run again, in milliseconds.
+const LASTING_MS: u64 = 6_000;
+
 /// Time for which failed tasks may keep minions in quarantine, in milliseconds.
 const QUARANTINE_MS: u64 = 5_000;
 
@@ -117,6 +124,8 @@
     pub listed: bool,
     /// Time until which the minion cannot be reached.
     pub unreachable_until: u64,
+    /// Whether the minion is gone for good. Once it is gone this is no disruption any more.
+    pub is_gone: bool,
     /// Time until which only superseded leaders reach the minion.
     pub hidden_until: u64,
     /// Time at which the draining minion shuts down.
@@ -242,12 +251,18 @@
     pub ended: Option<u64>,
     /// Latest time at which a task was running or the job was not ready.
     busy: u64,
+    /// Latest time at which each task was running or done, or the job was not ready, by position.
+    task_busy: Vec<u64>,
 }
 
 #[derive(Debug)]
 pub struct Cell {
     pub now: u64,
     pub faults: Faults,
+    /// Settings of the leaders that begin from now on.
+    pub settings: Settings,
+    /// Time of the end of the traffic; none while it goes on.
+    pub traffic_end: Option<u64>,
     pub minions: Vec<Minion>,
     /// Jobs, sorted by key.
     pub jobs: Vec<Job>,
@@ -258,6 +273,8 @@
     pub answers_terms: bool,
     /// Time since which nothing has disturbed the cell.
     pub calm_since: u64,
+    /// Time since which there was no disruption except minions that are gone for good.
+    settled_since: u64,
     /// Time since which there was no disruption except minions that drain, which do not excuse runs
     /// of ended jobs.
     steady_since: u64,
@@ -290,6 +307,7 @@
             address: 0,
             listed: true,
             unreachable_until: 0,
+            is_gone: false,
             hidden_until: 0,
             drains_at: None,
             started_ms: 1,
@@ -319,12 +337,15 @@
         let mut cell = Self {
             now: 1_000,
             faults: Faults::default(),
+            settings: Settings::default(),
+            traffic_end: None,
             minions,
             jobs: Vec::new(),
             ledger: Ledger::default(),
             history: Terms::default(),
             answers_terms: true,
             calm_since: 0,
+            settled_since: 0,
             steady_since: 0,
             touch_since: 0,
             rng,
@@ -370,12 +391,14 @@
         };
         let key = JobKey(key);
         self.append(&Record::Submitted(key, submission));
+        let tasks = spec.task_count() * spec.occurrences() as usize;
         self.jobs.push(Job {
             key,
             spec,
             failing,
             ended: None,
             busy: self.now,
+            task_busy: vec![self.now; tasks],
         });
         self.push_read(key);
         key
@@ -479,7 +502,7 @@
         self.epoch += 1_000;
         self.claim(0, LeaseWaits::default());
         self.caller_cancels.clear();
-        let (now, settings) = (now_at(self.now), Settings::default());
+        let (now, settings) = (now_at(self.now), self.settings.clone());
         let mut leader = Leader::new(self.epoch, "node-0".into(), now, &self.ledger, settings);
         leader.inherit(Time(self.now), self.history.before(self.epoch));
         leader.set_config(&self.config);
@@ -566,10 +589,21 @@
         }
     }
 
-    /// Ends all faults. Late commands stay outstanding.
+    /// Loses a minion for good.
+    pub fn lose(&mut self, index: usize) {
+        self.restart(index, 0);
+        self.minions[index].unreachable_until = u64::MAX;
+        self.minions[index].is_gone = true;
+        self.unlist(index);
+    }
+
+    /// Ends all faults. Late commands stay outstanding, and minions that are gone stay so.
     pub fn clear_faults(&mut self) {
         self.faults = Faults::default();
         for index in 0..self.minions.len() {
+            if self.minions[index].is_gone {
+                continue;
+            }
             self.minions[index].unreachable_until = 0;
             self.minions[index].hidden_until = 0;
             if !self.minions[index].listed {
@@ -659,10 +693,13 @@
             self.touch_since = now;
         }
         let sound = |m: &Minion| m.listed && m.unreachable_until.max(m.hidden_until) <= now;
-        let steady = self.faults == Faults::default()
-            && leads
-            && self.minions.iter().all(sound)
-            && !self.events.iter().any(late);
+        let undisturbed =
+            self.faults == Faults::default() && leads && !self.events.iter().any(late);
+        let settled = |m: &Minion| m.is_gone || sound(m) && m.drains_at.is_none();
+        if !undisturbed || !self.minions.iter().all(settled) {
+            self.settled_since = now;
+        }
+        let steady = undisturbed && self.minions.iter().all(sound);
         if !steady {
             self.steady_since = now;
         }
@@ -1127,6 +1164,7 @@
             duplicate.is_none(),
             "{duplicate:?} run at the same time at {now}"
         );
+        self.check_lasting(&tasks);
         tasks.dedup_by_key(|t| t.step.job);
         for i in 0..self.jobs.len() {
             let job = &self.jobs[i];
@@ -1142,6 +1180,51 @@
                 self.jobs[i].busy,
                 self.calm_since
             );
+            let finish = self.traffic_end.map(|end| end + FINISH_MS);
+            assert!(
+                finish.is_none_or(|finish| now <= finish.max(self.jobs[i].busy) + IDLE_MS),
+                "job {} has nothing running at {now} since {}, traffic ended at {:?}",
+                self.jobs[i].key,
+                self.jobs[i].busy,
+                self.traffic_end
+            );
+        }
+    }
+
+    /// Asserts that each task that lasts runs again in time, given the sorted running tasks.
+    fn check_lasting(&mut self, running: &[TaskKey]) {
+        let now = self.now;
+        for i in 0..self.jobs.len() {
+            let has_room = self.has_room(&self.jobs[i]);
+            let job = &self.jobs[i];
+            let steps = (0..).zip(&job.spec.steps);
+            let keys: Vec<TaskKey> = steps
+                .filter(|(_, step)| step.long_running)
+                .flat_map(|(step, s)| {
+                    let step = StepKey {
+                        job: job.key,
+                        occurrence: 0,
+                        step,
+                    };
+                    (0..s.count).map(move |index| TaskKey { step, index })
+                })
+                .collect();
+            for task in keys {
+                let Some(position) = self.jobs[i].spec.position(task) else {
+                    continue;
+                };
+                if !has_room || running.binary_search(&task).is_ok() {
+                    self.jobs[i].task_busy[position] = now;
+                }
+                let busy = self.jobs[i].task_busy[position];
+                let settled = self.settled_since + IDLE_MARGIN_MS;
+                let begun = self.starts.iter().any(|(started, _)| *started == task);
+                assert!(
+                    !begun || now <= settled.max(busy + LASTING_MS) + IDLE_MS,
+                    "{task} does not run at {now} since {busy}, settled since {}",
+                    self.settled_since
+                );
+            }
         }
     }
 
@@ -1172,9 +1255,10 @@
         let Some((_, step)) = ready else {
             return false;
         };
-        let used: u64 = self.minions.iter().map(|m| m.used().cores_milli).sum();
-        let total: u64 = self.minions.iter().map(|m| m.capacity.cores_milli).sum();
-        let slots = self.minions.iter().map(|m| {
+        let minions = || self.minions.iter().filter(|m| !m.is_gone);
+        let used: u64 = minions().map(|m| m.used().cores_milli).sum();
+        let total: u64 = minions().map(|m| m.capacity.cores_milli).sum();
+        let slots = minions().map(|m| {
             let free = m.capacity.minus(&m.used());
             free.cores_milli / step.amount.cores_milli
         });
--- /dev/null
+++ b/crates/primrosebay_cell/tests/leader/waits.rs
@@ -0,0 +1,152 @@
+//! How long a task can stay in a state in which nothing of it runs, over several changes of the
+//! leader. The bounds are those within which accepted tasks have to run.
+//!
+//! `PRIMROSEBAY_CELL_SEEDS=1000 cargo test --release -p primrosebay_cell --test leader waits` runs
+//! 1,000 random sequences from 0 or `PRIMROSEBAY_CELL_FIRST` on.
+
+use primrosebay_cell::job::JobSpec;
+use rand::Rng;
+use rstest::rstest;
+
+use crate::ended_jobs::{random_chances, random_job};
+use crate::network::{Cell, Chances};
+use crate::simulation::{RUN_MS, cores, job};
+
+/// Time for which a job may have nothing running although it can run, in milliseconds.
+const IDLE_MS: u64 = 3_000;
+
+const LOST: Chances = Chances {
+    lost: 1.0,
+    late: 0.0,
+    unanswered: 0.0,
+};
+
+fn long_job(count: u32, gang: bool) -> JobSpec {
+    let mut spec = job(count, cores(1));
+    spec.steps[0].estimate_ms = 60 * RUN_MS;
+    spec.steps[0].gang = gang;
+    spec
+}
+
+fn running(cell: &Cell) -> usize {
+    cell.minions.iter().map(|m| m.running.len()).sum()
+}
+
+/// Changes the leader `changes` times at intervals of 1.5 s.
+fn change_leader(cell: &mut Cell, changes: u32) {
+    for _ in 0..changes {
+        cell.take_over(300, 0);
+        cell.run(1_500);
+    }
+}
+
+/// Sends the start of a job with `count` tasks, which no minion receives.
+fn lose_start(cell: &mut Cell, count: u32) {
+    cell.faults.start = LOST;
+    cell.submit(1, "urgent", long_job(count, count > 1), None);
+    cell.run(200);
+    cell.faults.start = Chances::default();
+}
+
+/// Guards against a lost start that keeps its task, or all tasks of its gang, from running for longer
+/// than the 3 s for which a job may have nothing running.
+#[rstest]
+fn task_of_lost_start_runs_in_time(#[values(1, 4)] count: u32, #[values(1, 2, 3, 4)] seed: u64) {
+    let mut cell = Cell::new(6, seed);
+    let wait = cell.rng.random_range(0..1_000);
+    cell.run(wait);
+    lose_start(&mut cell, count);
+    let from = cell.now - 200;
+    let done = cell.run_until(8_000, |c| running(c) == count as usize);
+    let waited = cell.now - from;
+    assert!(done && waited <= IDLE_MS, "{waited} ms");
+}
+
+/// Guards against a lost start whose changes of the leader add up: the successor finds the run missing.
+#[rstest]
+fn task_of_lost_start_runs_soon_after_changes_of_the_leader(
+    #[values(1, 2, 3)] changes: u32,
+    #[values(true, false)] proves_end: bool,
+) {
+    let mut cell = Cell::new(6, 1);
+    cell.answers_terms = proves_end;
+    lose_start(&mut cell, 1);
+    change_leader(&mut cell, changes);
+    assert!(cell.run_until(IDLE_MS, |c| running(c) == 1));
+}
+
+fn inject_fault(cell: &mut Cell) {
+    let index = cell.rng.random_range(0..cell.minions.len());
+    let span = cell.rng.random_range(100..12_000);
+    match cell.rng.random_range(0..10) {
+        0..3 => {
+            let gap = [0, 50, 900, 2_000][cell.rng.random_range(0..4)];
+            let overlap = [0, 0, 300, 5_000][cell.rng.random_range(0..4)];
+            if cell.rng.random_bool(0.5) {
+                cell.cut_off_leader(gap, overlap);
+            } else {
+                cell.take_over(gap, overlap);
+            }
+        }
+        3 => cell.faults.start = random_chances(cell),
+        4 => cell.faults.stop = random_chances(cell),
+        5 => cell.faults.hold = random_chances(cell),
+        6 => cell.minions[index].unreachable_until = cell.now + span,
+        7 if cell.minions.iter().filter(|m| m.is_gone).count() < cell.minions.len() / 3 => {
+            cell.lose(index);
+        }
+        8 if !cell.minions[index].is_gone => {
+            let down = cell.rng.random_range(0..2_000);
+            cell.restart(index, down);
+        }
+        9 => cell.answers_terms = !cell.answers_terms,
+        _ => {}
+    }
+}
+
+/// Runs a random sequence whose faults go on until the end of the traffic, and which ends with changes
+/// of the leader.
+fn run(seed: u64) {
+    let mut cell = Cell::new([6, 9, 12][(seed % 3) as usize], seed);
+    for _ in 0..cell.rng.random_range(4..16) {
+        for _ in 0..cell.rng.random_range(0..=2) {
+            let (spec, _) = random_job(&mut cell);
+            let queue = ["urgent", "batch"][cell.rng.random_range(0..2)];
+            let key = cell.jobs.len() as u64;
+            cell.submit(key, queue, spec, None);
+        }
+        inject_fault(&mut cell);
+        let pause = [20, 500, 2_500][cell.rng.random_range(0..3)];
+        let pause = cell.rng.random_range(0..=pause);
+        cell.run(pause);
+    }
+    for _ in 0..cell.rng.random_range(1..4) {
+        let gap = cell.rng.random_range(0..1_000);
+        cell.take_over(gap, 0);
+        let pause = cell.rng.random_range(20..2_000);
+        cell.run(pause);
+    }
+    cell.clear_faults();
+    cell.traffic_end = Some(cell.now);
+    cell.run(30_000);
+}
+
+/// Guards against jobs that have nothing running 14 s after the end of the traffic, and against tasks
+/// that last and do not run again in time, after any sequence of such faults.
+#[rstest]
+fn tasks_run_in_time_after_faults(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    run(seed);
+}
+
+/// Runs the seeds that the environment selects; none by default.
+#[test]
+fn tasks_run_in_time_for_chosen_seeds() {
+    let number = |name| std::env::var(name).ok().and_then(|v| v.parse::<u64>().ok());
+    let first = number("PRIMROSEBAY_CELL_FIRST").unwrap_or(0);
+    let count = number("PRIMROSEBAY_CELL_SEEDS").unwrap_or(0);
+    let seeds = first..first + count;
+    let failed: Vec<u64> = seeds
+        .filter(|seed| std::panic::catch_unwind(|| run(*seed)).is_err())
+        .collect();
+    assert!(failed.is_empty(), "{} failed: {failed:?}", failed.len());
+}
