Give up a start that its minion would refuse by now

What callers saw: a task whose start was lost waited for as long as the stops of that run got no answer.

Cause: only an answered stop ended the state. But a start names a time on the minion's clock after which the minion refuses it (2.5 s).

Change: if the clock in the answer to a hold was past that time when the hold was sent, and the answer lists the run neither as running nor as ended, the run is given up. A run of an earlier leader has no such time: once a minion has answered a hold of this leader, it refuses earlier ones. The time is taken from the minion's clock only, so drift and a late arrival make no difference; an incarnation that has restarted answers with its own clock, by which it also judges the start. A late start that outlives a restart of its minion could begin, as it could after an answered stop.

--- a/crates/primrosebay_cell/src/leader/commit.rs
+++ b/crates/primrosebay_cell/src/leader/commit.rs
@@ -165,6 +165,7 @@
         };
         known_run.phase = Phase::Sent;
         known_run.updated_at = now.time;
+        known_run.until_ms = until_ms;
         log::info!(
             task:% = task, run, minion:% = name, epoch = self.epoch, resumed = !checkpoint.is_empty();
             "leader: start sent"
--- a/crates/primrosebay_cell/src/leader/dispatch.rs
+++ b/crates/primrosebay_cell/src/leader/dispatch.rs
@@ -147,6 +147,7 @@
             phase: Phase::Committing,
             lossless: self.lossless_priority(task),
             updated_at: now.time,
+            until_ms: 0,
             expiry: Time(0),
         };
         let number = run.number;
--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -271,6 +271,8 @@
         let Some(minion) = self.minions.get_mut(name) else {
             return;
         };
+        // The lists may be older than the clock reading, but not than the hold.
+        let listed_ms = report.clock_ms.saturating_sub(now.time.since(sent));
         let mut missing = Vec::new();
         let mut stop = Vec::new();
         for run in &mut minion.runs {
@@ -284,6 +286,12 @@
                 {
                     stop.push((run.task, run.number));
                 }
+                // The minion refuses the start by now, so the run cannot appear later.
+                (false, Phase::Sent | Phase::Unconfirmed | Phase::Stopping(..))
+                    if listed_ms > run.until_ms =>
+                {
+                    missing.push((run.task, run.number));
+                }
                 (false, Phase::Unconfirmed) => stop.push((run.task, run.number)),
                 // The minion rejects commands of earlier leaders by now, so the run cannot appear
                 // later.
@@ -355,6 +363,7 @@
                 phase: Phase::Running(now.time),
                 lossless: None,
                 updated_at: now.time,
+                until_ms: 0,
                 expiry: Time(0),
             };
             self.add_run(name, run);
--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -38,6 +38,9 @@
     pub(super) lossless: Option<u32>,
     /// Time at which this leader sent the start; if it sent none, time at which it added the run.
     pub(super) updated_at: Time,
+    /// Time on the minion's clock after which it refuses the start, in milliseconds; zero if no start
+    /// of this leader can arrive any more.
+    pub(super) until_ms: u64,
     /// Time by which the run has ended even if an incarnation of the minion that the leader does
     /// not know carried out the start; zero if that has been ruled out.
     pub(super) expiry: Time,
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -356,6 +356,7 @@
                 // Set once the queues are known.
                 lossless: None,
                 updated_at: now.time,
+                until_ms: 0,
                 expiry: Time(0),
             };
             let expiry = self.inherited_expiry(name);
--- a/crates/primrosebay_cell/tests/leader/waits.rs
+++ b/crates/primrosebay_cell/tests/leader/waits.rs
@@ -15,6 +15,9 @@
 /// Time for which a job may have nothing running although it can run, in milliseconds.
 const IDLE_MS: u64 = 3_000;
 
+/// Time after the end of the traffic by which each job that can run has run again, in milliseconds.
+const FINISH_MS: u64 = 14_000 + IDLE_MS;
+
 const LOST: Chances = Chances {
     lost: 1.0,
     late: 0.0,
@@ -62,6 +65,25 @@
     assert!(done && waited <= IDLE_MS, "{waited} ms");
 }
 
+/// Guards against a lost start whose stop gets no answer either, so that the task waits for as long as
+/// answers are lost.
+#[rstest]
+fn task_of_lost_start_runs_without_an_answer_to_its_stop(
+    #[values(0, 1, 2, 3)] changes: u32,
+    #[values(1, 4)] count: u32,
+    #[values(true, false)] proves_end: bool,
+) {
+    let mut cell = Cell::new(6, 1);
+    cell.answers_terms = proves_end;
+    cell.faults.stop = LOST;
+    lose_start(&mut cell, count);
+    let from = cell.now;
+    change_leader(&mut cell, changes);
+    let done = cell.run_until(20_000, |c| running(c) == count as usize);
+    let waited = cell.now - from;
+    assert!(done && waited <= FINISH_MS, "{waited} ms");
+}
+
 /// Guards against a lost start whose changes of the leader add up: the successor finds the run missing.
 #[rstest]
 fn task_of_lost_start_runs_soon_after_changes_of_the_leader(
