--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -64,10 +64,11 @@
                 && minion.clock.is_some()
                 && minion.lease == Lease::Granted
                 && !minion.may_have_restarted();
-            let wait_ms = if settled {
-                self.settings.long_poll_ms
-            } else {
-                0
+            // A run that never began has no end for which a hold could wait.
+            let wait_ms = match (settled, minion.has_open_command()) {
+                (true, false) => self.settings.long_poll_ms,
+                (true, true) => self.settings.retry_ms,
+                (false, _) => 0,
             };
             // A restarted minion numbers its ended runs from 1 again, and would remove those up to
             // the acknowledged number although the leader has not seen them. So a number is sent
@@ -270,6 +271,8 @@
         let Some(minion) = self.minions.get_mut(name) else {
             return;
         };
+        // The lists may be older than the clock reading, but not than the hold.
+        let listed_ms = report.clock_ms.saturating_sub(now.time.since(sent));
         let mut missing = Vec::new();
         let mut stop = Vec::new();
         for run in &mut minion.runs {
@@ -283,6 +286,12 @@
                 {
                     stop.push((run.task, run.number));
                 }
+                // The minion refuses the start by now, so the run cannot appear later.
+                (false, Phase::Sent | Phase::Unconfirmed | Phase::Stopping(..))
+                    if listed_ms > run.until_ms =>
+                {
+                    missing.push((run.task, run.number));
+                }
                 (false, Phase::Unconfirmed) => stop.push((run.task, run.number)),
                 // The minion rejects commands of earlier leaders by now, so the run cannot appear
                 // later.
@@ -354,6 +363,7 @@
                 phase: Phase::Running(now.time),
                 lossless: None,
                 updated_at: now.time,
+                until_ms: 0,
                 expiry: Time(0),
             };
             self.add_run(name, run);
--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -38,6 +38,9 @@
     pub(super) lossless: Option<u32>,
     /// Time at which this leader sent the start; if it sent none, time at which it added the run.
     pub(super) updated_at: Time,
+    /// Time on the minion's clock after which it refuses the start, in milliseconds; zero if no start
+    /// of this leader can arrive any more.
+    pub(super) until_ms: u64,
     /// Time by which the run has ended even if an incarnation of the minion that the leader does
     /// not know carried out the start; zero if that has been ruled out.
     pub(super) expiry: Time,
@@ -201,6 +204,17 @@
         self.expiry.max(inherited).max(run.expiry)
     }
 
+    /// Returns whether the fate of a start or stop is open, which the next holds resolve.
+    pub(super) fn has_open_command(&self) -> bool {
+        let is_open = |r: &Run| {
+            matches!(
+                r.phase,
+                Phase::Sent | Phase::Unconfirmed | Phase::Stopping(..)
+            )
+        };
+        self.runs.iter().any(is_open)
+    }
+
     /// Returns whether the minion may have restarted since its last answer. Its clock, its fencing
     /// epoch and the numbers of its ended runs are unknown then.
     pub(super) fn may_have_restarted(&self) -> bool {
--- a/crates/primrosebay_cell/tests/leader/main.rs
+++ b/crates/primrosebay_cell/tests/leader/main.rs
@@ -15,3 +15,4 @@
 mod simulation;
 mod takeover;
 mod unused_service;
+mod waits;
