--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -127,6 +127,10 @@
     /// Jobs with a task that failed on the minion since a task last succeeded there.
     pub(super) failed_jobs: Vec<crate::job::JobKey>,
     pub(super) quarantined_until: Time,
+    /// Time since which runs of several jobs are overdue on the minion; none while they are not.
+    pub(super) slow_since: Option<Time>,
+    /// Time until which the minion is quarantined because it is slow.
+    pub(super) slow_until: Time,
 }
 
 impl Minion {
@@ -156,6 +160,8 @@
             reservations: Vec::new(),
             failed_jobs: Vec::new(),
             quarantined_until: Time(0),
+            slow_since: None,
+            slow_until: Time(0),
         }
     }
 
--- a/crates/primrosebay_cell/tests/leader/waits.rs
+++ b/crates/primrosebay_cell/tests/leader/waits.rs
@@ -4,13 +4,13 @@
 //! `PRIMROSEBAY_CELL_SEEDS=1000 cargo test --release -p primrosebay_cell --test leader waits` runs
 //! 1,000 random sequences from 0 or `PRIMROSEBAY_CELL_FIRST` on.
 
-use primrosebay_cell::job::JobSpec;
+use primrosebay_cell::job::{JobKey, JobSpec};
 use rand::Rng;
 use rstest::rstest;
 
 use crate::ended_jobs::{random_chances, random_job};
 use crate::network::{Cell, Chances};
-use crate::simulation::{RUN_MS, cores, job};
+use crate::simulation::{RUN_MS, Simulation, cores, job};
 
 /// Time for which a job may have nothing running although it can run, in milliseconds.
 const IDLE_MS: u64 = 3_000;
@@ -97,6 +97,41 @@
     assert!(cell.run_until(IDLE_MS, |c| running(c) == 1));
 }
 
+/// Fills each of four minions with two jobs that take longer than estimated, and leaves three quarters
+/// of the resources free.
+fn slow_cell() -> Simulation {
+    let mut sim = Simulation::new(4);
+    let filler = sim.submit(0, "urgent", &job(4, cores(12)));
+    sim.run(100);
+    let mut spec = job(1, cores(2));
+    // Too long to be moved.
+    spec.steps[0].estimate_ms = 2_000;
+    for key in 1..=8 {
+        sim.submit(key, "urgent", &spec);
+        sim.run(50);
+    }
+    for minion in &mut sim.minions {
+        minion.stalled = true;
+    }
+    sim.cancel(filler);
+    sim
+}
+
+/// Guards against minions that are closed for new tasks for as long as work takes several times as
+/// long as estimated, while the cell is mostly free.
+#[test]
+fn wrong_estimates_do_not_close_the_cell() {
+    let mut sim = slow_cell();
+    sim.run(8_000);
+    for key in 20..30 {
+        sim.submit(key, "urgent", &job(1, cores(4)));
+        let starts = sim.starts.len();
+        sim.run_until(IDLE_MS, |s| s.starts.len() > starts);
+        sim.cancel(JobKey(key));
+        sim.run(1_000);
+    }
+}
+
 fn inject_fault(cell: &mut Cell) {
     let index = cell.rng.random_range(0..cell.minions.len());
     let span = cell.rng.random_range(100..12_000);
