Look at one task of each waiting job for the report of idle jobs

A report looked at all tasks of all idle jobs.

If the leader knows no run of a job, its pending tasks all wait for the same, so the report looks at the first one, and at all tasks only of the jobs that it lists. A task that is placed without a known run is counted under its cause only if no task before it is pending; the line of a listed job names it in any case.

--- a/crates/primrosebay_bench/src/leader.rs
+++ b/crates/primrosebay_bench/src/leader.rs
@@ -85,6 +85,9 @@
 /// Label of one minion in a hundred, which the waiting jobs need.
 const RARE_LABEL: &str = "rare";
 
+/// Number of jobs that a report of idle jobs lists.
+const REPORTED_JOBS: usize = 20;
+
 /// Size of a measured cell.
 #[derive(Debug, Clone, Copy)]
 pub struct Size {
@@ -318,6 +321,13 @@
         self.cost
     }
 
+    /// Returns the time of a report of idle jobs, and their number.
+    pub fn report_idle(&mut self) -> (Duration, usize) {
+        let begin = Instant::now();
+        let report = self.leader.report_idle(REPORTED_JOBS, now_at(self.now));
+        (begin.elapsed(), report.counts.jobs)
+    }
+
     /// Returns the time in which a successor builds its state from the ledger, up to its first
     /// pass.
     pub fn take_over(&mut self) -> Duration {
--- a/crates/primrosebay_cell/src/leader/idle.rs
+++ b/crates/primrosebay_cell/src/leader/idle.rs
@@ -446,7 +446,7 @@
             if job.ran_until >= now.time {
                 continue;
             }
-            let idle = self.find_idle(job, runs_of(&runs, *key), now);
+            let idle = self.find_idle(job, runs_of(&runs, *key), false, now);
             if let Some(idle) = idle.filter(|f| now.time.since(f.since) >= MIN_IDLE_MS) {
                 counts.jobs += 1;
                 counts.longest_ms = counts.longest_ms.max(now.time.since(idle.since));
@@ -456,7 +456,12 @@
         }
         found.sort_by_key(|f| (f.since, f.job));
         found.truncate(limit);
-        let jobs = found.iter().filter_map(|f| self.describe(f, now)).collect();
+        let jobs = found.iter().filter_map(|f| {
+            let job = self.jobs.get(&f.job)?;
+            let idle = self.find_idle(job, runs_of(&runs, f.job), true, now)?;
+            self.describe(job, &idle, now)
+        });
+        let jobs = jobs.collect();
         IdleReport { counts, jobs }
     }
 
@@ -500,26 +505,62 @@
         }
     }
 
-    /// Returns what a job without a running task waits for; none if no step can run now.
-    fn find_idle(&self, job: &ActiveJob, runs: &[KnownRun], now: Now) -> Option<Found> {
-        let mut found: Option<Found> = None;
+    /// Returns what a job without a running task waits for; none if no step can run now. Unless
+    /// `all_tasks`, looks only at the first task of a step that is not done if the leader knows no
+    /// run of the job: a backlog has many wide jobs, whose tasks all wait for the same.
+    fn find_idle(
+        &self,
+        job: &ActiveJob,
+        runs: &[KnownRun],
+        all_tasks: bool,
+        now: Now,
+    ) -> Option<Found> {
+        let mut latest: Option<(TaskWait, TaskStates)> = None;
+        let mut since = None;
         for step in job.open_steps(now) {
-            let due = now.wall_ms.saturating_sub(job.spec.due_ms(step.occurrence));
-            let due = Time(now.time.0.saturating_sub(due));
-            let (wait, states) = self.find_wait(job, step, runs, now)?;
-            let since = job.ran_until.max(due);
-            let is_later = |f: &Found| wait.rank() > f.wait.rank();
-            let since = found.as_ref().map_or(since, |f| f.since.min(since));
-            if found.as_ref().is_none_or(is_later) {
-                found = Some(Found {
-                    job: job.key,
-                    since,
-                    wait,
-                    states,
-                });
-            }
+            let due_ms = job.spec.due_ms(step.occurrence);
+            let due_for = now.wall_ms.saturating_sub(due_ms);
+            let due = Time(now.time.0.saturating_sub(due_for));
+            since = since.or(Some(job.ran_until.max(due)));
+            let found = if all_tasks || !runs.is_empty() {
+                self.find_wait(job, step, runs, now)
+            } else {
+                self.first_wait(job, step, now)
+            };
+            let is_later = |f: &(TaskWait, TaskStates)| {
+                latest.is_none_or(|(wait, _)| f.0.rank() > wait.rank())
+            };
+            latest = found.filter(is_later).or(latest);
         }
-        found
+        let (wait, states) = latest?;
+        Some(Found {
+            job: job.key,
+            since: since?,
+            wait,
+            states,
+        })
+    }
+
+    /// Returns what the first task of a step waits for that is not done, if the leader knows no run
+    /// of the job.
+    fn first_wait(
+        &self,
+        job: &ActiveJob,
+        step: StepKey,
+        now: Now,
+    ) -> Option<(TaskWait, TaskStates)> {
+        let mut tasks = (0..).zip(&job.tasks[job.task_range(step)]);
+        let (index, state) = tasks.find(|(_, t)| t.placement != Placement::Done)?;
+        let cause = match state.placement {
+            Placement::Pending => self.pending_cause(job, step, now),
+            Placement::Minion(_) | Placement::Done => IdleCause::MissingRun,
+        };
+        let wait = TaskWait {
+            cause,
+            task: TaskKey { step, index },
+            run: None,
+        };
+        Some((wait, TaskStates::default()))
     }
 
     /// Returns the task of a step that is expected to run last and what it waits for, and the states
@@ -634,8 +675,7 @@
     }
 
     /// Collects the details of an idle job.
-    fn describe(&self, found: &Found, now: Now) -> Option<IdleJob> {
-        let job = self.jobs.get(&found.job)?;
+    fn describe(&self, job: &ActiveJob, found: &Found, now: Now) -> Option<IdleJob> {
         let TaskWait { cause, task, run } = found.wait;
         let position = job.spec.position(task)?;
         let detail = match run {
