List an idle job of each cause

A backlog that waits for room would fill all 20 lines and hide a job that waits for a silent minion. The job that has been idle longest for each cause is listed now, then those that have been idle longest whatever the cause. The test fails without the change: the job of an unknown queue is not among the 20.

--- a/crates/primrosebay_cell/src/leader/idle.rs
+++ b/crates/primrosebay_cell/src/leader/idle.rs
@@ -374,7 +374,8 @@
 pub struct IdleReport {
     /// Numbers of all idle jobs.
     pub counts: IdleCounts,
-    /// The jobs that have been idle longest, the first one for the longest time.
+    /// The jobs that have been idle longest, among them one for each cause. The first one has been
+    /// idle longest.
     pub jobs: Vec<IdleJob>,
 }
 
@@ -432,7 +433,8 @@
 
 impl Leader {
     /// Returns the jobs that have nothing running although the turn of a step has come, and what
-    /// they wait for. Lists the `limit` jobs that have been idle longest.
+    /// they wait for. Lists at most `limit` of them: for each cause the job that has been idle
+    /// longest, then those that have been idle longest whatever the cause.
     ///
     /// Runs that were confirmed count as running unless their minion is silent. The end of a run by
     /// a stop or by the silence of its minion is noticed only by the next report, so `idle_ms` may
@@ -454,8 +456,7 @@
                 found.push(idle);
             }
         }
-        found.sort_by_key(|f| (f.since, f.job));
-        found.truncate(limit);
+        let found = longest(found, limit);
         let jobs = found.iter().filter_map(|f| {
             let job = self.jobs.get(&f.job)?;
             let idle = self.find_idle(job, runs_of(&runs, f.job), true, now)?;
@@ -756,6 +757,20 @@
     }
 }
 
+/// Returns the `limit` jobs that have been idle longest, in that order. The one that has been idle
+/// longest for each cause is among them, so that a backlog of one cause does not hide the others.
+fn longest(mut found: Vec<Found>, limit: usize) -> Vec<Found> {
+    let order = |f: &Found| (f.since, f.job);
+    found.sort_unstable_by_key(order);
+    let mut has_cause = [false; IdleCause::ALL.len()];
+    let is_first = |f: &Found| !std::mem::replace(&mut has_cause[f.wait.cause as usize], true);
+    let (mut chosen, others): (Vec<Found>, Vec<Found>) = found.into_iter().partition(is_first);
+    chosen.extend(others);
+    chosen.truncate(limit);
+    chosen.sort_unstable_by_key(order);
+    chosen
+}
+
 fn is_listed(minion: &Minion) -> bool {
     minion.listing.absent_since().is_none() && !minion.entry.address.is_empty()
 }
--- a/crates/primrosebay_cell/tests/leader/idle.rs
+++ b/crates/primrosebay_cell/tests/leader/idle.rs
@@ -549,6 +549,21 @@
     assert_eq!(rooms.collect::<Vec<_>>(), [(IdleCause::Room, 49)]);
 }
 
+/// Guards against a backlog that waits for room and hides a job that waits for something else.
+#[test]
+fn report_lists_a_job_of_each_cause() {
+    let mut sim = Simulation::new(1);
+    sim.minions[0].stalled = true;
+    for key in 0..50 {
+        sim.submit(key, "urgent", &job(1, cores(16)));
+    }
+    sim.run(1_000);
+    let other = sim.submit(100, "absent", &job(1, cores(1)));
+    sim.run(REPORTED_MS);
+    assert_eq!(report(&mut sim).jobs.len(), LIMIT);
+    assert_eq!(idle(&mut sim, other).cause, IdleCause::UnknownQueue);
+}
+
 /// Guards against a report that changes what the leader does.
 #[test]
 fn report_has_no_influence_on_scheduling() {
