Ask about a wide gang in several advice calls at a time

A call names at most 100 minions. A renewal of tickets named all allowed minions with room and was cut to the first 100, so a gang that needed more of them renewed the same 100 each time. Calls about new minions repeated the known allowed ones: each asked about fewer new ones than the one before, and with 100 known about none. Such a gang was never started.

A gang that needs more names than one call takes now has a round of calls in flight at different instances: an eighth of the pool at most, and more than one call only while a quarter of the pool is idle. Known allowed minions are repeated only if the round has names left for them. A renewal names as many minions as the gang needs and a tenth more, those whose tickets are missing or expire first in front, and none whose ticket outlasts the answer. A step waits at most 300 ms beyond the expected end for a call of a round of which another was answered, and is placed as soon as the tickets suffice. Steps that one call covers are asked about as before, so cells of up to 100 minions make the same calls.

The simulated advice service now takes one call at a time of each instance, and its tickets expire.

The cases of wide_gang_starts and wide_gangs_start_after_changes_of_the_leader fail before this change; simultaneous_wide_gangs_start passes before and after it.

--- a/crates/primrosebay_cell/src/leader/advice.rs
+++ b/crates/primrosebay_cell/src/leader/advice.rs
@@ -34,6 +34,18 @@
 /// up to an eighth of the time of all instances, so a quarter keeps their queues short.
 const QUICK_ONLY_DIVISOR: usize = 4;
 
+/// A step may use one in this many of the instances for its calls at the same time. The widest gangs
+/// of the largest known cell need half of that.
+const STEP_DIVISOR: usize = 8;
+
+/// Of the instances for a call, one in this many has to remain idle after a call that is not the
+/// only one of its step, so that a few wide gangs do not keep others from calling.
+const IDLE_DIVISOR: usize = 4;
+
+/// Time after the expected end of a call, in milliseconds, after which a step no longer waits for it
+/// if another call of the same round was answered. The tickets of the answer expire soon.
+const OVERDUE_MS: u64 = 300;
+
 /// Advice for the tasks of a step.
 #[derive(Debug, Default)]
 pub(super) struct StepAdvice {
@@ -44,8 +56,24 @@
     pub(super) queried: Vec<Name>,
     /// Minions with their tickets and the expiry of each ticket, sorted by minion.
     tickets: Vec<(Name, Name, Time)>,
-    /// Call in flight: the calling instance, its deadline and the named minions.
-    call: Option<(Name, Time, Vec<Name>)>,
+    /// Calls in flight.
+    calls: Vec<StepCall>,
+    /// Whether a call was answered while others were in flight, and no pass has used the answer.
+    has_news: bool,
+}
+
+/// A call in flight for a step.
+#[derive(Debug)]
+struct StepCall {
+    /// The calling instance.
+    node: Name,
+    /// Time from which on the step does not wait for the call; the deadline unless another call of
+    /// the round was answered.
+    awaited: Time,
+    /// Expected end of the call.
+    ends: Time,
+    deadline: Time,
+    minions: Vec<Name>,
 }
 
 impl StepAdvice {
@@ -73,8 +101,15 @@
         }
     }
 
-    pub(super) fn is_pending(&self) -> bool {
-        self.call.is_some()
+    /// Returns the time until which the ticket for a minion is valid; zero if there is none.
+    pub(super) fn valid_until(&self, minion: &Name) -> Time {
+        let found = self.tickets.binary_search_by(|t| t.0.cmp(minion));
+        found.map_or(Time(0), |index| self.tickets[index].2)
+    }
+
+    /// Returns whether the step waits for an answer.
+    pub(super) fn is_pending(&self, now: Time) -> bool {
+        self.calls.iter().any(|c| now < c.awaited)
     }
 }
 
@@ -145,7 +180,7 @@
     }
 
     pub(super) fn pending_calls(&self) -> usize {
-        self.steps.iter().filter(|(_, a)| a.is_pending()).count()
+        self.steps.iter().map(|(_, a)| a.calls.len()).sum()
     }
 
     /// Returns the expected fraction of named minions that a queue's service allows.
@@ -185,10 +220,9 @@
     /// Abandons calls whose answer is overdue.
     pub(super) fn expire_calls(&mut self, now: Time) {
         for (step, entry) in self.steps.iter_mut() {
-            let Some((node, _, _)) = entry.call.take_if(|c| now >= c.1) else {
-                continue;
-            };
-            log::warn!(step:% = step, node:% = node; "leader: advice call timed out");
+            for call in entry.calls.extract_if(.., |c| now >= c.deadline) {
+                log::warn!(step:% = step, node:% = call.node; "leader: advice call timed out");
+            }
         }
         // A call without an answer occupies its instance until 5,000 ms after its expected end.
         for client in &mut self.clients {
@@ -196,40 +230,69 @@
         }
     }
 
+    /// Returns whether a call of a step was answered while others were in flight, and no pass has
+    /// used the answer.
+    pub(super) fn take_news(&mut self, step: StepKey) -> bool {
+        let entry = self.steps.get_mut(&step);
+        entry.is_some_and(|entry| std::mem::take(&mut entry.has_news))
+    }
+
     /// Returns whether an instance is available for a call of `cost_ms`.
     pub(super) fn can_call(
         &self,
+        step: StepKey,
         cost_ms: u64,
         late: bool,
         now: Time,
         settings: &Settings,
     ) -> bool {
-        self.pick_client(cost_ms, late, now, settings).is_some()
+        self.pick_client(step, cost_ms, late, now, settings)
+            .is_some()
+    }
+
+    /// Returns the indices of the instances that may make a call of `cost_ms` when they are free.
+    /// Slow calls leave some instances to quick calls.
+    fn pool(&self, cost_ms: u64, now: Time, settings: &Settings) -> Vec<usize> {
+        let mut healthy: Vec<usize> = (0..self.clients.len())
+            .filter(|i| now >= self.clients[*i].retry_at)
+            .collect();
+        if cost_ms > settings.slow_call_ms && healthy.len() > 1 {
+            healthy.drain(..healthy.len().div_ceil(QUICK_ONLY_DIVISOR));
+        }
+        healthy
     }
 
-    /// Returns the index of the least busy instance that is available for a call of `cost_ms`. Slow
-    /// calls leave some instances to quick calls. Quick calls go to any instance without a slow
-    /// call. Calls for jobs that are `late` go only to idle instances, so that calls for jobs which
-    /// can still meet their latency objective do not queue behind them.
+    /// Returns how many calls of `cost_ms` a step may have in flight at the same time.
+    pub(super) fn max_calls(&self, cost_ms: u64, now: Time, settings: &Settings) -> usize {
+        let pool = self.pool(cost_ms, now, settings);
+        pool.len().div_ceil(STEP_DIVISOR).max(1)
+    }
+
+    /// Returns whether enough instances are idle for a call of a step that has others in flight.
+    fn can_add_call(&self, cost_ms: u64, now: Time, settings: &Settings) -> bool {
+        let pool = self.pool(cost_ms, now, settings);
+        let idle = pool.iter().filter(|i| self.clients[**i].calls.is_empty());
+        idle.count() > pool.len() / IDLE_DIVISOR
+    }
+
+    /// Returns the index of the least busy instance that is available for a call of `cost_ms`. Quick
+    /// calls go to any instance without a slow call, and no instance has two calls for a step. Calls
+    /// for jobs that are `late` go only to idle instances, so that calls for jobs which can still
+    /// meet their latency objective do not queue behind them.
     fn pick_client(
         &self,
+        step: StepKey,
         cost_ms: u64,
         late: bool,
         now: Time,
         settings: &Settings,
     ) -> Option<usize> {
-        let healthy: Vec<usize> = (0..self.clients.len())
-            .filter(|i| now >= self.clients[*i].retry_at)
-            .collect();
+        let pool = self.pool(cost_ms, now, settings);
         let slow = cost_ms > settings.slow_call_ms;
-        let pool = match (slow, healthy.len()) {
-            (true, 2..) => &healthy[healthy.len().div_ceil(QUICK_ONLY_DIVISOR)..],
-            _ => &healthy[..],
-        };
         let free = |i: &&usize| {
             let calls = &self.clients[**i].calls;
             let most = if late || slow { 1 } else { QUICK_CALLS };
-            !calls.iter().any(|c| c.slow) && calls.len() < most
+            !calls.iter().any(|c| c.slow || c.step == step) && calls.len() < most
         };
         let busy = |i: &&usize| {
             let calls = self.clients[**i].calls.iter();
@@ -240,9 +303,35 @@
 }
 
 impl Leader {
+    /// Makes a round of advice calls for a step, one for each batch of minions, as far as instances
+    /// are available. Returns the expected time until the last answer, in milliseconds; none if no
+    /// call was made.
+    pub(super) fn start_calls(
+        &mut self,
+        step: StepKey,
+        timing: AdviceTiming,
+        batches: Vec<Vec<Name>>,
+        late: bool,
+        now: Now,
+    ) -> Option<u64> {
+        let mut longest = None;
+        for batch in batches {
+            let cost_ms = timing.call_ms(batch.len());
+            let is_only = longest.is_none();
+            if !is_only && !self.advice.can_add_call(cost_ms, now.time, &self.settings) {
+                break;
+            }
+            let Some(expected) = self.start_call(step, timing, batch, late, now) else {
+                break;
+            };
+            longest = longest.max(Some(expected));
+        }
+        longest
+    }
+
     /// Asks for advice on a step if an instance is available. Returns the expected time until the
     /// answer, in milliseconds; none if no call was made.
-    pub(super) fn start_call(
+    fn start_call(
         &mut self,
         step: StepKey,
         timing: AdviceTiming,
@@ -256,7 +345,7 @@
         }
         let cost_ms = timing.call_ms(minions.len());
         let state = &mut self.advice;
-        let index = state.pick_client(cost_ms, late, now.time, &self.settings)?;
+        let index = state.pick_client(step, cost_ms, late, now.time, &self.settings)?;
         let queued = state.clients[index].calls.iter().map(|c| c.ends).max();
         let starts_at = queued.unwrap_or(now.time).max(now.time);
         let expected_ms = starts_at.since(now.time).saturating_add(cost_ms);
@@ -269,7 +358,14 @@
         let node = state.clients[index].name.clone();
         let entry = state.steps.or_insert(step, StepAdvice::default());
         // The answer of the instance may arrive up to 500 ms after the timeout of its call.
-        entry.call = Some((node.clone(), now.time + timeout_ms + 500, minions.clone()));
+        let deadline = now.time + timeout_ms + 500;
+        entry.calls.push(StepCall {
+            node: node.clone(),
+            awaited: deadline,
+            ends: starts_at + cost_ms,
+            deadline,
+            minions: minions.clone(),
+        });
         log::info!(step:% = step, node:% = node, minions = minions.len(), cost_ms = cost_ms; "leader: advice call sent");
         self.commands.push(Command::AskAdvice {
             node,
@@ -294,9 +390,10 @@
         let Some(entry) = state.steps.get_mut(&step) else {
             return;
         };
-        let Some((_, _, named)) = entry.call.take_if(|c| c.0 == *node) else {
+        let Some(index) = entry.calls.iter().position(|c| c.node == *node) else {
             return;
         };
+        let named = entry.calls.remove(index).minions;
         let Some(advice) = advice else {
             log::warn!(step:% = step, node:% = node; "leader: advice call failed");
             return;
@@ -311,6 +408,10 @@
             .valid_ms
             .saturating_sub(self.settings.advice_slack_ms);
         let until = now.time + valid;
+        entry.has_news = !entry.calls.is_empty();
+        for call in &mut entry.calls {
+            call.awaited = call.awaited.min(call.ends + OVERDUE_MS);
+        }
         for name in named {
             if let Err(index) = entry.queried.binary_search(&name) {
                 entry.queried.insert(index, name);
--- a/crates/primrosebay_cell/src/leader/schedule.rs
+++ b/crates/primrosebay_cell/src/leader/schedule.rs
@@ -12,7 +12,7 @@
 #[cfg(debug_assertions)]
 use super::active::ActiveJob;
 use super::active::Wait;
-use super::advice::{MAX_CALL_MINIONS, StepAdvice};
+use super::advice::MAX_CALL_MINIONS;
 use super::command::Now;
 use super::minion::{Minion, count_fitting};
 use super::quota::QuotaUsage;
@@ -65,6 +65,10 @@
 /// milliseconds. Until then nothing else uses them.
 const HOLDER_BACKOFF_MS: u64 = 20;
 
+/// Part of the minions needed for a wide gang by which a renewal of tickets names more: some may be
+/// lost or fill up before the answers arrive.
+const RENEWAL_MARGIN_DIVISOR: usize = 10;
+
 /// Tasks of a step to place.
 #[derive(Debug)]
 pub(super) struct Request {
@@ -160,7 +164,7 @@
                 return visited;
             }
             let step = ready.step();
-            if self.is_known_full(step) {
+            if self.is_known_full(step, now.time) {
                 self.blocked.capacity += 1;
             } else if ready.late && self.is_known_limited(step, quota) {
                 self.blocked.limit += 1;
@@ -310,14 +314,14 @@
         }
     }
 
-    fn is_asking(&self, step: StepKey) -> bool {
-        self.advice.get(step).is_some_and(StepAdvice::is_pending)
+    fn is_asking(&self, step: StepKey, now: Time) -> bool {
+        self.advice.get(step).is_some_and(|a| a.is_pending(now))
     }
 
     /// Returns whether a step is known to lack room, without a look at its tasks. A backlog has many
     /// such steps.
-    fn is_known_full(&self, step: StepKey) -> bool {
-        !self.is_asking(step) && self.is_full(step)
+    fn is_known_full(&self, step: StepKey, now: Time) -> bool {
+        !self.is_asking(step, now) && self.is_full(step)
     }
 
     fn place_step(&mut self, step: StepKey, late: bool, quota: &mut QuotaUsage, now: Now) {
@@ -344,7 +348,13 @@
             .and_then(|j| self.queues.get(&j.queue))
             .and_then(|q| q.advice);
         // Most blocked steps wait for advice; checking this first avoids a scan of the minions.
-        if timing.is_some() && self.is_asking(step) {
+        if timing.is_some() && self.is_asking(step, now.time) {
+            if self.advice.take_news(step) {
+                self.place_ticketed(&mut request, quota, now);
+                if request.pending.is_empty() {
+                    return;
+                }
+            }
             self.block(step, Wait::Advice, now.time);
             let charge = (!late).then(|| quota.reserve(&request));
             self.back_off(&request, Wait::Advice, charge, now);
@@ -355,7 +365,7 @@
         if let Some(timing) = timing.filter(|_| !has_tickets)
             && !self
                 .advice
-                .can_call(timing.call_ms(1), late, now.time, &self.settings)
+                .can_call(step, timing.call_ms(1), late, now.time, &self.settings)
         {
             self.block(step, Wait::Client, now.time);
             return;
@@ -375,7 +385,7 @@
         if request.pending.is_empty() {
             return;
         }
-        if self.is_asking(step) {
+        if self.is_asking(step, now.time) {
             let charge = (!late).then(|| quota.reserve(&request));
             self.back_off(&request, Wait::Advice, charge, now);
         } else {
@@ -392,6 +402,25 @@
         quota: &mut QuotaUsage,
         now: Now,
     ) -> bool {
+        let (allowed_names, ticketed) = self.place_ticketed(request, quota, now);
+        if !ticketed.is_empty()
+            && (request.pending.is_empty()
+                || self.make_room_for_rest(request, Some(&ticketed), now))
+        {
+            return true;
+        }
+        self.renew_tickets(request, timing, &allowed_names, &ticketed, now)
+            || self.call_unqueried(request, timing, &allowed_names, now)
+    }
+
+    /// Places tasks on the minions for which there are valid tickets. Returns the allowed minions and
+    /// those with tickets.
+    fn place_ticketed(
+        &mut self,
+        request: &mut Request,
+        quota: &mut QuotaUsage,
+        now: Now,
+    ) -> (Vec<Name>, Vec<Name>) {
         let advice = self.advice.get(request.step);
         let allowed_names = advice.map(|a| a.allowed.clone()).unwrap_or_default();
         let allowed_names = self.matching(request, &allowed_names);
@@ -400,13 +429,8 @@
         let ticketed: Vec<Name> = allowed_names.iter().filter(has_ticket).cloned().collect();
         if !ticketed.is_empty() {
             self.place_on(request, Some(&ticketed), quota, now);
-            if request.pending.is_empty() || self.make_room_for_rest(request, Some(&ticketed), now)
-            {
-                return true;
-            }
         }
-        self.renew_tickets(request, timing, &allowed_names, &ticketed, now)
-            || self.call_unqueried(request, timing, &allowed_names, now)
+        (allowed_names, ticketed)
     }
 
     /// Requests new tickets for allowed minions on which tasks fit, now or after preemption.
@@ -425,25 +449,53 @@
         // If all of these minions still have valid tickets, the step lacks resources, and new
         // tickets would not help.
         let total = total_slots(&candidates);
-        let names = self.names(&candidates);
+        let mut names = self.names(&candidates);
         if total < min_slots || names.iter().all(|n| ticketed.binary_search(n).is_ok()) {
             return false;
         }
-        self.call_advice(request, timing, &names, &names, now);
+        if !request.gang || names.len() <= MAX_CALL_MINIONS {
+            names.truncate(MAX_CALL_MINIONS);
+            self.call_advice(request, timing, vec![names.clone()], &names, now);
+            return true;
+        }
+        let needed = count_needed(&candidates, min_slots);
+        names.truncate(MAX_CALL_MINIONS.max(needed + needed / RENEWAL_MARGIN_DIVISOR));
+        let batches = self.renewal_batches(request, timing, &names, now.time);
+        self.call_advice(request, timing, batches, &names, now);
         true
     }
 
-    /// Calls the advice service about `names`. For a gang, reserves resources on the minions in
-    /// `allowed` until the answer arrives.
+    /// Splits the minions whose tickets expire before the answers arrive into calls. The tickets
+    /// that are missing or expire first come first, in case not all calls can be made.
+    fn renewal_batches(
+        &self,
+        request: &Request,
+        timing: AdviceTiming,
+        names: &[Name],
+        now: Time,
+    ) -> Vec<Vec<Name>> {
+        let answered = now + timing.call_ms(MAX_CALL_MINIONS) + ANSWER_MARGIN_MS;
+        let advice = self.advice.get(request.step);
+        let valid_until = |n: &Name| advice.map_or(Time(0), |a| a.valid_until(n));
+        let mut expiring: Vec<Name> = names.to_vec();
+        expiring.retain(|n| valid_until(n) < answered);
+        expiring.sort_by_key(valid_until);
+        let cost_ms = timing.call_ms(MAX_CALL_MINIONS);
+        let max_calls = self.advice.max_calls(cost_ms, now, &self.settings);
+        split_evenly(&expiring, max_calls)
+    }
+
+    /// Calls the advice service about each batch of minions. For a gang, reserves resources on the
+    /// minions in `allowed` until the answers arrive.
     fn call_advice(
         &mut self,
         request: &Request,
         timing: AdviceTiming,
-        names: &[Name],
+        batches: Vec<Vec<Name>>,
         allowed: &[Name],
         now: Now,
     ) {
-        let expected = self.start_call(request.step, timing, names.to_vec(), request.late, now);
+        let expected = self.start_calls(request.step, timing, batches, request.late, now);
         let Some(wait_ms) = expected else {
             self.block(request.step, Wait::Client, now.time);
             return;
@@ -479,9 +531,10 @@
         }
     }
 
-    /// Calls the advice service about minions not yet queried for the step. A call for a gang
-    /// repeats the minions that are known to be allowed, so that all its tickets are valid at the
-    /// same time. Returns whether there was enough room to ask.
+    /// Calls the advice service about minions not yet queried for the step. The calls for a gang
+    /// repeat the minions that are known to be allowed, so that all its tickets are valid at the
+    /// same time, unless there are too many: what is allowed does not change, so their tickets can
+    /// be renewed once enough of them are known. Returns whether there was enough room to ask.
     fn call_unqueried(
         &mut self,
         request: &Request,
@@ -515,13 +568,23 @@
             };
             (Reverse(preferred), minion_order(request.step, c.minion))
         };
-        smallest_by_key(&mut candidates, MAX_CALL_MINIONS, order);
+        let cost_ms = timing.call_ms(MAX_CALL_MINIONS);
+        let max_calls = if request.gang {
+            self.advice.max_calls(cost_ms, now.time, &self.settings)
+        } else {
+            1
+        };
+        let max_names = max_calls * MAX_CALL_MINIONS;
+        smallest_by_key(&mut candidates, max_names, order);
         let count = call_size(&candidates, want, timing, allow_rate, deviations);
         candidates.truncate(count);
         let allowed = self.names(&allowed_candidates);
-        let mut names = allowed.clone();
-        names.extend(self.names(&candidates));
-        self.call_advice(request, timing, &names, &allowed, now);
+        let mut names = self.names(&candidates);
+        if allowed.len() + names.len() <= max_names {
+            names.extend(allowed.iter().cloned());
+        }
+        let batches = split_evenly(&names, max_calls);
+        self.call_advice(request, timing, batches, &allowed, now);
         true
     }
 
@@ -577,6 +640,26 @@
     candidates.iter().map(|c| u64::from(c.total)).sum()
 }
 
+/// Returns how many of the first candidates are needed for `want` tasks; all if they do not suffice.
+fn count_needed(candidates: &[Slots], want: u64) -> usize {
+    let mut slots = 0;
+    let is_short = |c: &&Slots| {
+        let short = slots < want;
+        slots += u64::from(c.total);
+        short
+    };
+    candidates.iter().take_while(is_short).count()
+}
+
+/// Splits minions into as few batches for advice calls as possible, of nearly equal sizes. Leaves out
+/// the last minions if `max_calls` calls cannot name all.
+fn split_evenly(names: &[Name], max_calls: usize) -> Vec<Vec<Name>> {
+    let names = &names[..names.len().min(max_calls * MAX_CALL_MINIONS)];
+    let calls = names.len().div_ceil(MAX_CALL_MINIONS).max(1);
+    let size = names.len().div_ceil(calls).max(1);
+    names.chunks(size).map(<[Name]>::to_vec).collect()
+}
+
 /// Keeps the `count` items with the lowest keys, sorted.
 pub(super) fn smallest_by_key<T, K: Ord>(items: &mut Vec<T>, count: usize, key: impl Fn(&T) -> K) {
     if count < items.len() {
@@ -611,15 +694,7 @@
     allow_rate: f64,
     deviations: f64,
 ) -> usize {
-    let mut slots = 0;
-    let mut needed = 0;
-    for candidate in candidates {
-        if slots >= want {
-            break;
-        }
-        slots += u64::from(candidate.total);
-        needed += 1;
-    }
+    let needed = u32::try_from(count_needed(candidates, want)).unwrap_or(u32::MAX);
     let needed = f64::from(needed);
     // Mean of a binomial distribution that exceeds `needed` by `deviations` standard deviations.
     let refused = 1.0 - allow_rate;
--- /dev/null
+++ b/crates/primrosebay_cell/tests/leader/gangs.rs
@@ -0,0 +1,88 @@
+//! Wide gangs that need advice, on a cell of 1,100 minions.
+//!
+//! 14 s after the end of the traffic all that could run has run or runs, whatever changes of the
+//! leader there were.
+
+use primrosebay_cell::job::{JobKey, JobSpec};
+use primrosebay_cell::leader::DirectoryChange;
+use rstest::rstest;
+
+use crate::simulation::{Simulation, cores, job, now_at};
+
+/// Time after the end of the traffic by which all that could run has run or runs, in milliseconds.
+const FINISH_MS: u64 = 14_000;
+
+/// Time between two changes of the leader, in milliseconds.
+const CHANGE_MS: u64 = 3_000;
+
+/// Creates a cell of 1,100 minions with `free` free cores each, `members` instances and an advice
+/// service that allows a quarter of the minions. Tasks do not end.
+fn large_cell(members: usize, free: u64) -> Simulation {
+    let mut sim = Simulation::new(1_100);
+    for i in 0..sim.minions.len() {
+        sim.minions[i].capacity = cores(free);
+        sim.minions[i].stalled = true;
+        let entry = sim.entry(i);
+        sim.leader
+            .on_directory(DirectoryChange::Listed(entry), now_at(sim.now));
+    }
+    sim.set_members(members);
+    sim.set_advice("batch", 410.0, 5.8);
+    sim.allow_one_in = 4;
+    sim.run(100);
+    sim
+}
+
+/// Returns a gang of `count` tasks of 18 cores.
+fn gang(count: u32) -> JobSpec {
+    let mut spec = job(count, cores(18));
+    spec.steps[0].gang = true;
+    spec
+}
+
+/// Returns whether all tasks of a gang run.
+fn is_running(sim: &Simulation, key: JobKey, count: u32) -> bool {
+    let runs = sim.minions.iter().flat_map(|m| &m.running);
+    runs.filter(|r| r.task.step.job == key).count() == count as usize
+}
+
+/// A gang needs more allowed minions than one advice call can name. Guards against renewals that
+/// name the same minions each time, and against calls that ask about fewer new minions the more
+/// allowed ones are known: the gang never starts although there is room for it twice over.
+#[rstest]
+#[case(137, 32, 147)]
+#[case(240, 36, 147)]
+#[case(137, 32, 8)]
+fn wide_gang_starts(#[case] count: u32, #[case] free: u64, #[case] members: usize) {
+    let mut sim = large_cell(members, free);
+    let key = sim.submit(1, "batch", &gang(count));
+    sim.run_until(FINISH_MS, |s| is_running(s, key, count));
+}
+
+/// The leader changes three times, each time while a wide gang waits for advice. Guards against
+/// advice that takes longer than a leader lasts.
+#[rstest]
+#[case(137, 32)]
+#[case(240, 36)]
+fn wide_gangs_start_after_changes_of_the_leader(#[case] count: u32, #[case] free: u64) {
+    let mut sim = large_cell(147, free);
+    let mut keys = Vec::new();
+    for key in 1..=3 {
+        sim.run(CHANGE_MS - 500);
+        keys.push(sim.submit(key, "batch", &gang(count)));
+        sim.run(500);
+        sim.take_over();
+    }
+    sim.run_until(FINISH_MS, |s| keys.iter().all(|k| is_running(s, *k, count)));
+}
+
+/// Wide gangs arrive together. Guards against a few that use all instances for their calls while
+/// none gets as many as it needs.
+#[test]
+fn simultaneous_wide_gangs_start() {
+    let mut sim = large_cell(147, 36);
+    let keys: Vec<JobKey> = (1..=8)
+        .map(|key| sim.submit(key, "batch", &gang(120)))
+        .collect();
+    sim.run_until(FINISH_MS, |s| keys.iter().all(|k| is_running(s, *k, 120)));
+}
--- a/crates/primrosebay_cell/tests/leader/main.rs
+++ b/crates/primrosebay_cell/tests/leader/main.rs
@@ -5,6 +5,7 @@
 mod durability;
 mod ended_jobs;
 mod extreme_entries;
+mod gangs;
 mod handover;
 mod limits;
 mod load;
--- a/crates/primrosebay_cell/tests/leader/simulation.rs
+++ b/crates/primrosebay_cell/tests/leader/simulation.rs
@@ -1,5 +1,6 @@
 //! A simulated cell around a leader: minions, a log and an advice service. Commands are answered at
-//! once unless a test sets a fault; advice takes the time of the call.
+//! once unless a test sets a fault; advice takes the time of the call. As the real one, the advice
+//! service handles one call at a time for each instance, and its tickets expire.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
@@ -110,6 +111,8 @@
     pub allow_one_in: usize,
     /// Whether the advice service gives no answer.
     pub advice_down: bool,
+    /// Instances that are gone: they make no calls, and the leader gets no answer from them.
+    pub gone: Vec<Name>,
     /// Whether the leader's batches do not reach the log.
     pub log_down: bool,
     /// Starts sent by the leader.
@@ -118,6 +121,10 @@
     pub advice_calls: Vec<(u64, Name, usize)>,
     pending_batches: Vec<Batch>,
     pending_advice: Vec<(u64, Name, primrosebay_cell::job::StepKey, Advice)>,
+    /// Instances with the end of their last call at the advice service.
+    advice_ends: Vec<(Name, u64)>,
+    /// Number of instances that can call the advice service.
+    members: usize,
     next_offset: u64,
     epoch: u64,
 }
@@ -201,11 +208,14 @@
             config,
             allow_one_in: 1,
             advice_down: false,
+            gone: Vec::new(),
             log_down: false,
             starts: Vec::new(),
             advice_calls: Vec::new(),
             pending_batches: Vec::new(),
             pending_advice: Vec::new(),
+            advice_ends: Vec::new(),
+            members: 6,
             next_offset: 0,
             epoch: 1,
         };
@@ -216,7 +226,7 @@
 
     fn init_leader(&mut self) {
         self.leader.set_config(&self.config);
-        self.set_members(6);
+        self.set_members(self.members);
         for i in 0..self.minions.len() {
             let entry = self.entry(i);
             self.leader
@@ -226,6 +236,7 @@
 
     /// Sets the number of instances that can call the advice service.
     pub fn set_members(&mut self, count: usize) {
+        self.members = count;
         let members = (0..count).map(|i| format!("node-{i}").into());
         self.leader.set_members(members.collect());
     }
@@ -407,8 +418,8 @@
     }
 
     fn minion(&mut self, name: &Name) -> &mut FakeMinion {
-        let found = self.minions.iter_mut().find(|m| m.name == *name);
-        found.expect("commands name listed minions")
+        let index = minion_index(name).expect("minions have numbers");
+        &mut self.minions[index]
     }
 
     fn execute(&mut self, command: Command) {
@@ -451,28 +462,36 @@
                 ..
             } => {
                 self.advice_calls.push((now, node.clone(), minions.len()));
-                if self.advice_down {
+                if self.advice_down || self.gone.contains(&node) {
                     return;
                 }
-                let queue = &self.ledger.submission(step.job).expect("job").queue;
-                let timing = self.config.queue(queue).and_then(|q| q.advice);
+                let timing = self.advice_timing(step.job);
                 let cost = timing.expect("the queue has advice").call_ms(minions.len());
+                let ends = self.advice_ends.iter().find(|e| e.0 == node);
+                let at = ends.map_or(now, |e| e.1.max(now)) + cost;
+                self.advice_ends.retain(|e| e.0 != node);
+                self.advice_ends.push((node.clone(), at));
+                let valid_ms = timing.map_or(0, |t| t.valid_ms);
+                // A ticket is the time until which it is valid.
+                let ticket: Name = (at + valid_ms).to_string().into();
                 let modulus = self.allow_one_in;
                 let is_allowed = |m: &Name| {
-                    let index = self.minions.iter().position(|f| f.name == *m);
+                    let index = minion_index(m);
                     index.is_some_and(|index| hash(step.job.0, index).is_multiple_of(modulus))
                 };
                 let names = minions.into_iter().filter(is_allowed);
-                let allowed = names.map(|m| (m, "ticket".into())).collect();
-                let advice = Advice {
-                    allowed,
-                    valid_ms: 1_500,
-                };
-                self.pending_advice.push((now + cost, node, step, advice));
+                let allowed = names.map(|m| (m, ticket.clone())).collect();
+                let advice = Advice { allowed, valid_ms };
+                self.pending_advice.push((at, node, step, advice));
             }
         }
     }
 
+    fn advice_timing(&self, job: JobKey) -> Option<AdviceTiming> {
+        let queue = &self.ledger.submission(job)?.queue;
+        self.config.queue(queue)?.advice
+    }
+
     fn start(&mut self, start: &Start) -> StartAnswer {
         let (now, epoch) = (self.now, self.epoch);
         let spec = &self
@@ -481,6 +500,8 @@
             .expect("job")
             .spec;
         let amount = spec.steps[start.task.step.step as usize].amount;
+        let ticket = start.ticket.as_ref().and_then(|t| t.parse().ok());
+        let needs_ticket = self.advice_timing(start.task.step.job).is_some();
         let fake = self.minion(&start.minion);
         if fake.unreachable {
             return StartAnswer::Unknown;
@@ -489,6 +510,9 @@
             return StartAnswer::Refused(Refusal::Fenced);
         }
         fake.max_epoch = epoch;
+        if needs_ticket && ticket.is_none_or(|until: u64| until < now) {
+            return StartAnswer::Refused(Refusal::Ticket);
+        }
         if fake.refusing {
             return StartAnswer::Refused(Refusal::Room);
         }
@@ -537,8 +561,13 @@
     }
 }
 
+/// Returns the number of a minion.
+fn minion_index(name: &Name) -> Option<usize> {
+    name.strip_prefix("minion-")?.parse().ok()
+}
+
 /// Returns a pseudorandom number for a job and a minion.
-fn hash(job: u64, minion: usize) -> usize {
+pub fn hash(job: u64, minion: usize) -> usize {
     let mut hasher = DefaultHasher::new();
     (job, minion).hash(&mut hasher);
     usize::try_from(hasher.finish() >> 33).unwrap_or(0)
