--- a/crates/primrosebay_cell/src/leader/idle.rs
+++ b/crates/primrosebay_cell/src/leader/idle.rs
@@ -9,7 +9,6 @@
 
 use super::Leader;
 use super::active::{ActiveJob, Wait};
-use super::advice::StepAdvice;
 use super::command::Now;
 use super::minion::{Minion, Phase};
 use super::schedule::total_slots;
@@ -637,7 +636,11 @@
         if self.queues.get(&job.queue).is_none() {
             return IdleCause::UnknownQueue;
         }
-        if self.advice.get(step).is_some_and(StepAdvice::is_pending) {
+        if self
+            .advice
+            .get(step)
+            .is_some_and(|a| a.is_pending(now.time))
+        {
             return IdleCause::AdviceCall;
         }
         if let Some(backoff) = self.ready.backoff(step, now.time) {
@@ -737,7 +740,7 @@
             let is_ticketed = |n: &&Name| advice.ticket(n, now.time).is_some();
             detail.call = advice
                 .caller()
-                .map(|node| (node.clone(), now.time.since(advice.asked_at)));
+                .map(|(node, sent)| (node.clone(), now.time.since(sent)));
             detail.allowed = advice.allowed.len();
             detail.queried = advice.queried.len();
             detail.ticketed = advice.allowed.iter().filter(is_ticketed).count();
