Reserve nothing for a wide gang while it looks for minions

A gang that waits for an advice call kept the resources of the allowed minions that it knew so far, even if these did not suffice. Now a gang with more minions to ask about than fit in one call reserves nothing until it knows enough allowed ones.

--- a/crates/primrosebay_cell/src/leader/schedule.rs
+++ b/crates/primrosebay_cell/src/leader/schedule.rs
@@ -575,6 +575,7 @@
             1
         };
         let max_names = max_calls * MAX_CALL_MINIONS;
+        let is_last = allowed_candidates.len() + candidates.len() <= MAX_CALL_MINIONS;
         smallest_by_key(&mut candidates, max_names, order);
         let count = call_size(&candidates, want, timing, allow_rate, deviations);
         candidates.truncate(count);
@@ -584,7 +585,9 @@
             names.extend(allowed.iter().cloned());
         }
         let batches = split_evenly(&names, max_calls);
-        self.call_advice(request, timing, batches, &allowed, now);
+        // While a wide gang looks for minions, others can use those that it knows.
+        let reserved = if is_last { &allowed[..] } else { &[] };
+        self.call_advice(request, timing, batches, reserved, now);
         true
     }
 
--- a/crates/primrosebay_cell/tests/leader/gangs.rs
+++ b/crates/primrosebay_cell/tests/leader/gangs.rs
@@ -15,6 +15,10 @@
 /// Time between two changes of the leader, in milliseconds.
 const CHANGE_MS: u64 = 3_000;
 
+/// Time for which a cell in which nothing changes is observed, in milliseconds. The simulated leader
+/// appends nothing meanwhile, so that runs lose their leases after 13 s.
+const IDLE_MS: u64 = 5_000;
+
 /// Creates a cell of 1,100 minions with `free` free cores each, `members` instances and an advice
 /// service that allows a quarter of the minions. Tasks do not end.
 fn large_cell(members: usize, free: u64) -> Simulation {
@@ -86,3 +90,38 @@
         .collect();
     sim.run_until(FINISH_MS, |s| keys.iter().all(|k| is_running(s, *k, 120)));
 }
+
+/// Many wide gangs arrive together, each of which runs for a second. Guards against gangs that keep
+/// the minions found so far for themselves while they look for more: hardly any finds enough, and the
+/// cell is mostly idle.
+#[test]
+fn gangs_that_look_for_minions_do_not_keep_others_from_them() {
+    let mut sim = large_cell(147, 36);
+    for minion in &mut sim.minions {
+        minion.stalled = false;
+    }
+    let mut waiting: Vec<JobKey> = (1..=60)
+        .map(|key| sim.submit(key, "batch", &gang(137)))
+        .collect();
+    let finish = sim.now + FINISH_MS;
+    while sim.now < finish {
+        sim.run(100);
+        waiting.retain(|key| !is_running(&sim, *key, 137));
+    }
+    assert!(waiting.is_empty(), "{} of 60 not started", waiting.len());
+}
+
+/// A gang needs more minions than the advice allows, and another one of its size arrives after it.
+/// Guards against a gang that can never start and keeps minions from others.
+#[test]
+fn gang_that_never_fits_does_not_keep_others_waiting() {
+    let mut sim = large_cell(147, 32);
+    let key = sim.submit(1, "batch", &gang(400));
+    sim.run(FINISH_MS);
+    assert!(!is_running(&sim, key, 400));
+    let keys = [2, 3].map(|key| sim.submit(key, "batch", &gang(137)));
+    sim.run_until(FINISH_MS, |s| keys.iter().all(|k| is_running(s, *k, 137)));
+    let calls = sim.advice_calls.len();
+    sim.run(IDLE_MS);
+    assert_eq!(sim.advice_calls.len(), calls, "calls in vain");
+}
