Use leases to their end while the log is away

What callers saw: running tasks ended in an outage of the log that was more than 2 s shorter than the time for which the leader may renew leases and the last of these lasts.

Cause: a hold waits up to 1 s, so the last renewal was up to 1 s older than allowed, and after the outage a hold without a renewal was in flight for up to 1 s.

Change: while the last durable append is older than 1 s, holds wait 500 ms at most.

--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -28,6 +28,13 @@
             names = self.minions.iter().map(|(name, _)| name.clone()).collect();
         }
         let renew = self.may_grant_leases(now);
+        // While the log is away, short waits make the last renewals late and the first ones after the
+        // outage early, so that running tasks outlast a longer outage.
+        let longest_ms = if now.time.since(self.confirmed_at) <= self.settings.outage_ms {
+            self.settings.long_poll_ms
+        } else {
+            self.settings.outage_poll_ms
+        };
         for name in names {
             let Some(minion) = self.minions.get_mut(&name) else {
                 continue;
@@ -66,7 +73,7 @@
                 && !minion.may_have_restarted();
             // A run that never began has no end for which a hold could wait.
             let wait_ms = match (settled, minion.has_open_command()) {
-                (true, false) => self.settings.long_poll_ms,
+                (true, false) => longest_ms,
                 (true, true) => self.settings.retry_ms,
                 (false, _) => 0,
             };
--- a/crates/primrosebay_cell/src/leader/settings.rs
+++ b/crates/primrosebay_cell/src/leader/settings.rs
@@ -33,6 +33,11 @@
     pub silence_ms: u64,
     /// Maximum time for which a minion may delay its answer to a hold until a run ends.
     pub long_poll_ms: u64,
+    /// Time since the last durable append after which holds wait for a shorter time.
+    pub outage_ms: u64,
+    /// Maximum time of a hold's waiting while the log is away. A shorter one costs calls to all
+    /// minions.
+    pub outage_poll_ms: u64,
     /// Delay before the next hold to a minion that did not answer or whose ended runs are not
     /// durable yet.
     pub retry_ms: u64,
@@ -81,6 +86,8 @@
             renew_ms: 7_000,
             silence_ms: 2_200,
             long_poll_ms: 1_000,
+            outage_ms: 1_000,
+            outage_poll_ms: 500,
             retry_ms: 250,
             stop_retry_ms: 500,
             unlisted_ms: 2_500,
--- a/crates/primrosebay_cell/tests/leader/waits.rs
+++ b/crates/primrosebay_cell/tests/leader/waits.rs
@@ -5,6 +5,7 @@
 //! 1,000 random sequences from 0 or `PRIMROSEBAY_CELL_FIRST` on.
 
 use primrosebay_cell::job::{JobKey, JobSpec};
+use primrosebay_cell::leader::Settings;
 use rand::Rng;
 use rstest::rstest;
 
@@ -97,6 +98,43 @@
     assert!(cell.run_until(IDLE_MS, |c| running(c) == 1));
 }
 
+/// Guards against outages of the log that end running tasks: the longest known one is 6.3 s.
+#[rstest]
+fn running_tasks_outlast_an_outage_of_the_log(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    assert!(outlasts(&Settings::default(), 6_300, seed));
+}
+
+/// Guards against renewals that end too soon before the leader has to stop them, or begin too late
+/// after the outage: the leases of 6 s that it may give for `renew_ms` have to be used but for 1.2 s.
+#[rstest]
+fn outage_of_the_log_is_outlasted_until_the_leases_end(
+    #[values(2_000, 3_000, 7_000)] renew_ms: u64,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let settings = Settings {
+        renew_ms,
+        ..Settings::default()
+    };
+    assert!(outlasts(&settings, renew_ms + 4_800, seed));
+}
+
+/// Returns whether all running tasks outlast an outage of the log.
+fn outlasts(settings: &Settings, outage_ms: u64, seed: u64) -> bool {
+    let mut cell = Cell::new(6, seed);
+    cell.settings = settings.clone();
+    cell.take_over(0, 0);
+    cell.run(1_000);
+    cell.submit(1, "urgent", long_job(12, false), None);
+    assert!(cell.run_until(2_000, |c| running(c) == 12));
+    let wait = cell.rng.random_range(500..2_000);
+    cell.run(wait);
+    cell.faults.log_down = true;
+    cell.run(outage_ms);
+    cell.faults.log_down = false;
+    cell.run(4_000);
+    cell.starts.len() == 12
+}
+
 /// Fills each of four minions with two jobs that take longer than estimated, and leaves three quarters
 /// of the resources free.
 fn slow_cell() -> Simulation {
