List unseen minions in claims 0.6 s after the beginning of a term

What callers saw: with a minion lost just before the leader, each further change of the leader prolonged the time for which its tasks do not run.

Cause: a new leader listed minions that had not answered it only once they counted as silent (2.2 s), so a successor of a shorter term had to assume that this leader had granted leases there. Each list that was handed on also added 300 ms for the transit of a message, although a claim is read after its waits were determined.

Change: minions are listed from 0.6 s after the beginning of the term. A listed minion that answers gets leases once a claim without it is durable, as before. The wait in a claim that was read gets the margin for drift only.

--- a/crates/primrosebay_cell/src/leader/inheritance.rs
+++ b/crates/primrosebay_cell/src/leader/inheritance.rs
@@ -21,6 +21,10 @@
 /// the newest records only, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 1_000;
 
+/// Time since the beginning of a term after which minions are listed that have not answered in it, in
+/// milliseconds. The first holds do not wait, so minions that can be reached have answered by then.
+const UNSEEN_MS: u64 = 600;
+
 /// What is known of the leases of earlier terms.
 #[derive(Debug)]
 pub(super) struct Inheritance {
@@ -55,7 +59,8 @@
             // The last records of earlier terms precede the first claim of this one.
             expiry = expiry.min(term.first_read + settings.inherited_ms());
             if let Some(ms) = term.claim.waits.inherited_ms {
-                expiry = expiry.min(term.last_read + settings.upper_ms(ms));
+                // A claim is read after its waits were determined.
+                expiry = expiry.min(term.last_read + settings.drifted_ms(ms));
             }
             let unproven = term.last_read + settings.inherited_ms();
             let own = term.ended.map_or(unproven, |at| {
@@ -63,7 +68,7 @@
             });
             expiry = expiry.max(own);
             if let Some((listed, ms)) = minion.and_then(|name| term.silence(name)) {
-                expiry = expiry.min(listed + settings.upper_ms(ms));
+                expiry = expiry.min(listed + settings.drifted_ms(ms));
             }
         }
         expiry
@@ -156,7 +161,7 @@
         let now = self.last_tick;
         let settings = &self.settings;
         // At the beginning of a term all minions are silent.
-        let settled = now.since(self.inheritance.began) > settings.silence_ms;
+        let settled = now.since(self.inheritance.began) > UNSEEN_MS;
         let mut silent = Vec::new();
         for (name, minion) in self.minions.iter_mut() {
             let is_silent = minion.is_silent(now, settings)
--- a/crates/primrosebay_cell/src/leader/settings.rs
+++ b/crates/primrosebay_cell/src/leader/settings.rs
@@ -110,7 +110,13 @@
     /// Returns the local duration after which at least `ms` milliseconds have passed on a minion's
     /// clock.
     pub(super) fn upper_ms(&self, ms: u64) -> u64 {
-        ms + ms * (self.drift_percent + 1) / 100 + self.slack_ms
+        self.drifted_ms(ms) + self.slack_ms
+    }
+
+    /// Returns the local duration after which at least `ms` milliseconds have passed on another clock,
+    /// counted from an event that precedes the local one.
+    pub(super) fn drifted_ms(&self, ms: u64) -> u64 {
+        ms + ms * (self.drift_percent + 1) / 100
     }
 
     /// Returns the time after a leader's last command by which all runs have ended on a minion that
