Run gangs in the soak, and let it end with all members killed

In 40% of the runs with late changes all members are killed at the end of the traffic. Runs by hand can go in parallel, without tasks that last, and against another build of the program.

--- a/crates/primrosebay/tests/soak/callers.rs
+++ b/crates/primrosebay/tests/soak/callers.rs
@@ -10,7 +10,7 @@
 use async_std::task;
 use http_types::Method;
 use primrosebay_platform_standin::{
-    API_KEY, HOST, PATH_PREFIX, RunMonitor, job_body, lasting_job_body,
+    API_KEY, HOST, PATH_PREFIX, RunMonitor, gang_job_body, job_body, lasting_job_body,
 };
 use primrosebay_transport::http_client::Client;
 use rand::rngs::SmallRng;
@@ -65,6 +65,8 @@
     pub cores_milli: u64,
     /// Whether its tasks run until it is cancelled.
     pub lasts: bool,
+    /// Number of tasks that have to start together.
+    pub at_once: u32,
     /// Time of the answer.
     pub answered_at: Instant,
     /// Whether a member has shown it as ended.
@@ -98,6 +100,7 @@
             tasks,
             cores_milli,
             lasts: false,
+            at_once: 1,
             answered_at: Instant::now(),
             ended: false,
             answer,
@@ -192,6 +195,18 @@
         self.jobs.lock().unwrap().push(job);
     }
 
+    /// Submits a job whose tasks form a gang.
+    pub async fn run_gang_job(&self, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let key = format!("{:016x}", rng.random::<u64>());
+        let tasks = (rng.random_range(2..7), rng.random_range(3..12) * 100);
+        let body = gang_job_body(tasks.0, rng.random_range(100..3_000), tasks.1);
+        let answer = self.submit(&key, body.as_bytes(), 3, &mut rng).await;
+        let mut job = Job::new(&key, tasks, answer);
+        job.at_once = tasks.0;
+        self.jobs.lock().unwrap().push(job);
+    }
+
     /// Cancels the jobs whose tasks last.
     pub async fn cancel_lasting(&self, rng: &mut SmallRng) {
         let jobs = self.jobs.lock().unwrap().clone();
--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -71,8 +71,10 @@
     pub minions: usize,
     /// Whether the cell works like a large one, in which all members but [`LARGE_MEMBERS`] relay.
     pub large: bool,
-    /// Whether the run has jobs that last and ends with changes of the leader.
+    /// Whether the run ends with changes of the leader.
     pub late_changes: bool,
+    /// Whether the run has jobs whose tasks last.
+    pub lasting: bool,
 }
 
 impl Default for Size {
@@ -82,6 +84,7 @@
             minions: 4,
             large: false,
             late_changes: false,
+            lasting: false,
         }
     }
 }
@@ -93,6 +96,7 @@
             members: 4,
             minions: 8,
             late_changes: true,
+            lasting: true,
             ..Self::default()
         }
     }
@@ -190,7 +194,8 @@
             .create(true)
             .append(true)
             .open(self.log_file());
-        let child = Command::new(env!("CARGO_BIN_EXE_primrosebay"))
+        let program = std::env::var_os("PRIMROSEBAY_SOAK_PROGRAM");
+        let child = Command::new(program.unwrap_or(env!("CARGO_BIN_EXE_primrosebay").into()))
             .arg("member")
             .env(BOOT_VARIABLE, &self.settings_file)
             .stdout(log.unwrap())
@@ -363,6 +368,13 @@
         ));
     }
 
+    /// Starts a caller that submits a job whose tasks start together.
+    pub fn submit_gang(&mut self, rng: &mut SmallRng) {
+        let (callers, seed) = (Arc::clone(&self.callers), rng.random());
+        self.tasks
+            .push(task::spawn(async move { callers.run_gang_job(seed).await }));
+    }
+
     /// Submits a job to one member, immediately reads its state from another member and returns the
     /// status of that response.
     pub async fn submit_and_read(&self, key: u64) -> Option<u16> {
@@ -658,6 +670,11 @@
         self.monitor.lock().unwrap().end_faults();
     }
 
+    /// Kills all members at the same moment.
+    pub fn kill_all(&mut self) {
+        (0..self.members.len()).for_each(|m| self.apply(Action::Signal(m, Signal::KILL)));
+    }
+
     /// Ends the traffic and all faults. From now on jobs are checked against the bounds for the time
     /// after the traffic.
     pub fn end_traffic(&mut self) {
--- a/crates/primrosebay/tests/soak/main.rs
+++ b/crates/primrosebay/tests/soak/main.rs
@@ -1,18 +1,20 @@
 //! A randomized soak test of member processes under injected faults.
 //!
-//! Members are killed, stopped, paused and restarted; the store is unavailable or loses answers; a
-//! proxy disturbs the connections to the store; minions carry out commands late, lose them or their
-//! answers, drain and restart. Faults come alone and in series that overlap. Callers submit jobs,
-//! cancel some of them and hold connections open. The test checks invariants that callers and
-//! minions can observe: an accepted job completes, no task that could run waits, a task has at most one run at a time and none
-//! after its end, no minion exceeds its capacity, a refused job never runs, and the runs of a
-//! cancelled job end in time.
+//! Members are killed, stopped, paused, restarted and replaced; the store is unavailable or loses
+//! answers; a proxy disturbs the connections to the store; minions carry out commands late, lose them
+//! or their answers, hold answers back, drain, restart and are lost for good. Faults come alone and in
+//! series that overlap. Callers submit jobs, cancel some of them and hold connections open. The test
+//! checks invariants that callers and minions can observe: an accepted job completes, no task that
+//! could run waits, a task has at most one run at a time and none after its end, no minion exceeds its
+//! capacity, a refused job never runs, and the runs of a cancelled job end in time.
 //!
 //! `PRIMROSEBAY_SOAK_SEEDS=50 cargo test --release -p primrosebay --test soak` runs 50 random
 //! seeds, `PRIMROSEBAY_SOAK_PARALLEL` of them at a time; `PRIMROSEBAY_SOAK_SEED=7` runs only seed 7.
-//! These runs have tasks that last, and end with changes of the leader. `PRIMROSEBAY_SOAK_MEMBERS` and
-//! `PRIMROSEBAY_SOAK_MINIONS` set the size of the cells of these runs, and with
-//! `PRIMROSEBAY_SOAK_LARGE=1` the cells work like large ones.
+//! These runs have tasks that last and gangs, and end with changes of the leader.
+//! `PRIMROSEBAY_SOAK_MEMBERS` and `PRIMROSEBAY_SOAK_MINIONS` set the size of their cells, and with
+//! `PRIMROSEBAY_SOAK_LARGE=1` the cells work like large ones. With `PRIMROSEBAY_SOAK_LASTING=0` there
+//! are no tasks that last, and with `PRIMROSEBAY_SOAK_PROGRAM` the members run another build of the
+//! program.
 
 mod callers;
 mod cell;
@@ -59,14 +61,17 @@
     let mut late = SmallRng::seed_from_u64(!seed);
     let (mut calm_until, mut stretches) = (Instant::now(), 0);
     for step in 0..STEPS {
-        if size.late_changes && step % 20 == 0 {
+        if size.lasting && step % 20 == 0 {
             cell.submit_lasting(&mut late);
         }
+        if size.late_changes && step % 6 == 0 {
+            cell.submit_gang(&mut late);
+        }
         cell.submit(&mut rng);
         let (is_calm, is_fault) = (rng.random_bool(0.03), rng.random_bool(0.6));
         if Instant::now() >= calm_until && is_calm {
             cell.clear_faults();
-            let lasting = if size.late_changes {
+            let lasting = if size.lasting {
                 LASTING_CALM
             } else {
                 CALM_TIME
@@ -88,12 +93,20 @@
         cell.schedule_late(&mut late);
         let end = Instant::now() + Duration::from_millis(LATE_MS);
         while Instant::now() < end {
-            cell.submit(&mut late);
+            if late.random_bool(0.25) {
+                cell.submit_gang(&mut late);
+            } else {
+                cell.submit(&mut late);
+            }
             let pause = Duration::from_millis(late.random_range(20..MAX_PAUSE_MS));
             cell.run_for(pause).await;
             cell.check_invariants(seed);
         }
     }
+    // Some days end with a fault that strikes all members.
+    if size.late_changes && late.random_bool(0.4) {
+        cell.kill_all();
+    }
     cell.end_traffic();
     cell.wait_for_completion(seed, COMPLETION_TIMEOUT).await;
     if size.late_changes {
@@ -324,6 +337,7 @@
             .map_or(usual.minions, |n| n.max(usual.minions)),
         large: read_number("PRIMROSEBAY_SOAK_LARGE").is_some(),
         late_changes: true,
+        lasting: read_number("PRIMROSEBAY_SOAK_LASTING") != Some(0),
     };
     if let Some(seed) = read_number("PRIMROSEBAY_SOAK_SEED") {
         task::block_on(run(seed, size));
--- a/crates/primrosebay/tests/soak/waiting.rs
+++ b/crates/primrosebay/tests/soak/waiting.rs
@@ -1,7 +1,7 @@
 //! A check that no task waits although it could run.
 //!
 //! From [`FINISH_TIME`] after the end of the traffic on, no job may have nothing running for
-//! [`MAX_IDLE`] while there is room for one of its tasks twice over and under half of the capacity is
+//! [`MAX_IDLE`] while there is room twice over for one of its tasks (all, if they start together) and under half of the capacity is
 //! in use. A task that lasts has to run again in the same time, from [`LASTING_PAUSE`] after its last
 //! run on, whenever the cell is calm and there is room for it twice over.
 
@@ -93,7 +93,7 @@
         }
         let checked_from = self.traffic_end().map(|end| end + FINISH_TIME);
         let checked_from = checked_from.filter(|from| *from < Instant::now());
-        let has_room = places >= 2 && 2 * in_use < capacity;
+        let has_room = places >= 2 * u64::from(job.at_once) && 2 * in_use < capacity;
         // One task that is running is enough.
         let all_idle = tasks
             .map(|t| idle_from(&t))
