Show that tasks of a lost minion wait after the leader is replaced

A task that lasts has to run again within 3 s, from 6 s after its last run on, if these 3 s and the 4 s before are calm. The soak broke this in 3 of the first 35 runs by hand: a minion was lost for good, and then the leader was replaced by a member at another address. The successor waits `inherited_ms`, 7 s for renewals and 6.5 s for the lease, after the last record of a leader whose end nobody can tell, so a task waits for up to 13.5 s. The sum of both is chosen for the 14 s of all other jobs.

The test does the same with one job, without other faults.

--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -477,6 +477,23 @@
         assert!(wait_until(Duration::from_secs(10), is_replaced).await);
     }
 
+    /// Submits a job whose tasks last and waits until a minion runs one of them.
+    pub async fn start_lasting_job(&self, rng: &mut SmallRng) {
+        self.callers.run_lasting_job(rng.random()).await;
+        let is_running = || self.minions.iter().any(|m| m.used_milli() > 0);
+        assert!(wait_until(Duration::from_secs(10), is_running).await);
+    }
+
+    /// Loses a minion with its runs for good, and replaces the leading member.
+    pub async fn lose_minion_and_replace_leader(&mut self) {
+        // The leader has seen the runs.
+        self.run_for(Duration::from_secs(2)).await;
+        let minion = self.minions.iter().position(|m| m.used_milli() > 0);
+        self.apply(Action::LoseMinion(minion.unwrap(), true));
+        self.run_for(Duration::from_secs(1)).await;
+        self.change_leader(Change::Replace).await;
+    }
+
     /// Makes all minions unreachable, and kills the leading member, which is restarted.
     pub async fn lose_minions_and_leader(&mut self) {
         let all = vec![CommandKind::Start, CommandKind::Stop, CommandKind::Hold];
--- a/crates/primrosebay/tests/soak/main.rs
+++ b/crates/primrosebay/tests/soak/main.rs
@@ -298,6 +298,23 @@
     });
 }
 
+/// Guards against tasks of a lost minion that wait although the cell is calm, after the leader was
+/// replaced by a member at another address: no process is left that can tell when it stopped
+/// granting leases. Found by soak seeds 5953492306440812848 and 750532300626021893.
+#[test]
+fn tasks_of_lost_minion_run_again_after_leader_is_replaced() {
+    task::block_on(async {
+        let mut rng = SmallRng::seed_from_u64(1);
+        let mut cell = Cell::start(Size::late_changes()).await;
+        cell.wait_ready().await;
+        cell.start_lasting_job(&mut rng).await;
+        cell.lose_minion_and_replace_leader().await;
+        cell.end_traffic();
+        cell.end_lasting_jobs(1, &mut rng).await;
+        cell.wait_for_completion(1, COMPLETION_TIMEOUT).await;
+    });
+}
+
 /// Guards against ends of runs that a restarted minion forgets because a hold acknowledges the ends
 /// of its former incarnation; the task then runs again. Found by soak seed 119.
 #[test]
