Let callers of the soak end within 14 s of the traffic

The watch counts a job as waiting until a member has shown it as ended, and members are asked only after the last caller has ended. A caller whose calls all time out could take longer than the 14 s from which on the watch counts, and a job that has ended would be reported as waiting. Callers get their answers in time in a calm cell, so the soak now asserts that, in place of the 40 s for the whole wait.

--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -737,7 +737,8 @@
     /// answers that an accepted job is unknown (410) or has another end, or if an invariant is
     /// violated.
     pub async fn wait_for_completion(&mut self, seed: u64, timeout: Duration) {
-        let deadline = Instant::now() + timeout;
+        let begin = Instant::now();
+        let deadline = begin + timeout;
         self.callers.stopping.store(true, Ordering::Relaxed);
         let callers = std::mem::take(&mut self.tasks);
         let ended = Arc::new(AtomicBool::new(false));
@@ -750,7 +751,9 @@
         });
         while !is_ended.load(Ordering::Relaxed) {
             self.run_for(POLL_INTERVAL).await;
-            assert!(Instant::now() < deadline, "seed {seed}: callers wait");
+            // From then on the watch expects that ended jobs were asked for.
+            let is_late = begin.elapsed() > FINISH_TIME;
+            assert!(!is_late, "seed {seed}: callers wait");
         }
         let jobs = self.callers.jobs.lock().unwrap().clone();
         let accepted = jobs.into_iter().filter(|j| {
