Show that the task of a restarted and lost minion waits for 20 s

A job has to run again from 14 s after the end of the traffic on, within 3 s. If a minion restarts, gets a task and is lost, and the leader changes, the successor waits until 20 s after the start of the minion's incarnation (`reborn_ms`), whatever the former leader knew of it. With a start less than 3 s before the end of the traffic that exceeds the bound.

--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -494,6 +494,30 @@
         self.change_leader(Change::Replace).await;
     }
 
+    /// Restarts all minions and waits until the leader has noticed that.
+    pub async fn restart_minions(&mut self) {
+        (0..self.minions.len()).for_each(|m| self.apply(Action::RestartMinion(m)));
+        self.run_for(Duration::from_millis(500)).await;
+    }
+
+    /// Submits a job of one task that runs for `run_ms` and waits until a minion runs it.
+    pub async fn start_job(&self, job: &str, run_ms: u64) {
+        let body = job_body(1, run_ms, 1_000).into_bytes();
+        let answer = self.callers.call(0, Method::Post, job, Some(body)).await;
+        assert_eq!(answer.map(|(status, _)| status), Some(200));
+        let accepted = Job::new(job, (1, 1_000), Answer::Accepted);
+        self.callers.jobs.lock().unwrap().push(accepted);
+        let is_running = || self.running_count(job) == 1;
+        assert!(wait_until(Duration::from_secs(10), is_running).await);
+    }
+
+    /// Loses the minion that runs tasks for good, and kills the leading member.
+    pub async fn lose_minion_and_kill_leader(&mut self) {
+        let minion = self.minions.iter().position(|m| m.used_milli() > 0);
+        self.apply(Action::LoseMinion(minion.unwrap(), true));
+        self.change_leader(Change::Kill(Duration::ZERO)).await;
+    }
+
     /// Makes all minions unreachable, and kills the leading member, which is restarted.
     pub async fn lose_minions_and_leader(&mut self) {
         let all = vec![CommandKind::Start, CommandKind::Stop, CommandKind::Hold];
--- a/crates/primrosebay/tests/soak/main.rs
+++ b/crates/primrosebay/tests/soak/main.rs
@@ -315,6 +315,25 @@
     });
 }
 
+/// Guards against a job that has nothing running more than 17 s after the end of the traffic since each
+/// successor waits for 20 s from the start of a minion's incarnation: the minion restarts, gets a task
+/// and is lost, and the leader changes.
+#[test]
+fn task_of_restarted_and_lost_minion_runs_again() {
+    task::block_on(async {
+        let mut cell = Cell::start(Size::late_changes()).await;
+        cell.wait_ready().await;
+        // The leader knows the minions before they restart.
+        assert_eq!(cell.submit_and_read(1).await, Some(200));
+        assert!(wait_until(Duration::from_secs(10), || cell.done_count(1) == 1).await);
+        cell.restart_minions().await;
+        cell.start_job("000000000000000a", 5_000).await;
+        cell.lose_minion_and_kill_leader().await;
+        cell.end_traffic();
+        cell.wait_for_completion(1, COMPLETION_TIMEOUT).await;
+    });
+}
+
 /// Guards against ends of runs that a restarted minion forgets because a hold acknowledges the ends
 /// of its former incarnation; the task then runs again. Found by soak seed 119.
 #[test]
