Restart minions in the late faults of the soak

A successor waits longest for a minion that has restarted shortly before it was lost. The late faults of the soak restarted none. Now up to two restart, and 40% of the lost ones have restarted 0.3 s to 4 s before.

--- a/crates/primrosebay/tests/soak/faults.rs
+++ b/crates/primrosebay/tests/soak/faults.rs
@@ -155,8 +155,8 @@
 }
 
 /// Returns the random faults of the last [`LATE_MS`] of the traffic, each with its delay in
-/// milliseconds: one to three changes of the leader, minions that are lost for good, that hold their
-/// answers and that lose or delay orders, and disturbed connections to the store.
+/// milliseconds: one to three changes of the leader, minions that restart, that are lost for good, that
+/// hold their answers and that lose or delay orders, and disturbed connections to the store.
 pub fn late_series(members: usize, minions: usize, rng: &mut SmallRng) -> Vec<(u64, Action)> {
     let mut series = Vec::new();
     let all = vec![CommandKind::Start, CommandKind::Stop, CommandKind::Hold];
@@ -176,7 +176,17 @@
     }
     // At most a quarter, so that the others have room.
     for _ in 0..rng.random_range(1..=(minions / 4).max(1)) {
-        let minion = Action::LoseMinion(rng.random_range(0..minions), rng.random());
+        let minion = rng.random_range(0..minions);
+        let at = rng.random_range(0..LATE_MS);
+        series.push((at, Action::LoseMinion(minion, rng.random())));
+        if rng.random_bool(0.4) {
+            // The lost incarnation is a young one.
+            let before = rng.random_range(300..4_000);
+            series.push((at.saturating_sub(before), Action::RestartMinion(minion)));
+        }
+    }
+    for _ in 0..rng.random_range(0..3) {
+        let minion = Action::RestartMinion(rng.random_range(0..minions));
         series.push((rng.random_range(0..LATE_MS), minion));
     }
     for _ in 0..rng.random_range(0..=members.min(4)) {
