Test the wait for restarted minions with clocks apart and unknown terms

Two cases fail: a minion whose time of day is 5 s behind that of the leader, with a second run of a task, and a term before the oldest known one, whose commands the wait does not cover.

--- a/crates/primrosebay_cell/tests/leader/main.rs
+++ b/crates/primrosebay_cell/tests/leader/main.rs
@@ -13,6 +13,7 @@
 mod minions;
 mod network;
 mod random;
+mod review;
 mod simulation;
 mod takeover;
 mod unused_service;
--- /dev/null
+++ b/crates/primrosebay_cell/tests/leader/review.rs
@@ -0,0 +1,152 @@
+//! Cases from a review of the waits for what earlier leaders may have granted.
+
+use primrosebay_cell::leader::{DirectoryChange, Leader, Settings};
+use primrosebay_cell::record::{Claim, LeaseWaits, Process};
+use primrosebay_cell::terms::Terms;
+use primrosebay_state::time::Time;
+use rand::Rng;
+use rstest::rstest;
+
+use crate::network::{Cell, Chances};
+use crate::simulation::{RUN_MS, Simulation, cores, job, now_at};
+
+const UNANSWERED: Chances = Chances {
+    lost: 0.0,
+    late: 0.0,
+    unanswered: 1.0,
+};
+
+/// Guards against a second run of a task on a minion that has restarted unnoticed and whose time of
+/// day is behind that of the leader: the wait that counts from its start ends too soon.
+#[rstest]
+fn wait_for_a_restarted_minion_covers_the_difference_of_clocks(
+    #[values(0, 1_900, 3_000, 5_000)] behind_ms: u64,
+    #[values(true, false)] proves_end: bool,
+) {
+    let mut cell = Cell::new(2, 1);
+    cell.answers_terms = proves_end;
+    cell.minions[1].unreachable_until = u64::MAX;
+    cell.run(20_000);
+    cell.faults.start = UNANSWERED;
+    cell.faults.hold = UNANSWERED;
+    // The directory does not show the restart yet.
+    cell.minions[0].listed = false;
+    cell.restart(0, 0);
+    cell.minions[0].started_ms -= behind_ms;
+    cell.minions[0].listed = true;
+    let mut spec = job(1, cores(1));
+    spec.steps[0].estimate_ms = 60 * RUN_MS;
+    cell.submit(1, "urgent", spec, None);
+    assert!(cell.run_until(1_000, |c| c.starts.len() == 1));
+    cell.run(2_000);
+    cell.take_over(50, 0);
+    cell.minions[0].hidden_until = u64::MAX;
+    cell.faults.start = Chances::default();
+    cell.faults.hold = Chances::default();
+    cell.run(500);
+    cell.minions[1].unreachable_until = 0;
+    assert!(cell.run_until(25_000, |c| c.starts.len() == 2));
+}
+
+/// Guards against a wait that ends too soon on a restarted minion because the leader knows only the
+/// latest of the earlier terms: a leader before that one may still send commands.
+#[rstest]
+#[case::all_terms_are_known(0)]
+#[case::an_earlier_term_is_not_known(8_000)]
+fn end_of_the_known_terms_is_no_end_of_all_terms(#[case] inherited_ms: u64) {
+    let settings = Settings::default();
+    let mut sim = Simulation::new(1);
+    let mut spec = job(1, cores(1));
+    spec.steps[0].estimate_ms = 60 * RUN_MS;
+    sim.submit(1, "urgent", &spec);
+    sim.run_until(1_000, |s| s.starts.len() == 1);
+    let claim = Claim {
+        epoch: 10,
+        node: "node-1".into(),
+        process: Process::default(),
+        waits: LeaseWaits {
+            inherited_ms: Some(inherited_ms),
+            silent: None,
+        },
+        ..Claim::default()
+    };
+    let claimed = 10_000;
+    let mut terms = Terms::default();
+    terms.observe(&claim, Time(claimed));
+    // The minion restarts when the leader before the known one can still send starts.
+    let now = 12_000;
+    let mut leader = Leader::new(
+        20,
+        "node-0".into(),
+        now_at(now),
+        &sim.ledger,
+        settings.clone(),
+    );
+    leader.inherit(Time(now), terms.before(20));
+    leader.set_config(&sim.config);
+    let mut entry = sim.entry(0);
+    entry.started_ms = now_at(now).wall_ms;
+    leader.on_directory(DirectoryChange::Listed(entry), now_at(now));
+    let before = leader.counts(now_at(now)).lease_wait_ms;
+    leader.on_term_ended(10, now_at(now));
+    let after = leader.counts(now_at(now)).lease_wait_ms;
+    // The leader that is not known wrote its last record 8.48 s before its leases end by the claim,
+    // and sends starts for 5.5 s.
+    let last_start = (claimed + inherited_ms).saturating_sub(8_480) + 5_500;
+    let lease_end = last_start + settings.max_lease_ms;
+    println!("{before} ms before, {after} ms after the end of the known term");
+    if inherited_ms > 0 {
+        assert!(
+            now + after >= lease_end,
+            "{after} ms, {} ms are due",
+            lease_end - now
+        );
+    }
+}
+
+/// Guards against outages of the log that end running tasks, at any phase of the holds.
+#[test]
+fn running_tasks_outlast_an_outage_at_any_phase() {
+    let mut failed = Vec::new();
+    for seed in 100..300 {
+        let mut cell = Cell::new(6, seed);
+        let mut spec = job(12, cores(1));
+        spec.steps[0].estimate_ms = 60 * RUN_MS;
+        cell.submit(1, "urgent", spec, None);
+        let done = cell.run_until(2_000, |c| c.starts.len() == 12);
+        assert!(done);
+        let wait = cell.rng.random_range(500..2_500);
+        cell.run(wait);
+        cell.faults.log_down = true;
+        cell.run(6_300);
+        cell.faults.log_down = false;
+        cell.run(4_000);
+        if cell.starts.len() != 12 {
+            failed.push((seed, cell.starts.len() - 12));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
+/// Guards against tasks that last and fail again and again, which keep all minions in quarantine for
+/// longer than the 3 s for which another job may have nothing running.
+#[rstest]
+fn failing_tasks_that_last_do_not_close_the_cell(#[values(2, 3, 4, 6)] jobs: u64) {
+    let mut cell = Cell::new(3, 1);
+    for key in 1..=jobs {
+        let mut spec = job(3, cores(1));
+        spec.steps[0].long_running = true;
+        cell.submit(key, "urgent", spec, Some(0));
+    }
+    cell.run(3_000);
+    let mut longest = 0;
+    for key in 100..120 {
+        cell.submit(key, "urgent", job(1, cores(1)), None);
+        let from = cell.now;
+        let task = |c: &Cell| c.starts.iter().any(|(t, _)| t.step.job.0 == key);
+        assert!(cell.run_until(20_000, task));
+        longest = longest.max(cell.now - from);
+        cell.run(300);
+    }
+    assert!(longest <= 3_000, "{longest} ms");
+}
