Bound the wait for a restarted minion by the log instead of the clocks

A minion whose time of day is more than 2 s behind, and whose restart nobody noticed, could run a task twice: the wait counts from a start that it says is too early. And the end of the known terms counted as the end of all, though a process that has restarted knows only the newest one. Change: the margin for clocks is 5 s again. What keeps the wait within the 14 s and 3 s is the log: an earlier leader sends no command that grants a lease after its term has ended, or 3.5 s after its last record was read. For that, starts end 3.5 s instead of 5.5 s after the last durable append. Leaders before the known terms count by the wait that the oldest known claim names.

--- a/crates/primrosebay_cell/src/leader/directory.rs
+++ b/crates/primrosebay_cell/src/leader/directory.rs
@@ -78,7 +78,7 @@
         minion.listing = Listing::Listed;
         if entry.started_ms != minion.entry.started_ms {
             minion.note_start(entry.started_ms, now, &self.settings);
-            minion.limit_reborn(self.inheritance.ended(), &self.settings);
+            minion.limit_reborn(self.inheritance.last_grant(&self.settings), &self.settings);
         }
         match (entry.drain_ms, minion.drains_at) {
             (None, _) => minion.drains_at = None,
--- a/crates/primrosebay_cell/src/leader/inheritance.rs
+++ b/crates/primrosebay_cell/src/leader/inheritance.rs
@@ -74,11 +74,18 @@
         expiry
     }
 
-    /// Returns the time by which all earlier leaders had sent their last command; none if one may
-    /// still send some.
-    pub(super) fn ended(&self) -> Option<Time> {
-        let ended = self.terms.iter().map(|t| t.ended);
-        ended.collect::<Option<Vec<Time>>>()?.into_iter().max()
+    /// Returns the time after which no earlier leader sends a command that grants a lease; none if
+    /// that is not known.
+    pub(super) fn last_grant(&self, settings: &Settings) -> Option<Time> {
+        let first = self.terms.first()?;
+        // The leaders before the known terms have sent their last command before their leases ended.
+        let unknown_ms = first.claim.waits.inherited_ms?;
+        let unknown = first.last_read + settings.drifted_ms(unknown_ms);
+        let known = self.terms.iter().map(|t| {
+            let unproven = t.last_read + settings.granting_ms();
+            t.ended.map_or(unproven, |at| at.min(unproven))
+        });
+        known.chain([unknown]).max()
     }
 
     /// Returns whether an earlier leader had listed a minion as silent.
@@ -151,7 +158,7 @@
         for (name, minion) in self.minions.iter_mut() {
             let expiry = self.inheritance.expiry(Some(name), &self.settings);
             minion.inherited = minion.inherited.min(expiry);
-            minion.limit_reborn(self.inheritance.ended(), &self.settings);
+            minion.limit_reborn(self.inheritance.last_grant(&self.settings), &self.settings);
         }
     }
 
--- a/crates/primrosebay_cell/src/leader/leases.rs
+++ b/crates/primrosebay_cell/src/leader/leases.rs
@@ -21,11 +21,9 @@
     }
 
     /// Returns whether the leader may send starts. Their leases are shorter, so the last of them ends
-    /// with those of the last renewals.
+    /// no later than those of the last renewals.
     pub(super) fn may_send_starts(&self, now: Now) -> bool {
-        let settings = &self.settings;
-        let lease_ms = settings.lease_ms.saturating_sub(settings.start_ttl_ms);
-        now.time.since(self.confirmed_at) <= settings.renew_ms + lease_ms
+        now.time.since(self.confirmed_at) <= self.settings.granting_ms()
     }
 
     /// Sends a hold to each minion that is due for one. Between sweeps, only minions whose last hold
--- a/crates/primrosebay_cell/src/leader/minion.rs
+++ b/crates/primrosebay_cell/src/leader/minion.rs
@@ -200,11 +200,11 @@
         }
     }
 
-    /// Notes that no earlier leader has sent a command after `ended`, so that none of its leases can
-    /// be in force for longer than the maximum from then on.
-    pub(super) fn limit_reborn(&mut self, ended: Option<Time>, settings: &Settings) {
-        if let Some(ended) = ended {
-            self.reborn_until = self.reborn_until.min(ended + settings.settled_ms());
+    /// Notes that no earlier leader sends a command that grants a lease after `last_grant`, so that
+    /// none can be in force for longer than the maximum from then on.
+    pub(super) fn limit_reborn(&mut self, last_grant: Option<Time>, settings: &Settings) {
+        if let Some(at) = last_grant {
+            self.reborn_until = self.reborn_until.min(at + settings.settled_ms());
         }
     }
 
--- a/crates/primrosebay_cell/src/leader/settings.rs
+++ b/crates/primrosebay_cell/src/leader/settings.rs
@@ -13,8 +13,13 @@
     /// Time after sending during which a minion may still carry out a start. It is short so that
     /// the fate of an unanswered start is known soon.
     pub start_ttl_ms: u64,
-    /// Margin for the difference between the time of day of two machines. With the other parts of
-    /// [`Self::reborn_ms`] it stays below the 14 s and 3 s within which lost tasks have to run again.
+    /// Time beyond [`Self::renew_ms`] for which a leader that cannot reach the log sends starts, so
+    /// that a slow log does not have them abandoned. Their leases are shorter and end no later than
+    /// those of the last renewals. A successor waits this long, [`Self::renew_ms`], a command and
+    /// the longest lease for a minion that has restarted: together less than the 14 s and 3 s within
+    /// which lost tasks have to run again.
+    pub start_extra_ms: u64,
+    /// Margin for the difference between the time of day of two machines.
     pub clock_margin_ms: u64,
     /// Time after which a command without an answer is given up.
     pub command_ms: u64,
@@ -79,7 +84,8 @@
             lease_ms: 6_000,
             max_lease_ms: 10_000,
             start_ttl_ms: 2_500,
-            clock_margin_ms: 2_000,
+            start_extra_ms: 1_500,
+            clock_margin_ms: 5_000,
             command_ms: 1_000,
             drift_percent: 2,
             slack_ms: 300,
@@ -125,6 +131,13 @@
         self.command_ms + self.upper_ms(self.max_lease_ms)
     }
 
+    /// Returns the time after a leader's last durable record during which it may send commands that
+    /// grant leases, in milliseconds.
+    pub(super) fn granting_ms(&self) -> u64 {
+        let extra_ms = self.lease_ms.saturating_sub(self.start_ttl_ms);
+        self.renew_ms + self.start_extra_ms.min(extra_ms)
+    }
+
     /// Returns the time since the start of a minion's incarnation after which no lease is in force
     /// that was granted for the clock of the former one, in milliseconds. A leader that does not
     /// notice the restart renews no lease once the minion counts as silent.
