--- a/crates/primrosebay_cell/tests/leader/review.rs
+++ b/crates/primrosebay_cell/tests/leader/review.rs
@@ -150,3 +150,60 @@
     }
     assert!(longest <= 3_000, "{longest} ms");
 }
+
+const LOST: Chances = Chances {
+    lost: 1.0,
+    late: 0.0,
+    unanswered: 0.0,
+};
+
+/// Guards against a start without an answer that keeps a task that lasts from running for longer than
+/// 7 s of calm, once its minion is lost for good right after it was sent.
+#[rstest]
+fn lasting_task_of_a_lost_start_on_a_lost_minion_runs_in_time(#[values(0, 1, 2)] changes: u32) {
+    let mut cell = Cell::new(6, 1);
+    let mut spec = job(1, cores(1));
+    spec.steps[0].long_running = true;
+    cell.submit(1, "urgent", spec, None);
+    let running = |c: &Cell| c.minions.iter().any(|m| !m.running.is_empty());
+    assert!(cell.run_until(2_000, running));
+    cell.run(1_000);
+    let first = cell.minions.iter().position(|m| !m.running.is_empty());
+    let first = first.expect("the task runs");
+    cell.faults.start = LOST;
+    cell.lose(first);
+    // The placement of the next run is read from the log.
+    let key = primrosebay_cell::job::JobKey(1);
+    let placed = |c: &Cell| {
+        let progress = c.ledger.progress(key);
+        progress.and_then(|p| match &p.tasks.first()?.placement {
+            primrosebay_cell::record::Placement::Minion(name) => Some(name.clone()),
+            _ => None,
+        })
+    };
+    let gone = cell.minions[first].name.clone();
+    let moved = |c: &Cell| placed(c).is_some_and(|name| name != gone);
+    assert!(cell.run_until(10_000, moved));
+    // The start is sent and lost.
+    cell.run(60);
+    let second = placed(&cell).expect("the task is placed");
+    let second = cell.minions.iter().position(|m| m.name == second);
+    cell.lose(second.expect("the minion is known"));
+    cell.run(100);
+    cell.faults.start = Chances::default();
+    let lost = cell.now;
+    for _ in 0..changes {
+        cell.take_over(300, 0);
+        cell.run(1_500);
+    }
+    let calm = cell.now;
+    let ran = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+        cell.run_until(20_000, running)
+    }));
+    let (waited, calm_ms) = (cell.now - lost, cell.now - calm);
+    println!("{waited} ms, {calm_ms} ms of them calm");
+    assert!(
+        matches!(ran, Ok(true)),
+        "{waited} ms, {calm_ms} ms of them calm"
+    );
+}
