Test that a task that lasts runs again while other jobs wait

Two cases fail: instances busy with advice calls, and a full cell. The task counts as late by the objective of its job and is served after all others.

--- a/crates/primrosebay_cell/tests/leader/review.rs
+++ b/crates/primrosebay_cell/tests/leader/review.rs
@@ -207,3 +207,77 @@
         "{waited} ms, {calm_ms} ms of them calm"
     );
 }
+
+/// Ends the run of a task that lasts as after a crash of its minion, while `stream` jobs a second go on
+/// arriving. Returns the time until the task runs again, in milliseconds; none within 20 s.
+fn time_until_lasting_task_runs_again(
+    sim: &mut Simulation,
+    stream: u64,
+    amount: u64,
+) -> Option<u64> {
+    let mut spec = job(1, cores(1));
+    spec.steps[0].long_running = true;
+    let key = sim.submit(1, "batch", &spec);
+    let runs = |s: &Simulation| {
+        let tasks = s.minions.iter().flat_map(|m| &m.running);
+        tasks.filter(|r| r.task.step.job == key).count()
+    };
+    sim.run_until(5_000, |s| runs(s) == 1);
+    let mut next = 100;
+    let mut ended = None;
+    for tick in 0..4_000_u64 {
+        // Longer than the latency objective of the job.
+        if tick == 2_000 {
+            for minion in &mut sim.minions {
+                minion.running.retain(|r| r.task.step.job != key);
+            }
+            ended = Some(sim.now);
+        }
+        if stream > 0 && tick % (100 / stream) == 0 {
+            let mut other = job(1, cores(amount));
+            other.steps[0].estimate_ms = 900;
+            sim.submit(next, "batch", &other);
+            next += 1;
+        }
+        for minion in &mut sim.minions {
+            for run in &mut minion.running {
+                if run.task.step.job == key {
+                    run.ends = sim.now + 10_000;
+                }
+            }
+        }
+        sim.run(10);
+        if let Some(from) = ended.filter(|from| sim.now > *from + 100)
+            && runs(sim) == 1
+        {
+            return Some(sim.now - from);
+        }
+    }
+    None
+}
+
+/// Guards against a task that lasts and waits behind all jobs that can still meet their latency
+/// objective, after its run has ended: it has to run again in 3 s of calm, however full the cell is.
+#[rstest]
+#[case::nothing_else(0, 1)]
+#[case::advice_is_busy(5, 1)]
+fn lasting_task_runs_again_while_instances_are_busy(#[case] stream: u64, #[case] amount: u64) {
+    let mut sim = Simulation::new(8);
+    sim.set_members(2);
+    sim.set_advice("batch", 300.0, 2.0);
+    sim.run(100);
+    let waited = time_until_lasting_task_runs_again(&mut sim, stream, amount);
+    println!("{waited:?}");
+    assert!(waited.is_some_and(|ms| ms <= 7_000), "{waited:?}");
+}
+
+/// Guards against a task that lasts and waits for room behind all jobs that are not late.
+#[rstest]
+#[case::nothing_else(0, 8)]
+#[case::cell_is_full(20, 8)]
+fn lasting_task_runs_again_in_a_full_cell(#[case] stream: u64, #[case] amount: u64) {
+    let mut sim = Simulation::new(4);
+    let waited = time_until_lasting_task_runs_again(&mut sim, stream, amount);
+    println!("{waited:?}");
+    assert!(waited.is_some_and(|ms| ms <= 7_000), "{waited:?}");
+}
