Test a wide gang while a third of the instances does not answer

The leader has not learned that these instances are gone, and a round of calls may name some of them. Guards against a step that waits for such calls round after round.

--- a/crates/primrosebay_cell/tests/leader/gangs.rs
+++ b/crates/primrosebay_cell/tests/leader/gangs.rs
@@ -125,3 +125,16 @@
     sim.run(IDLE_MS);
     assert_eq!(sim.advice_calls.len(), calls, "calls in vain");
 }
+
+/// A third of the instances does not answer, and the leader has not learned of it. Guards against a
+/// wide gang that waits for calls of such instances, round after round.
+#[test]
+fn wide_gang_starts_while_instances_do_not_answer() {
+    let mut sim = large_cell(147, 32);
+    sim.gone = (0..147)
+        .filter(|i| i % 3 == 0)
+        .map(|i| format!("node-{i}").into())
+        .collect();
+    let key = sim.submit(1, "batch", &gang(137));
+    sim.run_until(FINISH_MS, |s| is_running(s, key, 137));
+}
