Show a job that waits idle behind a gang at the limit of its account

A gang that waits for the limit of its account while it has time left is charged for in full, so that smaller jobs do not use the limit up before it. With 40% of the limit in use and a gang that needs 70%, a job of 10% behind it still had nothing running after 14 s, although it could run. Not mended: without the charge, small jobs could keep the gang from ever starting.

--- a/crates/primrosebay_cell/tests/leader/limits.rs
+++ b/crates/primrosebay_cell/tests/leader/limits.rs
@@ -152,3 +152,33 @@
     }
     assert!(has_started(&sim, gang));
 }
+
+/// Half of an account's limit is free, and a gang that needs more than that waits with time left.
+/// Guards against a small job of the account that waits behind the gang with nothing running: 14 s
+/// after the end of the traffic it has to run.
+#[test]
+fn gang_at_the_limit_of_its_account_does_not_keep_jobs_idle() {
+    let mut sim = cell(20, cores(100));
+    for minion in &mut sim.minions {
+        minion.stalled = true;
+    }
+    let mut long = job(4, cores(10));
+    long.steps[0].estimate_ms = 30_000;
+    let running = sim.submit(1, "batch", &long);
+    sim.run_until(1_000, |s| has_started(s, running));
+    let mut gang = job(7, cores(10));
+    gang.steps[0].gang = true;
+    gang.steps[0].estimate_ms = 30_000;
+    sim.submit(2, "batch", &gang);
+    let mut small = job(1, cores(10));
+    small.steps[0].estimate_ms = 60_000;
+    let small = sim.submit(3, "batch", &small);
+    long.steps[0].amount = cores(1);
+    for second in 0..14 {
+        // Appends keep the leases of the runs in force.
+        sim.submit_for("other", 10 + second, "batch", &long);
+        sim.run(1_000);
+        assert_eq!(sim.starts.iter().filter(|s| s.run > 1).count(), 0);
+    }
+    assert!(has_started(&sim, small), "the small job waits");
+}
