Never count tasks that last as late

What callers saw: nothing yet; found in a review. A job with a task that lasts is late some seconds after its acceptance, and expired soon after. When its run ended, the task was started again after all jobs that were still on time, and its advice calls went to idle instances only, so under load it did not run again at all; it has to within 9 s, however full the service is. Cause: steps that last got the deadline of their job like any other. Change: they are never late or expired; their old deadline puts them first among their priority. While they wait they do not charge their account's limit, which being late had ended before: tasks that last may wait for each other without end. Evidence: lasting_task_runs_again_while_instances_are_busy and lasting_task_runs_again_in_a_full_cell did not see a start within 20 s before and pass; the other tests of the leader as before.

--- a/crates/primrosebay_cell/src/leader/schedule.rs
+++ b/crates/primrosebay_cell/src/leader/schedule.rs
@@ -71,6 +71,10 @@
 
 /// Tasks of a step to place.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent properties of the step"
+)]
 pub(super) struct Request {
     pub(super) step: StepKey,
     pub(super) queue: Name,
@@ -82,6 +86,8 @@
     pub(super) priority: u32,
     /// Whether the job can no longer meet its latency objective.
     late: bool,
+    /// Whether the tasks run until their job is cancelled.
+    lasting: bool,
     pub(super) per_minion: u32,
     pub(super) account: Option<Name>,
     /// Indices of the tasks to start.
@@ -111,6 +117,12 @@
         if self.gang { self.count() } else { 1 }
     }
 
+    /// Returns whether the account's limit is charged for the tasks while they wait. Tasks that last
+    /// may wait for each other without end.
+    fn is_charged(&self) -> bool {
+        !self.late && !self.lasting
+    }
+
     /// Returns the number of tasks to start.
     pub(super) fn count(&self) -> u32 {
         u32::try_from(self.pending.len()).unwrap_or(u32::MAX)
@@ -224,13 +236,21 @@
             let steps = job.ready_steps(now, self.settings.early_start_ms);
             let steps = steps.into_iter().map(|step| {
                 let deadline = job.deadline_ms(step.occurrence);
+                // A task that lasts has no end that could come too late.
+                let lasts = job.step(step).is_some_and(|s| s.long_running);
+                let (last_start, expiry) = if lasts {
+                    (u64::MAX, u64::MAX)
+                } else {
+                    let last_start = job.last_start_ms(step, deadline);
+                    (last_start, deadline.saturating_add(grace))
+                };
                 ReadyStep {
                     key: step,
                     priority: queue.priority,
                     over_share: job.over_share,
                     deadline,
-                    last_start: job.last_start_ms(step, deadline),
-                    expiry: deadline.saturating_add(grace),
+                    last_start,
+                    expiry,
                 }
             });
             self.ready
@@ -268,6 +288,7 @@
             rack: spec.rack.clone(),
             priority: queue.priority,
             late,
+            lasting: spec.long_running,
             per_minion: spec.per_minion,
             account: job.account.clone(),
             pending,
@@ -337,7 +358,7 @@
                 quota.note_limited(&request);
             } else if self.is_within_limit(&request) && self.could_hold(&request) {
                 self.preempt_in_account(&request, quota, now);
-                charge = Some(quota.reserve(&request));
+                charge = request.is_charged().then(|| quota.reserve(&request));
             }
             self.back_off(&request, Wait::Limit, charge, now);
             return;
@@ -357,7 +378,7 @@
                 }
             }
             self.block(step, Wait::Advice, now.time);
-            let charge = (!late).then(|| quota.reserve(&request));
+            let charge = request.is_charged().then(|| quota.reserve(&request));
             self.back_off(&request, Wait::Advice, charge, now);
             return;
         }
@@ -387,7 +408,7 @@
             return;
         }
         if self.is_asking(step, now.time) {
-            let charge = (!late).then(|| quota.reserve(&request));
+            let charge = request.is_charged().then(|| quota.reserve(&request));
             self.back_off(&request, Wait::Advice, charge, now);
         } else {
             self.back_off(&request, Wait::Room, None, now);
