--- a/crates/primrosebay_cell/tests/leader/review.rs
+++ b/crates/primrosebay_cell/tests/leader/review.rs
@@ -279,3 +279,74 @@
     println!("{waited:?}");
     assert!(waited.is_some_and(|ms| ms <= 7_000), "{waited:?}");
 }
+
+/// Guards against a minion that is closed for new tasks as slow for longer than the 3 s for which a job
+/// may have nothing running, when it is the only one on which the job can run.
+#[test]
+fn slow_minion_is_open_to_tasks_that_can_run_only_there() {
+    let mut sim = Simulation::new(5);
+    let on_last = |count: u32, amount: u64, estimate_ms: u64| {
+        let mut spec = job(count, cores(amount));
+        spec.steps[0].label = Some("rack-1".into());
+        spec.steps[0].estimate_ms = estimate_ms;
+        spec
+    };
+    for key in 1..=2 {
+        sim.submit(key, "urgent", &on_last(1, 2, 2_000));
+    }
+    sim.run_until(1_000, |s| s.starts.len() == 2);
+    sim.minions[4].stalled = true;
+    let mut longest = 0;
+    for key in 10..30 {
+        let key = sim.submit(key, "urgent", &on_last(1, 1, 60_000));
+        let from = sim.now;
+        let runs = |s: &Simulation| s.starts.iter().any(|start| start.task.step.job == key);
+        sim.run_until(30_000, runs);
+        longest = longest.max(sim.now - from);
+        sim.cancel(key);
+        sim.run(500);
+    }
+    println!("{longest} ms");
+    assert!(longest <= 3_000, "{longest} ms");
+}
+
+/// Guards against an instance that gives no answer to an advice call and keeps the step from asking
+/// again, when there is no other instance.
+#[rstest]
+fn step_asks_again_after_a_lost_call(#[values(2, 4)] members: usize) {
+    let mut sim = Simulation::new(8);
+    sim.set_members(members);
+    sim.set_advice("batch", 20.0, 1.0);
+    sim.advice_down = true;
+    sim.submit(1, "batch", &job(1, cores(1)));
+    sim.run(50);
+    sim.advice_down = false;
+    let waited = sim.run_until(20_000, |s| !s.starts.is_empty());
+    println!("{members} members: {waited} ms");
+    assert!(waited <= 3_000, "{waited} ms");
+}
+
+/// Guards against a minion that is quarantined after failures for longer than the 3 s for which a job
+/// may have nothing running, when it is the only one on which the job can run.
+#[test]
+fn quarantined_minion_is_open_in_time_to_tasks_that_can_run_only_there() {
+    let mut sim = Simulation::new(5);
+    let mut spec = job(1, cores(2));
+    spec.steps[0].label = Some("rack-1".into());
+    sim.minions[4].failing = true;
+    for key in 1..=2 {
+        sim.submit(key, "urgent", &spec);
+    }
+    sim.run_until(1_000, |s| s.starts.len() == 2);
+    let mut longest = 0;
+    for key in 10..30 {
+        let key = sim.submit(key, "urgent", &spec);
+        let from = sim.now;
+        let runs = |s: &Simulation| s.starts.iter().any(|start| start.task.step.job == key);
+        sim.run_until(30_000, runs);
+        longest = longest.max(sim.now - from);
+        sim.run(100);
+    }
+    println!("{longest} ms");
+    assert!(longest <= 3_000, "{longest} ms");
+}
