--- a/crates/primrosebay_cell/tests/leader/review.rs
+++ b/crates/primrosebay_cell/tests/leader/review.rs
@@ -1,7 +1,10 @@
 //! Cases from a review of the waits for what earlier leaders may have granted.
 
 use primrosebay_cell::leader::{DirectoryChange, Leader, Settings};
-use primrosebay_cell::record::{Claim, LeaseWaits, Process};
+use std::sync::Arc;
+
+use primrosebay_cell::job::JobKey;
+use primrosebay_cell::record::{Claim, LeaseWaits, Process, Record, Submission};
 use primrosebay_cell::terms::Terms;
 use primrosebay_state::time::Time;
 use rand::Rng;
@@ -350,3 +353,23 @@
     println!("{longest} ms");
     assert!(longest <= 3_000, "{longest} ms");
 }
+
+/// Guards against an accepted job that never starts because its queue was removed from the
+/// configuration before any leader recorded the rules of the queue.
+#[test]
+fn job_accepted_without_a_leader_runs_after_its_queue_is_removed() {
+    let mut sim = Simulation::new(1);
+    sim.run(200);
+    let submission = Submission {
+        queue: "batch".into(),
+        account: Some("account".into()),
+        spec: Arc::new(job(1, cores(1))),
+        accepted_ms: now_at(sim.now).wall_ms,
+    };
+    // The leader does not read the record any more.
+    sim.append(&Record::Submitted(JobKey(1), submission));
+    sim.config.version += 1;
+    sim.config.queues.retain(|queue| &*queue.name != "batch");
+    sim.take_over();
+    sim.run_until(5_000, |s| s.is_completed(JobKey(1)));
+}
