--- a/crates/primrosebay_cell/tests/leader/review.rs
+++ b/crates/primrosebay_cell/tests/leader/review.rs
@@ -215,6 +215,7 @@
     sim: &mut Simulation,
     stream: u64,
     amount: u64,
+    queue: &str,
 ) -> Option<u64> {
     let mut spec = job(1, cores(1));
     spec.steps[0].long_running = true;
@@ -237,7 +238,7 @@
         if stream > 0 && tick % (100 / stream) == 0 {
             let mut other = job(1, cores(amount));
             other.steps[0].estimate_ms = 900;
-            sim.submit(next, "batch", &other);
+            sim.submit(next, queue, &other);
             next += 1;
         }
         for minion in &mut sim.minions {
@@ -267,7 +268,7 @@
     sim.set_members(2);
     sim.set_advice("batch", 300.0, 2.0);
     sim.run(100);
-    let waited = time_until_lasting_task_runs_again(&mut sim, stream, amount);
+    let waited = time_until_lasting_task_runs_again(&mut sim, stream, amount, "batch");
     println!("{waited:?}");
     assert!(waited.is_some_and(|ms| ms <= 7_000), "{waited:?}");
 }
@@ -278,7 +279,7 @@
 #[case::cell_is_full(20, 8)]
 fn lasting_task_runs_again_in_a_full_cell(#[case] stream: u64, #[case] amount: u64) {
     let mut sim = Simulation::new(4);
-    let waited = time_until_lasting_task_runs_again(&mut sim, stream, amount);
+    let waited = time_until_lasting_task_runs_again(&mut sim, stream, amount, "batch");
     println!("{waited:?}");
     assert!(waited.is_some_and(|ms| ms <= 7_000), "{waited:?}");
 }
@@ -373,3 +374,25 @@
     sim.take_over();
     sim.run_until(5_000, |s| s.is_completed(JobKey(1)));
 }
+
+/// Guards against a task that lasts and waits behind all work of more urgent queues, for an instance
+/// or for room.
+#[rstest]
+#[case::advice_is_busy(8, 5, 1)]
+#[case::cell_is_full(4, 20, 8)]
+fn lasting_task_runs_again_beside_more_urgent_queues(
+    #[case] minions: usize,
+    #[case] stream: u64,
+    #[case] amount: u64,
+) {
+    let mut sim = Simulation::new(minions);
+    if minions == 8 {
+        sim.set_members(2);
+        sim.set_advice("batch", 300.0, 2.0);
+        sim.set_advice("urgent", 300.0, 2.0);
+    }
+    sim.run(100);
+    let waited = time_until_lasting_task_runs_again(&mut sim, stream, amount, "urgent");
+    println!("{waited:?}");
+    assert!(waited.is_some_and(|ms| ms <= 7_000), "{waited:?}");
+}
