--- a/crates/primrosebay_cell/src/leader/settings.rs
+++ b/crates/primrosebay_cell/src/leader/settings.rs
@@ -30,8 +30,8 @@
     /// Time for which a leader that cannot reach the log keeps renewing leases. A successor waits
     /// this long in addition to the lease before it restarts the tasks of an unreachable minion. A
     /// task that lasts has to run again within 9 s, so the wait and the restart have to take less.
-    /// Running tasks outlast an outage of the log of this time and 4.9 s; the longest known one
-    /// is 6.3 s.
+    /// Running tasks outlast an outage of the log of this time and a little over 4.3 s; the longest
+    /// known one is 6.3 s.
     pub renew_ms: u64,
     /// Time since its last answer after which a minion counts as silent: it gets no starts and no
     /// lease renewals.
