--- a/crates/primrosebay_cell/tests/leader/review.rs
+++ b/crates/primrosebay_cell/tests/leader/bounds.rs
@@ -1,4 +1,5 @@
-//! Cases from a review of the waits for what earlier leaders may have granted.
+//! Bounds of single waits: for leases of earlier leaders, quarantined minions, advice and the rules of
+//! queues.
 
 use primrosebay_cell::leader::{DirectoryChange, Leader, Settings};
 use std::sync::Arc;
--- a/crates/primrosebay_cell/tests/leader/main.rs
+++ b/crates/primrosebay_cell/tests/leader/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the leader with simulated minions, log and advice service, without a network.
 
 mod acknowledgements;
+mod bounds;
 mod cancellation;
 mod durability;
 mod ended_jobs;
@@ -13,7 +14,6 @@
 mod minions;
 mod network;
 mod random;
-mod review;
 mod simulation;
 mod takeover;
 mod unused_service;
