--- a/crates/primrosebay_cell/src/leader/idle.rs
+++ b/crates/primrosebay_cell/src/leader/idle.rs
@@ -5,6 +5,7 @@
 use std::fmt;
 
 use primrosebay_state::Name;
+use primrosebay_state::table::Table;
 use primrosebay_state::time::Time;
 
 use super::Leader;
@@ -789,7 +790,7 @@
 fn placed_run(
     job: &ActiveJob,
     task: TaskKey,
-    minions: &primrosebay_state::table::Table<Name, Minion>,
+    minions: &Table<Name, Minion>,
     runs: &[KnownRun],
 ) -> Option<KnownRun> {
     let state = job.tasks.get(job.spec.position(task)?)?;
--- a/crates/primrosebay_cell/src/leader/mod.rs
+++ b/crates/primrosebay_cell/src/leader/mod.rs
@@ -490,7 +490,7 @@
     }
 }
 
-/// Inserts a name into a sorted list that does not contain it.
+/// Inserts a name into a sorted list unless it is there already.
 fn insert_sorted(names: &mut Vec<Name>, name: &Name) {
     if let Err(index) = names.binary_search(name) {
         names.insert(index, name.clone());
