Bound the wait for a restarted minion also if the oldest known claim has no waits

Cause: the bound of by the log needs the waits that the oldest known claim names. The first claim of a term has none, and a term that ended with it kept the bound away for as long as it was the oldest one known. Change: leaders before the known terms are bounded as well by the first claim that was read, which follows all their records.

--- a/crates/primrosebay_cell/src/leader/inheritance.rs
+++ b/crates/primrosebay_cell/src/leader/inheritance.rs
@@ -78,9 +78,12 @@
     /// that is not known.
     pub(super) fn last_grant(&self, settings: &Settings) -> Option<Time> {
         let first = self.terms.first()?;
-        // The leaders before the known terms have sent their last command before their leases ended.
-        let unknown_ms = first.claim.waits.inherited_ms?;
-        let unknown = first.last_read + settings.drifted_ms(unknown_ms);
+        // The last records of the leaders before the known terms precede the first claim of these, and
+        // their last commands the end of their leases.
+        let mut unknown = first.first_read + settings.granting_ms();
+        if let Some(ms) = first.claim.waits.inherited_ms {
+            unknown = unknown.min(first.last_read + settings.drifted_ms(ms));
+        }
         let known = self.terms.iter().map(|t| {
             let unproven = t.last_read + settings.granting_ms();
             t.ended.map_or(unproven, |at| at.min(unproven))
--- a/crates/primrosebay_cell/tests/leader/bounds.rs
+++ b/crates/primrosebay_cell/tests/leader/bounds.rs
@@ -106,6 +106,41 @@
     }
 }
 
+/// Guards against a wait on a restarted minion that only its start bounds, because the oldest known
+/// term has a first claim only, which holds no waits. Found by soak seed 11367570710351571088.
+#[test]
+fn claim_without_waits_does_not_hide_the_end_of_the_terms() {
+    let mut sim = Simulation::new(1);
+    let mut spec = job(1, cores(1));
+    spec.steps[0].estimate_ms = 60 * RUN_MS;
+    sim.submit(1, "urgent", &spec);
+    sim.run_until(1_000, |s| s.starts.len() == 1);
+    let claim = |epoch, inherited_ms| Claim {
+        epoch,
+        waits: LeaseWaits {
+            inherited_ms,
+            silent: None,
+        },
+        ..Claim::default()
+    };
+    let mut terms = Terms::default();
+    terms.observe(&claim(10, None), Time(2_000));
+    terms.observe(&claim(20, Some(0)), Time(11_900));
+    let now = now_at(12_000);
+    let settings = Settings::default();
+    let mut leader = Leader::new(30, "node-0".into(), now, &sim.ledger, settings.clone());
+    leader.inherit(now.time, terms.before(30));
+    leader.set_config(&sim.config);
+    let mut entry = sim.entry(0);
+    entry.started_ms = now.wall_ms;
+    leader.on_directory(DirectoryChange::Listed(entry), now);
+    leader.on_term_ended(20, now);
+    // The longest lease with the drift of clocks, the transit of a message and a command.
+    let longest_ms = settings.max_lease_ms * 103 / 100 + 300 + 1_000;
+    let wait_ms = leader.counts(now).lease_wait_ms;
+    assert!(wait_ms <= longest_ms, "{wait_ms} ms");
+}
+
 /// Guards against outages of the log that end running tasks, at any phase of the holds.
 #[test]
 fn running_tasks_outlast_an_outage_at_any_phase() {
