--- a/crates/primrosebay/tests/soak/main.rs
+++ b/crates/primrosebay/tests/soak/main.rs
@@ -298,6 +298,22 @@
     });
 }
 
+/// Guards against the same in a cell without tasks that last, whose bound is shorter.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+#[case(4)]
+fn jobs_that_could_run_do_not_wait(#[case] seed: u64) {
+    let size = Size {
+        lasting: false,
+        ..Size::late_changes()
+    };
+    if std::env::var_os("PRIMROSEBAY_SOAK_SEED").is_none() {
+        task::block_on(run(seed, size));
+    }
+}
+
 /// Guards against tasks of a lost minion that wait although the cell is calm, after the leader was
 /// replaced by a member at another address: no process is left that can tell when it stopped
 /// granting leases. Found by soak seeds 5953492306440812848 and 750532300626021893.
--- a/crates/primrosebay/tests/soak/waiting.rs
+++ b/crates/primrosebay/tests/soak/waiting.rs
@@ -1,9 +1,10 @@
 //! A check that no task waits although it could run.
 //!
 //! From [`FINISH_TIME`] after the end of the traffic on, no job may have nothing running for
-//! [`MAX_IDLE`] while there is room twice over for one of its tasks (all, if they start together) and under half of the capacity is
-//! in use. A task that lasts has to run again in the same time, from [`LASTING_PAUSE`] after its last
-//! run on, whenever the cell is calm and there is room for it twice over.
+//! [`MAX_IDLE`] while there is room twice over for one of its tasks (for all, if they start
+//! together) and under half of the capacity is in use. A task that lasts has to run again in the
+//! same time, from [`LASTING_PAUSE`] after its last run on, whenever the cell is calm and there is
+//! room for it twice over.
 
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
