--- a/crates/primrosebay/tests/soak/main.rs
+++ b/crates/primrosebay/tests/soak/main.rs
@@ -299,6 +299,14 @@
 }
 
 /// Guards against the same in a cell without tasks that last, whose bound is shorter.
+///
+/// Seeds that failed in runs by hand with `PRIMROSEBAY_SOAK_LASTING=0`, which draw the same sequences:
+/// - In 6698945810192793434, 11280529921510484487 and 11367570710351571088 a task waited for the
+///   leases of a former incarnation of its lost minion, see
+///   `claim_without_waits_does_not_hide_the_end_of_the_terms` and
+///   `tasks_lost_on_a_restarted_minion_run_again_in_time`.
+/// - In 16903873345442824339 the stand-in took note of an end before which the lease had lapsed.
+/// - In 9954785243035651700 the check expected the stop of a run on a minion that was cut off for good.
 #[rstest]
 #[case(1)]
 #[case(2)]
