--- a/review/lib2/cell2.py
+++ b/review/lib2/cell2.py
@@ -22,6 +22,8 @@
 BINARY = os.path.join(ROOT, "target/release/primrosebay")
 ANSWER_S = 0.004  # an answer of the store takes 4 ms
 APPEND_S = 0.002  # `appendMs`
+APPEND_BYTES_S = 20e6  # `partitionMbS`
+READ_BYTES_S = 80e6  # `readMbS`
 HEARTBEAT_S = 1.5  # `heartbeatMs`
 HOLD_MAX_MS = 10_000
 STOP_S = 0.2  # within `stopMs`
@@ -210,7 +212,7 @@
         if kind == "log-append":
             lock = self.queue.setdefault(query["topic"], asyncio.Lock())
             async with lock:
-                await asyncio.sleep(APPEND_S)
+                await asyncio.sleep(APPEND_S + len(body) / APPEND_BYTES_S)
                 answer = self.append(topic, query, body, name)
             await asyncio.sleep(ANSWER_S)
             return answer
@@ -274,7 +276,7 @@
             if len(out) + len(r) + 4 > limit:
                 break
             out += struct.pack(">I", len(r)) + r
-        await asyncio.sleep(ANSWER_S)
+        await asyncio.sleep(ANSWER_S + len(out) / READ_BYTES_S)
         return 200, out
 
     async def read_newest(self, topic, raw_query):
@@ -522,7 +524,7 @@
 
     async def call(self, method, port, path, body=None, key="key-1", timeout=3.0, deadline=3000):
         """Makes a call as a client. Returns the status and the body; status 0 without an answer."""
-        body = b"" if body is None else json.dumps(body).encode()
+        body = b"" if body is None else body if isinstance(body, bytes) else json.dumps(body).encode()
         head = (f"{method} {path} HTTP/1.1\r\nHost: cell.example\r\nCredential: {key}\r\nDeadline-Ms: {deadline}\r\n"
                 f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n")
 
