--- a/review/lib2/cell2.py
+++ b/review/lib2/cell2.py
@@ -27,13 +27,14 @@
 HEARTBEAT_S = 1.5  # `heartbeatMs`
 HOLD_MAX_MS = 10_000
 STOP_S = 0.2  # within `stopMs`
+CHECKPOINT_S = 2  # `checkpointIntervalS`
 
 BOUNDS = {
     "seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4,
     "drainMs": 2000, "graceS": 6, "lossSlackMs": 200, "configMs": 2000, "rollbackSlackMs": 250,
     "maxSkewMs": 5000, "strictRevoke": True, "revokeMs": 5000, "evacuateMs": 5000, "recoverS": 12,
     "holdMaxMs": HOLD_MAX_MS, "stopMs": 400, "gangMs": 3000, "cancel_ms": 3000, "visible_ms": 3000,
-    "early_ms": 250, "finish_s": 14, "status_s": 120, "farX": 2, "checkpointIntervalS": 0.5,
+    "early_ms": 250, "finish_s": 14, "status_s": 120, "farX": 2, "checkpointIntervalS": 2,
     "restoreMs": 600, "fencingRequired": True, "leaseMs": 3000,
 }
 
@@ -294,11 +295,13 @@
 
 
 class Minion:
-    """A minion. The `spec` of a job is JSON with `ms`, the time that each task works."""
+    """A minion. The `spec` of a job is JSON with `ms`, the time that each task works, and `spread`, up
+    to which a task works longer."""
 
-    def __init__(self, cell, name, cpu=8000, mem=16000, service="work", zone="z-a"):
+    def __init__(self, cell, name, cpu=8000, mem=16000, service="work", zone="z-a", checkpoint=0):
         self.cell, self.name, self.service, self.zone = cell, name, service, zone
         self.capacity = {"cpu": cpu, "memMb": mem, "gpu": 0}
+        self.checkpoint = checkpoint  # length of a checkpoint's text; 0 for tasks without checkpoints
         self.begin = None
         self.port = 0
         self.mode = None  # function of (path, body) like the modes of the store
@@ -321,6 +324,8 @@
         self.alive = True
         self.server, self.port = await serve(self.handle, self.port)
         self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.expire())]
+        if self.checkpoint:
+            self.tasks.append(asyncio.create_task(self.save()))
 
     def clock(self):
         return int((time.monotonic() - self.begin) * 1000)
@@ -337,6 +342,16 @@
                 })
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def save(self):
+        """Saves a new checkpoint of each task after each `checkpointIntervalS` of work."""
+        while True:
+            await asyncio.sleep(0.05)
+            now = time.monotonic()
+            for entry in self.running.values():
+                number = int((now - entry[0]) / CHECKPOINT_S)
+                if number > 0:
+                    entry[2] = f"{number:0{self.checkpoint}x}"
+
     async def expire(self):
         while True:
             await asyncio.sleep(0.01)
@@ -352,7 +367,7 @@
         self.stopping.discard(key)
         task, run = key
         self.count += 1
-        self.ended.append([self.count, task, run, how, ""])
+        self.ended.append([self.count, task, run, how, entry[2]])
         self.highest[task] = max(self.highest.get(task, 0), run)
         self.cell.log(f"{self.name}: run ended {task} run {run} {how}")
         self.cell.ends.append((self.cell.log.now(), self.name, task, run, how))
@@ -388,7 +403,7 @@
                     await asyncio.wait_for(self.changed.wait(), call["waitMs"] / 1000)
                 except asyncio.TimeoutError:
                     pass
-            running = [[t, r, "", 100, 0] for t, r in self.running]
+            running = [[t, r, entry[2], 100, 0] for (t, r), entry in self.running.items()]
             return 200, {"clockMs": self.clock(), "born": self.born, "running": running, "ended": self.ended[:500]}
         key = (call["task"], call["run"])
         if path == "/api/run-start":
@@ -399,7 +414,8 @@
                 return 200, {"clockMs": now, "born": self.born}
             if call["run"] <= self.highest.get(call["task"], 0):
                 return self.refuse("old")
-            work = json.loads(call["spec"]).get("ms", 500) / 1000
+            spec = json.loads(call["spec"])
+            work = (spec.get("ms", 500) + random.random() * spec.get("spread", 0)) / 1000
             handle = asyncio.get_running_loop().call_later(work, self.end, key, "done")
             self.running[key] = [time.monotonic(), work, "", handle]
             self.cell.log(f"{self.name}: run started {key[0]} run {key[1]} token {fence}")
@@ -468,7 +484,7 @@
         self.store = Store(self.log)
         self.starts, self.ends = [], []
         self.instances = [Instance(self, f"edge-{i + 1}", f"z-{'abc'[i % 3]}") for i in range(instances)]
-        self.minions = [Minion(self, f"i-{i + 1:04x}", **minion) for i in range(minions)]
+        self.minions = [Minion(self, f"i-{i + 1:010x}", **minion) for i in range(minions)]
         self.version = 0
 
     def configure(self, routes=("work",), keys=("key-1",), extra=None):
@@ -545,10 +561,10 @@
             return 0, b""
         return int(message[0].split()[1]), message[2]
 
-    async def submit(self, instance, job, route="work", ms=500, count=1, key="key-1", spec=None, **step):
+    async def submit(self, instance, job, route="work", ms=500, spread=0, count=1, key="key-1", spec=None, **step):
         """Submits a job of one step, or of the steps in `spec`."""
         steps = spec or [{"count": count, "cpu": 100, "memMb": 10, "estimateMs": ms, **step}]
-        body = {"spec": json.dumps({"ms": ms}), "steps": steps}
+        body = {"spec": json.dumps({"ms": ms, "spread": spread}), "steps": steps}
         status, _ = await self.call("POST", instance.front, f"/{route}/{job}", body, key)
         self.log(f"client: POST {job} on {route} at {instance.name}: {status}")
         return status
