--- a/review/lib2/cell2.py
+++ b/review/lib2/cell2.py
@@ -304,13 +304,15 @@
         self.checkpoint = checkpoint  # length of a checkpoint's text; 0 for tasks without checkpoints
         self.begin = None
         self.port = 0
+        self.listed = None  # port of a proxy before the minion, if there is one
         self.mode = None  # function of (path, body) like the modes of the store
         self.server = None
         self.beating = True
         self.alive = False
 
     async def start(self):
-        self.begin = time.monotonic() - random.uniform(100, 5000)
+        # The first life began before the case; a later one begins now.
+        self.begin = time.monotonic() - (random.uniform(100, 5000) if self.begin is None else 0)
         self.born = int(time.time() * 1000)
         self.fence = 0
         self.until = 0
@@ -327,6 +329,18 @@
         if self.checkpoint:
             self.tasks.append(asyncio.create_task(self.save()))
 
+    def crash(self):
+        """Ends the minion's life. What runs there is lost, and nothing of it is reported."""
+        self.cell.log(f"{self.name}: crashes, running {list(self.running)}")
+        self.alive = False
+        for task in self.tasks:
+            task.cancel()
+        for (task, run), entry in self.running.items():
+            entry[3].cancel()
+            self.cell.ends.append((self.cell.log.now(), self.name, task, run, "crash"))
+        self.running = {}
+        self.server.close()
+
     def clock(self):
         return int((time.monotonic() - self.begin) * 1000)
 
@@ -335,7 +349,7 @@
             if self.beating:
                 self.sequence += 1
                 self.cell.store.put("keyed.servers", self.name, {
-                    "service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone,
+                    "service": self.service, "address": f"127.0.0.1:{self.listed or self.port}", "zone": self.zone,
                     "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
                     "capacity": self.capacity, "labels": ["a", "r1"], "clockMs": self.clock(),
                     "sequence": self.sequence, "born": self.born,
@@ -375,6 +389,8 @@
         self.changed = asyncio.Event()
 
     async def handle(self, method, path, headers, body):
+        if not self.alive:
+            return RESET
         mode = self.mode(path, body) if self.mode else None
         if mode == "silent":
             return SILENT
@@ -433,6 +449,35 @@
         return 409, {"clockMs": self.clock(), "born": self.born, "reason": reason}
 
 
+class Proxy:
+    """A proxy before a minion. It holds the requests for which `hold(path, body)` returns a number of
+    seconds, and passes them on after that time, to whatever listens there then."""
+
+    def __init__(self, cell, minion):
+        self.cell, self.minion, self.hold = cell, minion, lambda path, body: 0
+
+    async def start(self):
+        _, self.minion.listed = await serve(self.handle)
+
+    async def handle(self, method, path, headers, body):
+        seconds = self.hold(path, body)
+        if seconds:
+            self.cell.log(f"proxy of {self.minion.name}: holds {path} {body.decode()} for {seconds} s")
+            await asyncio.sleep(seconds)
+        names = ("expect-instance", "content-type")
+        head = "".join(f"{n}: {headers[n]}\r\n" for n in names if n in headers)
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.minion.port)
+            writer.write(f"{method} {path} HTTP/1.1\r\nHost: minion\r\n{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+            message = await read_message(reader)
+            writer.close()
+        except OSError:
+            message = None
+        if seconds:
+            self.cell.log(f"proxy of {self.minion.name}: passed it on, answer {message and message[0]}")
+        return (int(message[0].split()[1]), message[2]) if message else RESET
+
+
 class Instance:
     def __init__(self, cell, name, zone):
         self.cell, self.name, self.zone = cell, name, zone
@@ -487,21 +532,21 @@
         self.minions = [Minion(self, f"i-{i + 1:010x}", **minion) for i in range(minions)]
         self.version = 0
 
-    def configure(self, routes=("work",), keys=("key-1",), extra=None):
-        """Writes a configuration as the operator: a route for each name, one tenant."""
+    def configure(self, routes=("work",), keys=("key-1",), max_cpu=0, priorities=None):
+        """Writes a configuration as the operator: a route for each name, one tenant with this limit."""
+        priorities = priorities or {}
         self.version += 3
         config = {
             "version": self.version,
             "routes": [{"name": f"r-{r}", "host": "cell.example", "pathPrefix": f"/{r}/", "kind": "non_idempotent",
-                        "timeoutMs": 3000, "targetLatencyMs": 1000, "priority": 1, "service": "work",
+                        "timeoutMs": 3000, "targetLatencyMs": 1000, "priority": priorities.get(r, 1), "service": "work",
                         "maxAttempts": 3, "stretch": 2.0, "public": False} for r in routes],
             "services": [{"name": "work", "healthPath": "/healthz", "maxConnections": 64, "protocol": "h1", "tls": False,
                           "rejectsOverload": False, "spare": False}],
             "limits": {"maxBodyBytes": 262144},
             "tenants": [{"name": "tenant-1", "apiKeys": list(keys), "priority": 1, "weight": 100,
-                         "maxCount": {"cpu": 0, "memMb": 0, "gpu": 0}}],
+                         "maxCount": {"cpu": max_cpu, "memMb": 0, "gpu": 0}}],
         }
-        config.update(extra or {})
         self.store.put("keyed.op", "config", config)
         self.log(f"operator: configuration {self.version} acknowledged, routes {list(routes)}, keys {list(keys)}")
 
@@ -609,6 +654,12 @@
         finally:
             cell.close()
 
+    def stop(*_):
+        raise SystemExit(2)
+
+    # Whoever ends the case ends the processes that it started, too.
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     if not os.path.exists(BINARY):
         print("target/release/primrosebay is missing")
         raise SystemExit(2)
