--- a/review/lib2/cell2.py
+++ b/review/lib2/cell2.py
@@ -55,13 +55,17 @@
 
 
 def free_ports(count):
-    """Returns free ports of the loopback interface."""
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Returns free ports of the loopback interface, below those that outgoing connections take."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12_000, 32_000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
