--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""Requests with a header that is not ASCII use up the connections of an instance for good."""
+"""A gang that waits for its tenant's limit keeps the tenant's small jobs from running."""
 
 import asyncio
 import os
@@ -9,44 +9,41 @@
 
 from cell2 import main, new_job, trouble  # noqa: E402
 
-REQUESTS = 4_200  # for each instance; each one has an end before the next batch begins
-BATCH = 50
-QUIET_S = 20.0
-
-
-async def request(port, header):
-    """Asks for the backlog of a queue with one more header. Closes the connection afterwards."""
-    try:
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        head = "GET /work/ HTTP/1.1\r\nHost: cell.example\r\nCredential: key-1\r\nDeadline-Ms: 1000\r\n"
-        writer.write(head.encode() + b"X-Shop: " + header + b"\r\nConnection: close\r\n\r\n")
-        answer = await asyncio.wait_for(reader.read(64), 2)
-        writer.close()
-        return answer.split(b"\r\n")[0].decode() or "connection closed"
-    except (OSError, asyncio.TimeoutError):
-        return "no connection or no answer"
+CONFIG_S = 2.0  # `configMs`
+FINISH_S = 14.0  # `finish_s`
+IDLE_S = 3.0  # the time of the rule
+LIMIT = 10_000  # `maxCount` of the tenant, in thousandths of a core; the service has 32 cores
 
 
 async def body(cell):
     log = cell.log
-    header = "Café".encode() if trouble() else b"Cafe"
-    for instance in cell.instances:
-        seen = {}
-        for _ in range(REQUESTS // BATCH):
-            for text in await asyncio.gather(*[request(instance.front, header) for _ in range(BATCH)]):
-                seen[text] = seen.get(text, 0) + 1
-        log(f"client: {REQUESTS} requests with the header X-Shop: {header!r} at {instance.name}: {seen}")
-    await asyncio.sleep(QUIET_S)
-    served = 0
-    for _ in range(3):
-        for instance in cell.instances:
-            served += await cell.submit(instance, new_job(), ms=300) == 200
-        await asyncio.sleep(3)
-    for instance in cell.instances:
-        ready, _ = await cell.call("GET", instance.ready, "/api/readyz")
-        log(f"{instance.name}: readiness {ready}, process ended: {instance.process.poll() is not None}")
-    log(f"{QUIET_S} s after the last of these requests: {served} of 9 jobs accepted")
-    return served > 0
+    one, two, _ = cell.instances
+    cell.configure(routes=("work", "stock"), priorities={"work": 1, "stock": 2}, max_cpu=LIMIT)
+    await asyncio.sleep(CONFIG_S + 0.5)
+    running = new_job()
+    await cell.submit(one, running, ms=100_000, cpu=4_000, estimateMs=100_000)
+    await asyncio.sleep(1)
+    if trouble():
+        gang = new_job()
+        log("client: hands in a gang of 7 tasks of one core")
+        await cell.submit(one, gang, ms=40_000, count=7, cpu=1_000, gang=True, estimateMs=40_000)
+    await asyncio.sleep(0.5)
+    small = [new_job() for _ in range(3)]
+    for job in small:
+        if await cell.submit(two, job, route="stock", ms=500, cpu=1_000, estimateMs=500) != 200:
+            raise RuntimeError("the job was not accepted")
+    await asyncio.sleep(FINISH_S)
+    before = [j for j in small if any(task.startswith(j) for _, _, task, _ in cell.starts)]
+    log(f"{FINISH_S} s after the last request: started {len(before)} of {len(small)} small jobs")
+    await asyncio.sleep(IDLE_S)
+    if not any(task.startswith(running) for _, _, task, _ in cell.starts):
+        raise RuntimeError("the cell did not work")
+    started = [j for j in small if any(task.startswith(j) for _, _, task, _ in cell.starts)]
+    used = sum(len(m.running) for m in cell.minions)
+    log(f"{IDLE_S} s later: started {len(started)} of {len(small)} small jobs; {used} task runs, which takes 4 of {LIMIT // 1000} cores of the tenant's limit")
+    for job in small:
+        await cell.ask("GET", two, job, route="stock")
+    return len(started) == len(small)
 
 
 main(HERE, body)
