Release the lock of the budget before a refused job is logged

Callers saw a member that accepted no connection and answered nothing, for as long as the process lived: it hung after the first job that was refused for lack of memory, when the line about it was not left out by its limit.

Cause: hold kept the lock of the budget while it called record, whose log line takes the same lock to tell the bytes in use. The guard is moved into charge only if the first condition holds, so that it lived until the end of the function otherwise. Without a logger the fields are not evaluated, so the unit tests did not show it.

The decision is made in a function of its own, whose guard ends with it.

--- a/crates/primrosebay_transport/src/budget.rs
+++ b/crates/primrosebay_transport/src/budget.rs
@@ -346,15 +346,19 @@
     /// kept; otherwise the caller has to refuse the request.
     #[must_use]
     pub fn hold(&self, bytes: usize) -> bool {
-        let most = self.budget.limit / 100 * FINISHED_PERCENT;
-        let state = self.budget.state();
-        let held = state.finished + bytes <= most && self.charge(state, bytes).is_ok();
+        let held = self.try_hold(bytes);
         if !held {
             self.budget.record(Cause::Jobs, &bytes);
         }
         held
     }
 
+    fn try_hold(&self, bytes: usize) -> bool {
+        let most = self.budget.limit / 100 * FINISHED_PERCENT;
+        let state = self.budget.state();
+        state.finished + bytes <= most && self.charge(state, bytes).is_ok()
+    }
+
     /// Returns whether the request is given up. If not, wakes `waker` when it is.
     pub(crate) fn watch(&self, waker: &Waker) -> bool {
         let mut state = self.budget.state();
