Let crowd tests choose the settings and the cell of a member

The missing tests need members with fewer descriptors, of one cell, and other processes than members, so that what is read about a process moves to a module of its own. Ordinary callers now connect anew for each request: a kept connection hid that new ones were closed at the limit.

--- a/crates/primrosebay/tests/crowds.rs
+++ b/crates/primrosebay/tests/crowds.rs
@@ -1,14 +1,17 @@
-//! A member process under crowds of clients that send requests outside the limits: the process stays
-//! alive and within the memory of its machine, and ordinary callers get answers.
+//! Processes under crowds of clients that send requests outside the limits: the process stays alive
+//! and within the memory of its machine, and ordinary callers get answers.
 //!
 //! The tests run one at a time, since each measures the memory of a process.
 
+#[expect(dead_code, reason = "shared with tests that use other parts")]
 mod members;
+#[path = "crowds/process.rs"]
+mod process;
 
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
@@ -21,7 +24,8 @@
 use primrosebay_transport::http_client::Client;
 
 use async_std::io::WriteExt as _;
-use members::Member;
+use members::{Member, Place};
+use serde_json::{Value, json};
 
 /// Memory of the machine in the settings of the test, in MB. A member uses about 15 MB without load.
 const MEMORY_MB: u64 = 64;
@@ -72,32 +76,80 @@
     }
 }
 
+/// Settings of a member.
+#[derive(Debug, Clone)]
+struct Setup {
+    /// Unique among the tests of this binary.
+    name: &'static str,
+    /// Number of the member in its cell.
+    number: usize,
+    memory_mb: u64,
+    /// Descriptors that the operating system allows the process; `None` for those of the test.
+    descriptors: Option<u32>,
+    /// Descriptors of the machine in the settings file; `None` without the field.
+    max_fds: Option<u32>,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            name: "",
+            number: 0,
+            memory_mb: MEMORY_MB,
+            descriptors: None,
+            max_fds: None,
+        }
+    }
+}
+
 /// A member with a store.
 struct Instance {
     member: Member,
     directory: PathBuf,
-    client: Client,
     jobs: u64,
-    _store: Store,
+    store: Arc<Store>,
 }
 
 impl Instance {
-    /// Starts a member and waits until it is ready. `name` is unique among the tests of this file.
-    async fn start(name: &str) -> Self {
-        let directory = format!("primrosebay-crowd-{name}-{}", std::process::id());
-        let directory = std::env::temp_dir().join(directory);
-        fs::create_dir_all(&directory).unwrap();
+    /// Starts a member and waits until it is ready. `name` is unique among the tests of this binary.
+    async fn start(name: &'static str) -> Self {
+        let setup = Setup {
+            name,
+            ..Setup::default()
+        };
+        Self::start_with(&setup).await
+    }
+
+    async fn start_with(setup: &Setup) -> Self {
         let store = Store::start().await.unwrap();
         store.put_operator_record("config", &config(1));
-        let member = Member::start(&directory, 0, 254, store.address(), |name, addresses| {
-            small_boot_file(name, addresses, MEMORY_MB)
+        Self::join(setup, &Arc::new(store)).await
+    }
+
+    /// Starts a member of the cell with this store and waits until it is ready.
+    async fn join(setup: &Setup, store: &Arc<Store>) -> Self {
+        let directory = format!("primrosebay-crowd-{}-{}", setup.name, std::process::id());
+        let directory = std::env::temp_dir().join(directory);
+        fs::create_dir_all(&directory).unwrap();
+        let place = Place {
+            directory: &directory,
+            number: setup.number,
+            net: 254,
+            descriptors: setup.descriptors,
+        };
+        let member = Member::start_in(&place, store.address(), |name, addresses| {
+            let text = small_boot_file(name, addresses, setup.memory_mb);
+            let mut settings: Value = serde_json::from_str(&text).unwrap();
+            if let Some(count) = setup.max_fds {
+                settings["limits"]["maxFds"] = json!(count);
+            }
+            settings.to_string()
         });
         let mut instance = Self {
             member,
             directory,
-            client: Client::new(),
-            jobs: 0,
-            _store: store,
+            jobs: setup.number as u64 * 1_000,
+            store: Arc::clone(store),
         };
         instance.submit_until_accepted().await;
         instance
@@ -113,9 +165,9 @@
             let body = Some(job_body(1, 200, 500).into_bytes());
             let address = self.member.addresses.front;
             let wait = Duration::from_secs(4);
-            let call = self
-                .client
-                .bytes(address, Method::Post, &path, &headers, body, wait);
+            // A new connection each time, as a caller that was not there before the crowd.
+            let client = Client::new();
+            let call = client.bytes(address, Method::Post, &path, &headers, body, wait);
             let status = call.await.map(|(status, _)| u16::from(status));
             if matches!(status, Ok(200)) {
                 return;
@@ -135,55 +187,28 @@
 
     /// Returns the peak memory of the process in kB.
     fn peak_kb(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.member.child.id());
-        let status = fs::read_to_string(path).unwrap();
-        let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
-        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+        process::peak_kb(self.member.child.id())
     }
 
     /// Returns the number of open descriptors of the process.
     fn descriptors(&self) -> usize {
-        let path = format!("/proc/{}/fd", self.member.child.id());
-        fs::read_dir(path).unwrap().count()
+        process::descriptors(self.member.child.id())
     }
 
     /// Waits until the process has read what was sent and its peak memory does not change any more.
     async fn settle(&self) {
-        let deadline = Instant::now() + WAIT;
-        let mut peak = self.peak_kb();
-        loop {
-            task::sleep(QUIET).await;
-            let now = self.peak_kb();
-            if now == peak && !self.has_unread() || Instant::now() > deadline {
-                return;
-            }
-            peak = now;
-        }
+        process::settle(self.member.child.id(), &self.listening()).await;
     }
 
-    /// Returns whether the process has connections that are not accepted or bytes that are not read.
-    fn has_unread(&self) -> bool {
-        let SocketAddr::V4(address) = self.member.addresses.front else {
-            panic!("not an IPv4 address");
-        };
-        let local = format!("{:08X}:", u32::from_le_bytes(address.ip().octets()));
-        let table = fs::read_to_string("/proc/net/tcp").unwrap();
-        // The fields are number, local and remote address, state, and "SENDING:UNREAD".
-        let queues = table.lines().filter_map(|line| {
-            let mut fields = line.split_whitespace().skip(1);
-            let is_local = fields.next()?.starts_with(&local);
-            is_local.then(|| fields.nth(2)).flatten()
-        });
-        queues.into_iter().any(|q| !q.ends_with(":00000000"))
+    /// Returns the addresses on which the process listens.
+    fn listening(&self) -> [SocketAddr; 3] {
+        let addresses = self.member.addresses;
+        [addresses.front, addresses.ready, addresses.internal]
     }
 
     /// Waits until the process has closed the connections of clients that have left.
     async fn wait_for_descriptors(&self) {
-        let deadline = Instant::now() + WAIT;
-        while self.descriptors() > MAX_OTHER_DESCRIPTORS {
-            assert!(Instant::now() < deadline, "{} open", self.descriptors());
-            task::sleep(Duration::from_millis(50)).await;
-        }
+        process::wait_for_descriptors(self.member.child.id()).await;
     }
 
     fn close(self) {
@@ -202,12 +227,12 @@
 
 /// Runs a crowd of clients, each of which sends and then holds its connection open. Asserts that the
 /// process survives within its bounds and serves an ordinary caller beside the crowd and after it.
-async fn assert_survives(name: &str, clients: usize, sender: impl Fn(usize) -> Sender) {
+async fn assert_survives(name: &'static str, clients: usize, sender: impl Fn(usize) -> Sender) {
     assert_survives_on(name, |member| member.addresses.front, clients, sender).await;
 }
 
 async fn assert_survives_on(
-    name: &str,
+    name: &'static str,
     address: impl Fn(&Member) -> SocketAddr,
     clients: usize,
     sender: impl Fn(usize) -> Sender,
@@ -399,9 +424,8 @@
         instance.settle().await;
         instance.submit_until_accepted().await;
         let (internal, wait) = (instance.member.addresses.internal, Duration::from_secs(4));
-        let call = instance
-            .client
-            .bytes(internal, Method::Get, "/metrics", &[], None, wait);
+        let client = Client::new();
+        let call = client.bytes(internal, Method::Get, "/metrics", &[], None, wait);
         let metrics = String::from_utf8(call.await.unwrap().1).unwrap();
         let count = metrics.lines().find_map(|line| {
             let labels = line.strip_prefix("requests_given_up_total{")?;
--- a/crates/primrosebay/tests/members/mod.rs
+++ b/crates/primrosebay/tests/members/mod.rs
@@ -16,6 +16,18 @@
     pub child: Child,
 }
 
+/// Where a member runs.
+#[derive(Debug)]
+pub struct Place<'a> {
+    pub directory: &'a Path,
+    /// Number of the member in its cell.
+    pub number: usize,
+    /// Unique among the tests of the crate that run at the same time.
+    pub net: u8,
+    /// Descriptors that the operating system allows the process; `None` for those of the test.
+    pub descriptors: Option<u32>,
+}
+
 impl Member {
     /// Starts a member with a loopback address of its own. `net` is unique among the tests of the
     /// crate that run at the same time; `settings` returns the text of the settings file.
@@ -26,9 +38,26 @@
         store: SocketAddr,
         settings: impl FnOnce(&str, MemberAddresses) -> String,
     ) -> Self {
+        let place = Place {
+            directory,
+            number,
+            net,
+            descriptors: None,
+        };
+        Self::start_in(&place, store, settings)
+    }
+
+    /// Starts a member in `place` with a loopback address of its own; `settings` returns the text of
+    /// the settings file.
+    pub fn start_in(
+        place: &Place<'_>,
+        store: SocketAddr,
+        settings: impl FnOnce(&str, MemberAddresses) -> String,
+    ) -> Self {
+        let (directory, number) = (place.directory, place.number);
         let octet = |n: u32| u8::try_from(n % 250).unwrap_or(0);
         let last = octet(u32::try_from(number).unwrap_or(0));
-        let ip = Ipv4Addr::new(127, 1 + octet(std::process::id()), net, 1 + last);
+        let ip = Ipv4Addr::new(127, 1 + octet(std::process::id()), place.net, 1 + last);
         let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).unwrap());
         let [front, ready, internal] = listeners.map(|l| l.local_addr().unwrap());
         let addresses = MemberAddresses {
@@ -41,7 +70,7 @@
         let text = settings(&format!("member-{number}"), addresses);
         fs::write(&settings_file, text).unwrap();
         let log = |kind| File::create(settings_file.with_extension(kind)).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_primrosebay"))
+        let child = command(place.descriptors)
             .arg("member")
             .env(BOOT_VARIABLE, &settings_file)
             .stdout(log("log"))
@@ -67,3 +96,15 @@
         let _ = self.child.wait();
     }
 }
+
+/// Returns the command of the program with this limit of open descriptors.
+fn command(descriptors: Option<u32>) -> Command {
+    let program = env!("CARGO_BIN_EXE_primrosebay");
+    let Some(count) = descriptors else {
+        return Command::new(program);
+    };
+    let mut command = Command::new("sh");
+    let script = format!("ulimit -n {count} && exec \"$0\" \"$@\"");
+    command.args(["-c", &script, program]);
+    command
+}
