Give up requests by the memory and the time that they cost

Callers saw 503 for ordinary submissions whose head and body arrive in two pieces, as many HTTP clients send them, while a crowd of clients held requests of a byte or a head open and came back when they were refused.

Cause: the largest unfinished request was given up first, of equal ones the newest. Requests of the crowd are charged 24 KiB and a byte, so that a few hundred fill the budget and the ordinary caller, who has sent more, is the largest.

Now the request goes first whose bytes times the time for which it is behind are the most. A request is behind by the time that its bytes do not cover at the rate at which the largest body arrives within its time (26 KB/s). One that arrives keeps up and costs nothing; one that stands still, or sends a byte from time to time, costs more with each moment, and a large one more than a small one, as before.

Evidence: callers_are_served_beside_small_unfinished_requests, 400 clients that stay and 50 that come back, members of 64 MB, debug build. On all six cases fail: every answer is 503 until the requests of the crowd time out. All pass now, each at the latest while most of the crowd still holds its connections. callers_are_served_beside_requests_that_trickle passed on too; it fails if the time since the last byte is used instead.

--- a/crates/primrosebay/tests/crowds.rs
+++ b/crates/primrosebay/tests/crowds.rs
@@ -3,6 +3,8 @@
 //!
 //! The tests run one at a time, since each measures the memory of a process.
 
+#[path = "crowds/beside.rs"]
+mod beside;
 #[expect(dead_code, reason = "shared with tests that use other parts")]
 mod members;
 #[path = "crowds/process.rs"]
--- a/crates/primrosebay_transport/src/budget.rs
+++ b/crates/primrosebay_transport/src/budget.rs
@@ -1,7 +1,8 @@
 //! A bound of the bytes that all unfinished requests of a process hold together.
 //!
-//! When a byte does not fit any more, the largest unfinished request is given up. A request that was
-//! received completely is never given up; its bytes stay charged until it has been answered.
+//! When a byte does not fit any more, unfinished requests are given up: first the one that has held the
+//! most bytes for the longest time without making progress. A request that was received completely is
+//! never given up; its bytes stay charged until it has been answered.
 
 use std::fmt;
 use std::io;
@@ -13,6 +14,7 @@
 use http_types::StatusCode;
 
 use crate::log_limit::LogLimit;
+use crate::progress::Progress;
 
 /// Part of the machine's memory that unfinished requests may hold: 20 MB on the smallest machine, or 73
 /// bodies of the largest size at once. A body takes up to twice its size while its buffer grows, and
@@ -135,12 +137,21 @@
 struct Entry {
     id: u64,
     bytes: usize,
+    stage: Stage,
     progress: Progress,
     waker: Option<Waker>,
 }
 
+impl Entry {
+    /// Returns what it costs to keep the request: its bytes times the microseconds for which it is
+    /// behind.
+    fn cost(&self, now: Instant) -> u128 {
+        self.bytes as u128 * self.progress.behind(now).as_micros()
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Progress {
+enum Stage {
     Arriving,
     Finished,
     GivenUp,
@@ -220,16 +231,17 @@
         }
     }
 
-    /// Starts to charge a request.
+    /// Starts to charge a request that begins at `now`.
     #[must_use]
-    pub fn open(self: &Arc<Self>) -> Charge {
+    pub fn open(self: &Arc<Self>, now: Instant) -> Charge {
         let mut state = self.state();
         let id = state.next;
         state.next += 1;
         state.requests.push(Entry {
             id,
             bytes: 0,
-            progress: Progress::Arriving,
+            stage: Stage::Arriving,
+            progress: Progress::new(now),
             waker: None,
         });
         Charge {
@@ -253,23 +265,24 @@
     /// Gives up a request and returns the waker of its task.
     fn give_up(&mut self, position: usize) -> Option<Waker> {
         let request = &mut self.requests[position];
-        request.progress = Progress::GivenUp;
+        request.stage = Stage::GivenUp;
         self.used -= request.bytes;
         self.leaving += request.bytes;
         request.waker.take()
     }
 
-    /// Gives up the largest requests that are arriving until `limit` is kept or none is left. Of equal
-    /// ones the newest goes first, so that others get through.
-    fn shrink(&mut self, limit: usize) -> Vec<Waker> {
+    /// Gives up the requests that are arriving and cost the most until `limit` is kept or none is left.
+    /// Of those that keep up the largest goes first, of equal ones the newest.
+    fn shrink(&mut self, limit: usize, now: Instant) -> Vec<Waker> {
         let mut wakers = Vec::new();
         while self.used > limit {
             let arriving = self.requests.iter().enumerate();
-            let arriving = arriving.filter(|(_, r)| r.progress == Progress::Arriving);
-            let Some((largest, _)) = arriving.max_by_key(|(_, r)| (r.bytes, r.id)) else {
+            let arriving = arriving.filter(|(_, r)| r.stage == Stage::Arriving);
+            let first = arriving.max_by_key(|(_, r)| (r.cost(now), r.bytes, r.id));
+            let Some((first, _)) = first else {
                 break;
             };
-            wakers.extend(self.give_up(largest));
+            wakers.extend(self.give_up(first));
         }
         wakers
     }
@@ -283,33 +296,40 @@
 }
 
 impl Charge {
-    /// Charges bytes that have arrived. Bytes for which this fails are not charged.
+    /// Charges bytes that have arrived at `now`. Bytes for which this fails are not charged.
     ///
     /// # Errors
     /// Returns an error if the request is given up.
-    pub fn add(&self, bytes: usize) -> Result<(), Cause> {
-        self.charge(self.budget.state(), bytes)
+    pub fn add(&self, bytes: usize, now: Instant) -> Result<(), Cause> {
+        self.charge(self.budget.state(), bytes, now)
     }
 
-    fn charge(&self, mut state: MutexGuard<'_, State>, bytes: usize) -> Result<(), Cause> {
+    fn charge(
+        &self,
+        mut state: MutexGuard<'_, State>,
+        bytes: usize,
+        now: Instant,
+    ) -> Result<(), Cause> {
         let limit = self.budget.limit;
         let own = state.position(self.id);
-        match state.requests[own].progress {
-            Progress::GivenUp => return Err(Cause::Memory),
+        match state.requests[own].stage {
+            Stage::GivenUp => return Err(Cause::Memory),
             // The tasks of given-up requests may not have run yet, so their bytes count as well.
             _ if state.used + state.leaving + bytes > limit + limit / 2 => {
-                if state.requests[own].progress == Progress::Arriving {
+                if state.requests[own].stage == Stage::Arriving {
                     state.give_up(own);
                 }
                 return Err(Cause::Memory);
             }
-            Progress::Finished => state.finished += bytes,
-            Progress::Arriving => {}
+            Stage::Finished => state.finished += bytes,
+            Stage::Arriving => {}
         }
-        state.requests[own].bytes += bytes;
+        let request = &mut state.requests[own];
+        request.bytes += bytes;
+        request.progress.advance(bytes, now);
         state.used += bytes;
-        let wakers = state.shrink(limit);
-        let is_given_up = state.requests[own].progress == Progress::GivenUp;
+        let wakers = state.shrink(limit, now);
+        let is_given_up = state.requests[own].stage == Stage::GivenUp;
         if is_given_up {
             state.requests[own].bytes -= bytes;
             state.leaving -= bytes;
@@ -330,11 +350,11 @@
         let mut state = self.budget.state();
         let own = state.position(self.id);
         let request = &mut state.requests[own];
-        match request.progress {
-            Progress::GivenUp => return Err(Cause::Memory),
-            Progress::Finished => {}
-            Progress::Arriving => {
-                request.progress = Progress::Finished;
+        match request.stage {
+            Stage::GivenUp => return Err(Cause::Memory),
+            Stage::Finished => {}
+            Stage::Arriving => {
+                request.stage = Stage::Finished;
                 let bytes = request.bytes;
                 state.finished += bytes;
             }
@@ -356,7 +376,7 @@
     fn try_hold(&self, bytes: usize) -> bool {
         let most = self.budget.limit / 100 * FINISHED_PERCENT;
         let state = self.budget.state();
-        state.finished + bytes <= most && self.charge(state, bytes).is_ok()
+        state.finished + bytes <= most && self.charge(state, bytes, Instant::now()).is_ok()
     }
 
     /// Returns whether the request is given up. If not, wakes `waker` when it is.
@@ -368,14 +388,14 @@
             Some(known) => known.clone_from(waker),
             unset => *unset = Some(waker.clone()),
         }
-        request.progress == Progress::GivenUp
+        request.stage == Stage::GivenUp
     }
 
     /// Returns whether the request is given up.
     #[must_use]
     pub fn is_given_up(&self) -> bool {
         let state = self.budget.state();
-        state.requests[state.position(self.id)].progress == Progress::GivenUp
+        state.requests[state.position(self.id)].stage == Stage::GivenUp
     }
 }
 
@@ -384,13 +404,13 @@
         let mut state = self.budget.state();
         let own = state.position(self.id);
         let request = state.requests.remove(own);
-        match request.progress {
-            Progress::Arriving => state.used -= request.bytes,
-            Progress::Finished => {
+        match request.stage {
+            Stage::Arriving => state.used -= request.bytes,
+            Stage::Finished => {
                 state.used -= request.bytes;
                 state.finished -= request.bytes;
             }
-            Progress::GivenUp => state.leaving -= request.bytes,
+            Stage::GivenUp => state.leaving -= request.bytes,
         }
     }
 }
--- a/crates/primrosebay_transport/src/connection.rs
+++ b/crates/primrosebay_transport/src/connection.rs
@@ -110,7 +110,7 @@
         let mut state = self.state();
         let result = match state.phase {
             Phase::Idle | Phase::Head => self.receive_head(&mut state, bytes),
-            Phase::Body => state.charge(bytes.len()),
+            Phase::Body => state.charge(bytes.len(), Instant::now()),
             Phase::Finished => Ok(()),
             Phase::Discard => state.discard(bytes.len()),
         };
@@ -118,13 +118,14 @@
     }
 
     fn receive_head(&self, state: &mut State, bytes: &[u8]) -> Result<(), Cause> {
+        let now = Instant::now();
         if state.phase == Phase::Idle && !bytes.is_empty() {
             state.phase = Phase::Head;
-            state.deadline = Some(Instant::now() + self.limits.head_timeout);
-            state.charge = Some(Arc::new(self.budget.open()));
-            state.charge(REQUEST_BYTES)?;
+            state.deadline = Some(now + self.limits.head_timeout);
+            state.charge = Some(Arc::new(self.budget.open(now)));
+            state.charge(REQUEST_BYTES, now)?;
         }
-        state.charge(bytes.len())?;
+        state.charge(bytes.len(), now)?;
         state.scan_head(bytes)
     }
 
@@ -237,8 +238,8 @@
 }
 
 impl State {
-    fn charge(&self, bytes: usize) -> Result<(), Cause> {
-        self.charge.as_ref().map_or(Ok(()), |c| c.add(bytes))
+    fn charge(&self, bytes: usize, now: Instant) -> Result<(), Cause> {
+        self.charge.as_ref().map_or(Ok(()), |c| c.add(bytes, now))
     }
 
     /// Checks the bytes of a head up to its end. Header values that are not ASCII make `http-types`
--- a/crates/primrosebay_transport/src/lib.rs
+++ b/crates/primrosebay_transport/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 pub mod minion;
 pub mod peer;
+mod progress;
 mod request_body;
 mod request_stream;
 pub mod trace;
