Let connections without progress give way at the limit

Callers saw their connections closed at once, without an answer, for as long as as many connections as the limit sent nothing or did not read their answers: the first for 60 s and again when they came back, the second for ever.

Cause: at the limit the new connection was closed, whatever the others did, and nothing ended a connection whose client takes no byte of its answer.

Now a new connection takes the place of the one whose client is behind the most, by the same measure of progress as requests. A connection whose request the server works on is not closed, so that no request that was received is dropped. A client that takes no byte of its answer for 30 s is closed. The decoder and its buffers are created with the first byte, so that connections that send nothing take less memory.

--- a/crates/primrosebay/tests/crowds.rs
+++ b/crates/primrosebay/tests/crowds.rs
@@ -5,6 +5,8 @@
 
 #[path = "crowds/beside.rs"]
 mod beside;
+#[path = "crowds/connections.rs"]
+mod connections;
 #[expect(dead_code, reason = "shared with tests that use other parts")]
 mod members;
 #[path = "crowds/process.rs"]
--- a/crates/primrosebay_entry/src/instance.rs
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -116,6 +116,7 @@
         head_timeout: Duration::from_millis(timeouts.header_ms),
         body_timeout: Duration::from_millis(timeouts.body_ms),
         idle_timeout: Duration::from_millis(timeouts.idle_ms),
+        ..Limits::default()
     }
 }
 
--- a/crates/primrosebay_transport/src/budget.rs
+++ b/crates/primrosebay_transport/src/budget.rs
@@ -30,7 +30,7 @@
 /// in this workspace (64 MiB).
 const DEFAULT_BYTES: usize = 256 << 20;
 
-/// Reason why a request is given up before it has an effect.
+/// Reason why a request is given up before it has an effect, or a connection is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Cause {
     /// The unfinished requests of the process hold too many bytes.
@@ -54,11 +54,17 @@
     /// The jobs that are being accepted hold too many bytes.
     #[error("too many bytes of jobs")]
     Jobs,
+    /// The connection gave way to another one.
+    #[error("too many connections")]
+    Connections,
+    /// The client did not read its answer in time.
+    #[error("the answer was not read in time")]
+    AnswerTime,
 }
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 9] = [
         Self::Memory,
         Self::HeadTime,
         Self::BodyTime,
@@ -66,6 +72,8 @@
         Self::HeadText,
         Self::BodySize,
         Self::Jobs,
+        Self::Connections,
+        Self::AnswerTime,
     ];
 
     /// Returns the cause as a label of a metric.
@@ -79,6 +87,8 @@
             Self::HeadText => "head_text",
             Self::BodySize => "body_size",
             Self::Jobs => "jobs",
+            Self::Connections => "connections",
+            Self::AnswerTime => "answer_time",
         }
     }
 
@@ -87,8 +97,8 @@
     #[must_use]
     pub fn status(self) -> StatusCode {
         match self {
-            Self::Memory | Self::Jobs => StatusCode::ServiceUnavailable,
-            Self::HeadTime | Self::BodyTime => StatusCode::RequestTimeout,
+            Self::Memory | Self::Jobs | Self::Connections => StatusCode::ServiceUnavailable,
+            Self::HeadTime | Self::BodyTime | Self::AnswerTime => StatusCode::RequestTimeout,
             Self::HeadSize => StatusCode::RequestHeaderFieldsTooLarge,
             Self::HeadText => StatusCode::BadRequest,
             Self::BodySize => StatusCode::PayloadTooLarge,
--- a/crates/primrosebay_transport/src/connection.rs
+++ b/crates/primrosebay_transport/src/connection.rs
@@ -7,6 +7,7 @@
 
 use crate::budget::{Budget, Cause, Charge};
 use crate::http_server::Limits;
+use crate::slots::Slot;
 
 /// Maximum size of a head with the empty lines before it, in bytes. `async-h1` rejects longer ones as
 /// well, but only at the end of a line.
@@ -32,6 +33,7 @@
     limits: Limits,
     budget: Arc<Budget>,
     peer: Option<SocketAddr>,
+    slot: Slot,
     state: Mutex<State>,
 }
 
@@ -48,6 +50,8 @@
     received: usize,
     /// Number of bytes of [`HEAD_END`] that the head ends with.
     matched: usize,
+    /// Time since which the client has taken no byte of the answer; `None` if it takes them.
+    blocked: Option<Instant>,
 }
 
 /// The part of a request that is expected on a connection.
@@ -66,11 +70,17 @@
 }
 
 impl Connection {
-    pub(crate) fn new(limits: Limits, budget: Arc<Budget>, peer: Option<SocketAddr>) -> Self {
+    pub(crate) fn new(
+        limits: Limits,
+        budget: Arc<Budget>,
+        peer: Option<SocketAddr>,
+        slot: Slot,
+    ) -> Self {
         Self {
             limits,
             budget,
             peer,
+            slot,
             state: Mutex::new(State {
                 phase: Phase::Idle,
                 deadline: None,
@@ -78,15 +88,21 @@
                 failure: None,
                 received: 0,
                 matched: 0,
+                blocked: None,
             }),
         }
     }
 
     /// Expects the next request.
     pub(crate) fn expect_request(&self) {
+        let now = Instant::now();
         let mut state = self.state();
+        if state.phase != Phase::Idle {
+            self.slot.restart(now);
+        }
+        self.slot.set_busy(false);
         state.phase = Phase::Idle;
-        state.deadline = Some(Instant::now() + self.limits.idle_timeout);
+        state.deadline = Some(now + self.limits.idle_timeout);
         state.charge = None;
         state.received = 0;
         state.matched = 0;
@@ -107,18 +123,19 @@
 
     /// Charges bytes that were read and checks the limits of the current phase.
     pub(crate) fn receive(&self, bytes: &[u8]) -> Result<(), Cause> {
+        let now = Instant::now();
+        self.slot.advance(bytes.len(), now);
         let mut state = self.state();
         let result = match state.phase {
-            Phase::Idle | Phase::Head => self.receive_head(&mut state, bytes),
-            Phase::Body => state.charge(bytes.len(), Instant::now()),
+            Phase::Idle | Phase::Head => self.receive_head(&mut state, bytes, now),
+            Phase::Body => state.charge(bytes.len(), now),
             Phase::Finished => Ok(()),
             Phase::Discard => state.discard(bytes.len()),
         };
         result.map_err(|cause| self.fail(&mut state, cause))
     }
 
-    fn receive_head(&self, state: &mut State, bytes: &[u8]) -> Result<(), Cause> {
-        let now = Instant::now();
+    fn receive_head(&self, state: &mut State, bytes: &[u8], now: Instant) -> Result<(), Cause> {
         if state.phase == Phase::Idle && !bytes.is_empty() {
             state.phase = Phase::Head;
             state.deadline = Some(now + self.limits.head_timeout);
@@ -153,9 +170,23 @@
         result.map_err(|cause| self.fail(state, cause))?;
         state.phase = Phase::Finished;
         state.deadline = None;
+        self.slot.set_busy(true);
         Ok(())
     }
 
+    /// Notes whether the client took bytes of the answer.
+    pub(crate) fn write(&self, bytes: Option<usize>) {
+        let now = Instant::now();
+        let mut state = self.state();
+        if let Some(bytes) = bytes {
+            state.blocked = None;
+            self.slot.advance(bytes, now);
+        } else if state.blocked.is_none() {
+            state.blocked = Some(now);
+            self.slot.set_busy(false);
+        }
+    }
+
     /// Notes that the application has answered and releases the bytes of the request.
     pub(crate) fn answer(&self, body_read: bool) {
         let mut state = self.state();
@@ -180,6 +211,10 @@
     /// closed without an answer.
     pub(crate) fn time_out(&self) -> bool {
         let mut state = self.state();
+        if state.blocked.is_some() {
+            self.budget.record(Cause::AnswerTime, &self.peer);
+            return true;
+        }
         state.deadline = None;
         match state.phase {
             Phase::Head => self.fail(&mut state, Cause::HeadTime),
@@ -202,9 +237,21 @@
         is_new
     }
 
-    /// Returns the deadline of the current phase; `None` if it has none.
+    /// Returns whether the connection is closed to make room for another one. If not, wakes `waker`
+    /// when it is.
+    pub(crate) fn is_closing(&self, waker: &Waker) -> bool {
+        let is_closing = self.slot.is_closing(waker);
+        if is_closing {
+            self.budget.record(Cause::Connections, &self.peer);
+        }
+        is_closing
+    }
+
+    /// Returns the deadline of the answer or of the current phase; `None` if there is none.
     pub(crate) fn deadline(&self) -> Option<Instant> {
-        self.state().deadline
+        let state = self.state();
+        let answer = state.blocked.map(|since| since + self.limits.write_timeout);
+        answer.or(state.deadline)
     }
 
     /// Returns the charge of the current request.
--- a/crates/primrosebay_transport/src/http_server.rs
+++ b/crates/primrosebay_transport/src/http_server.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, JoinHandle};
@@ -15,6 +15,7 @@
 use crate::connection::{Connection, Phase};
 use crate::request_body::track_body;
 use crate::request_stream::RequestStream;
+use crate::slots::{Slot, Slots};
 use crate::watched::watched;
 
 /// Time after which a client may retry that was refused for lack of memory, in seconds. Given-up
@@ -27,7 +28,8 @@
 /// Connection limit and timeouts of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
-    /// Maximum number of open connections; further ones are closed at once.
+    /// Maximum number of open connections. A further one takes the place of the one whose client has
+    /// made no progress for the longest time.
     pub connections: usize,
     /// Time that requests in flight get to finish when the server is closed.
     pub grace: Duration,
@@ -37,6 +39,8 @@
     pub body_timeout: Duration,
     /// Time after which a connection without a request is closed.
     pub idle_timeout: Duration,
+    /// Time after which a connection is closed whose client takes no byte of its answer.
+    pub write_timeout: Duration,
 }
 
 impl Default for Limits {
@@ -48,6 +52,8 @@
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_mins(1),
+            // Links are cut for some seconds, and callers with a deadline of 3 s have left by then.
+            write_timeout: Duration::from_secs(30),
         }
     }
 }
@@ -66,8 +72,8 @@
 struct Shared {
     /// Whether each response asks the client to close the connection.
     draining: AtomicBool,
-    /// Number of open connections.
-    connections: AtomicUsize,
+    /// The open connections.
+    slots: Arc<Slots>,
     /// Number of requests in flight: received, and not yet answered in full.
     requests: AtomicUsize,
     /// Bytes of unfinished requests.
@@ -102,7 +108,7 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             draining: AtomicBool::new(false),
-            connections: AtomicUsize::new(0),
+            slots: Arc::new(Slots::new(limits.connections)),
             requests: AtomicUsize::new(0),
             budget,
         });
@@ -149,8 +155,8 @@
     shared: Arc<Shared>,
 ) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(e) => {
                 log::warn!("http: cannot accept a connection: {e}");
                 // Without a free file descriptor `accept` fails immediately, so the loop pauses.
@@ -158,34 +164,17 @@
                 continue;
             }
         };
-        let Some(slot) = Slot::take(&shared, limits.connections) else {
+        let Some(slot) = shared.slots.take(Instant::now()) else {
+            shared.budget.record(Cause::Connections, &peer);
             continue;
         };
-        task::spawn(serve(stream, app.clone(), limits, slot));
-    }
-}
-
-/// The slot of an open connection, which is released when this is dropped: also when the task of the
-/// connection panics.
-#[derive(Debug)]
-struct Slot {
-    shared: Arc<Shared>,
-}
-
-impl Slot {
-    /// Takes a slot, or returns `None` if as many connections as the limit are open.
-    fn take(shared: &Arc<Shared>, limit: usize) -> Option<Self> {
-        let slot = Self {
-            shared: Arc::clone(shared),
-        };
-        let open = shared.connections.fetch_add(1, Ordering::SeqCst);
-        (open < limit).then_some(slot)
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.shared.connections.fetch_sub(1, Ordering::SeqCst);
+        task::spawn(serve(
+            stream,
+            app.clone(),
+            limits,
+            Arc::clone(&shared),
+            slot,
+        ));
     }
 }
 
@@ -194,25 +183,38 @@
     stream: TcpStream,
     app: tide::Server<S>,
     limits: Limits,
+    shared: Arc<Shared>,
     slot: Slot,
 ) {
-    let shared = &slot.shared;
     let peer = stream.peer_addr().ok();
     // Otherwise Nagle's algorithm can hold back a small response for 40 ms, until a delayed
     // acknowledgement arrives.
     let _ = stream.set_nodelay(true);
-    let connection = Arc::new(Connection::new(limits, Arc::clone(&shared.budget), peer));
+    let budget = Arc::clone(&shared.budget);
+    let connection = Arc::new(Connection::new(limits, budget, peer, slot));
+    connection.expect_request();
+    if !matches!(watched(first_byte(&stream), &connection).await, Ok(true)) {
+        return;
+    }
     let requests = RequestStream::new(stream.clone(), Arc::clone(&connection));
     let handler = |request: Request| {
-        let (app, shared, connection) = (app.clone(), Arc::clone(shared), Arc::clone(&connection));
+        let (app, shared, connection) = (app.clone(), Arc::clone(&shared), Arc::clone(&connection));
         async move { respond(request, peer, app, shared, connection).await }
     };
-    if let Err(e) = watched(async_h1::accept(requests, handler), &connection).await {
+    // Boxed, since the decoder and its buffers would otherwise take up memory for each connection
+    // that has sent nothing.
+    let requests = Box::pin(watched(async_h1::accept(requests, handler), &connection));
+    if let Err(e) = requests.await {
         log::debug!("http: connection closed: {e}");
         refuse_head(stream, &connection).await;
     }
 }
 
+/// Waits for the first byte. Returns whether there is one.
+async fn first_byte(stream: &TcpStream) -> io::Result<bool> {
+    Ok(stream.peek(&mut [0]).await? > 0)
+}
+
 /// Answers a request whose head was rejected. A late head gets no answer, as a connection without a
 /// request gets none.
 async fn refuse_head(mut stream: TcpStream, connection: &Connection) {
--- a/crates/primrosebay_transport/src/lib.rs
+++ b/crates/primrosebay_transport/src/lib.rs
@@ -15,6 +15,7 @@
 mod progress;
 mod request_body;
 mod request_stream;
+mod slots;
 pub mod trace;
 mod watched;
 pub mod worker;
--- a/crates/primrosebay_transport/src/request_stream.rs
+++ b/crates/primrosebay_transport/src/request_stream.rs
@@ -71,7 +71,13 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        match &written {
+            Poll::Ready(Ok(count)) => self.connection.write(Some(*count)),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.connection.write(None),
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/primrosebay_transport/src/watched.rs
+++ b/crates/primrosebay_transport/src/watched.rs
@@ -1,4 +1,4 @@
-//! Ends the parts of requests on a connection that are late.
+//! Ends the parts of requests on a connection that are late, and connections that give way to others.
 
 use std::future::{Future, poll_fn};
 use std::pin::{Pin, pin};
@@ -16,10 +16,10 @@
 ///
 /// The timeout of `async-h1` for the head is fixed at 60 s, and it has none for bodies. Its chunk
 /// decoder may wait without reading from the stream, so that a timer there would not be polled.
-pub(crate) async fn watched(
-    task: impl Future<Output = http_types::Result<()>>,
+pub(crate) async fn watched<T: Default, E>(
+    task: impl Future<Output = Result<T, E>>,
     connection: &Connection,
-) -> http_types::Result<()> {
+) -> Result<T, E> {
     let mut task = pin!(task);
     let mut timer = Deadline::default();
     poll_fn(|cx| {
@@ -30,11 +30,14 @@
             if connection.watch(cx.waker()) {
                 continue;
             }
+            if connection.is_closing(cx.waker()) {
+                return Poll::Ready(Ok(T::default()));
+            }
             if !timer.has_passed(connection.deadline(), cx) {
                 return Poll::Pending;
             }
             if connection.time_out() {
-                return Poll::Ready(Ok(()));
+                return Poll::Ready(Ok(T::default()));
             }
         }
     })
--- a/crates/primrosebay_transport/tests/http_server.rs
+++ b/crates/primrosebay_transport/tests/http_server.rs
@@ -1,8 +1,9 @@
 //! The HTTP server, with requests written as raw bytes on a connection.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use async_std::channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use async_std::task::{block_on, sleep, spawn};
@@ -14,6 +15,9 @@
 /// Size of a body that does not fit into the buffers of a connection.
 const LARGE_BYTES: usize = 32 << 20;
 
+/// Maximum time until something happens on a busy machine.
+const WAIT: Duration = Duration::from_secs(40);
+
 async fn start_server() -> Server {
     start_limited(Limits::default()).await
 }
@@ -233,3 +237,146 @@
         server.close().await;
     });
 }
+
+/// Limits of a server for few connections.
+fn few_connections(connections: usize) -> Limits {
+    Limits {
+        connections,
+        ..Limits::default()
+    }
+}
+
+/// Asks on new connections until the server answers.
+async fn ask_until_answered(server: &Server) {
+    let head = b"POST /read HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody";
+    let deadline = Instant::now() + WAIT;
+    loop {
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        let _ = stream.write_all(head).await;
+        if timeout(WAIT, read_to_close_or(&mut stream, "body"))
+            .await
+            .unwrap()
+        {
+            return;
+        }
+        assert!(Instant::now() < deadline, "no answer");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Reads until the bytes end with `end`. Returns whether they do before the connection is closed.
+async fn read_to_close_or(stream: &mut TcpStream, end: &str) -> bool {
+    let (mut bytes, mut buffer) = (Vec::new(), [0; 1024]);
+    while !bytes.ends_with(end.as_bytes()) {
+        match stream.read(&mut buffer).await {
+            Ok(count) if count > 0 => bytes.extend_from_slice(&buffer[..count]),
+            _ => return false,
+        }
+    }
+    true
+}
+
+/// Guards against connections without a request that keep out callers, and against a place that is
+/// lost when a connection gives way.
+#[test]
+fn idle_connections_give_way_to_new_ones() {
+    block_on(async {
+        let server = start_limited(few_connections(4)).await;
+        let mut idle = Vec::new();
+        for _ in 0..20 {
+            idle.push(TcpStream::connect(server.address()).await.unwrap());
+            ask_until_answered(&server).await;
+        }
+        server.close().await;
+    });
+}
+
+/// Guards against clients that do not read their answers and keep out callers.
+#[test]
+fn connections_with_unread_answers_give_way_to_new_ones() {
+    block_on(async {
+        let server = start_limited(few_connections(4)).await;
+        let mut clients = Vec::new();
+        for _ in 0..4 {
+            let mut stream = TcpStream::connect(server.address()).await.unwrap();
+            let head = b"GET /large HTTP/1.1\r\nhost: a\r\n\r\n";
+            stream.write_all(head).await.unwrap();
+            assert!(stream.read(&mut [0]).await.unwrap() > 0);
+            clients.push(stream);
+        }
+        ask_until_answered(&server).await;
+        drop(server);
+    });
+}
+
+/// Guards against an answer that is kept for as long as its client likes.
+#[test]
+fn answer_that_is_not_read_ends_the_connection() {
+    block_on(async {
+        let budget = Arc::new(Budget::default());
+        let mut app = tide::new();
+        app.at("/large")
+            .get(|_| async { Ok("x".repeat(LARGE_BYTES)) });
+        let limits = Limits {
+            write_timeout: Duration::from_millis(100),
+            ..Limits::default()
+        };
+        let address = "127.0.0.1:0".parse().unwrap();
+        let server = Server::start_with_budget(address, app, limits, Arc::clone(&budget));
+        let server = server.await.unwrap();
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        let head = b"GET /large HTTP/1.1\r\nhost: a\r\n\r\n";
+        stream.write_all(head).await.unwrap();
+        let deadline = Instant::now() + WAIT;
+        while budget.given_up(Cause::AnswerTime) == 0 {
+            assert!(Instant::now() < deadline, "the connection is still open");
+            sleep(Duration::from_millis(10)).await;
+        }
+        let text = read_to_close(&mut stream).await;
+        assert!(text.len() < LARGE_BYTES, "{} bytes", text.len());
+        server.close().await;
+    });
+}
+
+/// Guards against a request that was received and is dropped because there are many connections: it may
+/// have had an effect, and its caller would not know.
+#[test]
+fn requests_in_work_do_not_give_way() {
+    block_on(async {
+        let (release, released) = bounded::<()>(1);
+        let (arrive, arrived) = bounded::<()>(2);
+        let mut app = tide::with_state((arrive, released));
+        app.at("/wait").get(wait_for_release);
+        let budget = Arc::new(Budget::default());
+        let address = "127.0.0.1:0".parse().unwrap();
+        let limits = few_connections(2);
+        let server = Server::start_with_budget(address, app, limits, Arc::clone(&budget));
+        let server = server.await.unwrap();
+        let mut clients = Vec::new();
+        for _ in 0..2 {
+            let mut stream = TcpStream::connect(server.address()).await.unwrap();
+            let head = b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n";
+            stream.write_all(head).await.unwrap();
+            arrived.recv().await.unwrap();
+            clients.push(stream);
+        }
+        for _ in 0..5 {
+            let mut refused = TcpStream::connect(server.address()).await.unwrap();
+            assert_eq!(read_to_close(&mut refused).await, "");
+        }
+        assert_eq!(budget.given_up(Cause::Connections), 5);
+        drop(release);
+        for mut stream in clients {
+            read_response(&mut stream, "done").await;
+        }
+        server.close().await;
+    });
+}
+
+/// Answers once the test releases all requests.
+async fn wait_for_release(request: tide::Request<(Sender<()>, Receiver<()>)>) -> tide::Result {
+    let (arrive, released) = request.state();
+    let _ = arrive.send(()).await;
+    let _ = released.recv().await;
+    Ok("done".into())
+}
