Divide the descriptors of a process among its addresses

Callers saw no answer while other instances, or clients that reach their address, held as many connections there as the process has descriptors: no connection could be accepted on any address, and none opened to the store.

Cause: the address for other instances had a limit of 4,096 connections, whatever the process may open. The limit for callers followed the operating system only: where that allows 20,000, 4,096 connections of callers were accepted on a machine of limits.maxFds 4,100.

Now the lower one of limits.maxFds and the limit of the operating system is divided: half for callers (at most 4,096), a quarter for other instances (at most 4,096), a sixteenth for probes (at most 256).

--- a/crates/primrosebay/src/commands/member.rs
+++ b/crates/primrosebay/src/commands/member.rs
@@ -9,6 +9,7 @@
 use clap::ArgMatches;
 use eyre::WrapErr;
 use primrosebay_member::node::Node;
+use primrosebay_member::settings::Settings;
 use primrosebay_platform::{BootConfig, PlatformClient, front_app, ready_app};
 use primrosebay_transport::clock::Clock;
 use primrosebay_transport::http_server::{Limits, Server};
@@ -20,7 +21,7 @@
 const CLOSE_GRACE: Duration = Duration::from_secs(1);
 
 /// Maximum number of connections of load balancers, which use one or two each for their probes.
-const PROBE_CONNECTIONS: usize = 256;
+const MAX_PROBE_CONNECTIONS: usize = 256;
 
 /// Runs an instance of a cell until a signal asks the process to stop. With `--check`, only checks
 /// the settings file.
@@ -31,7 +32,11 @@
         return Ok(());
     }
     logging::start_structured();
-    let settings = boot.settings();
+    let shares = Shares::new(descriptors(&boot));
+    let settings = Settings {
+        peer_connections: shares.instances,
+        ..boot.settings()
+    };
     log::info!(
         node:% = settings.name, zone:% = settings.zone, version:% = env!("CARGO_PKG_VERSION"),
         lease_ms = settings.leader.lease_ms;
@@ -44,7 +49,7 @@
         .wrap_err("cannot start the instance")?;
     let node = Arc::new(node);
     let limits = Limits {
-        connections: caller_connections(),
+        connections: shares.callers,
         grace: CLOSE_GRACE,
         ..Limits::default()
     };
@@ -53,7 +58,7 @@
         .await
         .wrap_err("cannot listen for callers")?;
     let limits = Limits {
-        connections: PROBE_CONNECTIONS,
+        connections: shares.probes,
         ..limits
     };
     let (address, app) = (boot.ready_address()?, ready_app(Arc::clone(&node)));
@@ -73,12 +78,33 @@
     Ok(())
 }
 
-/// Returns the maximum number of connections of callers: a half of the descriptors that the process
-/// may open, so that a crowd of callers leaves enough for the store, the minions and other instances.
-fn caller_connections() -> usize {
-    let descriptors = getrlimit(Resource::Nofile).current;
-    let half = descriptors.map_or(usize::MAX, |d| usize::try_from(d / 2).unwrap_or(usize::MAX));
-    half.min(Limits::default().connections)
+/// The numbers of connections that may be open on each address of a member. A quarter of the
+/// descriptors is left for the store, the minions, other instances and files.
+#[derive(Debug)]
+struct Shares {
+    callers: usize,
+    instances: usize,
+    probes: usize,
+}
+
+impl Shares {
+    /// Divides the descriptors that the process may open.
+    fn new(descriptors: usize) -> Self {
+        let most = Limits::default().connections;
+        Self {
+            callers: most.min(descriptors / 2),
+            instances: most.min(descriptors / 4),
+            probes: MAX_PROBE_CONNECTIONS.min(descriptors / 16),
+        }
+    }
+}
+
+/// Returns the number of descriptors that the process may open: as many as the settings and the
+/// operating system allow.
+fn descriptors(boot: &BootConfig) -> usize {
+    let current = getrlimit(Resource::Nofile).current;
+    let allowed = current.map_or(usize::MAX, |d| usize::try_from(d).unwrap_or(usize::MAX));
+    boot.max_descriptors().map_or(allowed, |d| d.min(allowed))
 }
 
 /// Waits for `SIGTERM` or `SIGINT`. On `SIGHUP`, only checks the settings file, since everything
--- a/crates/primrosebay_member/src/node.rs
+++ b/crates/primrosebay_member/src/node.rs
@@ -69,6 +69,7 @@
             peer_client: Client::new(),
         });
         let limits = Limits {
+            connections: shared.settings.peer_connections,
             grace: PEER_GRACE,
             ..Limits::default()
         };
--- a/crates/primrosebay_member/src/settings.rs
+++ b/crates/primrosebay_member/src/settings.rs
@@ -5,6 +5,7 @@
 
 use primrosebay_cell::{carriers, follower, leader};
 use primrosebay_state::Name;
+use primrosebay_transport::http_server::Limits;
 
 /// Settings of an instance of a cell.
 #[derive(Debug, Clone)]
@@ -20,6 +21,8 @@
     pub cores_milli: u32,
     /// Memory of the machine, in bytes. A part of it is the budget for unfinished requests.
     pub memory_bytes: u64,
+    /// Maximum number of open connections of other instances.
+    pub peer_connections: usize,
     /// Maximum age of the configuration for accepting a call with an API key. A revoked key has to
     /// stop working on every instance within seconds, even on one that cannot reach the log.
     /// Also the maximum age of the cell state for reporting the backlog of a queue.
@@ -109,6 +112,7 @@
             cores_milli: 1_000,
             // The smallest machine.
             memory_bytes: 160 << 20,
+            peer_connections: Limits::default().connections,
             key_age: Duration::from_secs(3),
             job_age: Duration::from_millis(1_500),
             ready_age: Duration::from_millis(1_200),
