Give readiness probes a budget of their own

Load balancers saw 503 for probes of an instance whose callers hold many unfinished requests, although it can serve, and take it out of rotation after two of them; connections without a request on the address for probes kept out further ones.

Cause: probes were charged to the budget that the crowd had filled, and gave way as the largest or newest request. Now they have 1 MiB of their own, which is 42 unfinished probes at once, and the metrics count them.

--- a/crates/primrosebay/src/commands/member.rs
+++ b/crates/primrosebay/src/commands/member.rs
@@ -62,7 +62,7 @@
         ..limits
     };
     let (address, app) = (boot.ready_address()?, ready_app(Arc::clone(&node)));
-    let ready = Server::start_with_budget(address, app, limits, node.budget())
+    let ready = Server::start_with_budget(address, app, limits, node.probe_budget())
         .await
         .wrap_err("cannot listen for readiness probes")?;
     log::info!("member: started");
--- a/crates/primrosebay/tests/crowds/beside.rs
+++ b/crates/primrosebay/tests/crowds/beside.rs
@@ -206,6 +206,25 @@
     task::block_on(assert_served_beside(name, sender, bytes));
 }
 
+/// Guards against readiness probes that fail because of a crowd of callers, upon which the load
+/// balancer sends no new connections to the instance.
+#[test]
+fn probes_succeed_beside_small_unfinished_requests() {
+    let _lock = lock();
+    task::block_on(async {
+        let mut instance = Instance::start("probing").await;
+        let addresses = instance.member.addresses;
+        let held = gather(addresses.front, CLIENTS, one_byte).await;
+        let pressure = Pressure::start(addresses.front, one_byte);
+        let probe = |_| b"GET /api/readyz HTTP/1.1\r\nHost: a\r\n\r\n".to_vec();
+        ask_until_served(&mut instance, addresses.ready, &held, probe).await;
+        drop((held, pressure));
+        instance.submit_until_accepted().await;
+        instance.assert_running();
+        instance.close();
+    });
+}
+
 /// Guards against clients that keep a request open with a byte from time to time and count as making
 /// progress.
 #[test]
--- a/crates/primrosebay/tests/crowds/connections.rs
+++ b/crates/primrosebay/tests/crowds/connections.rs
@@ -98,6 +98,32 @@
     });
 }
 
+/// Guards against a load balancer whose probes are refused because of connections without a request on
+/// the address for probes.
+#[test]
+fn idle_connections_do_not_keep_out_probes() {
+    let _lock = lock();
+    task::block_on(async {
+        let mut instance = start("ready").await;
+        let address = instance.member.addresses.ready;
+        let held = gather(address, IDLE, nothing).await;
+        let deadline = Instant::now() + WAIT;
+        loop {
+            let status = probe(address).await;
+            if status == Some(StatusCode::Ok) {
+                break;
+            }
+            assert!(Instant::now() < deadline, "{status:?}");
+            task::sleep(Duration::from_millis(50)).await;
+        }
+        let open = count_open(&held).await;
+        assert!(open > IDLE / 16, "{open} held");
+        instance.submit_until_accepted().await;
+        instance.assert_running();
+        instance.close();
+    });
+}
+
 /// Guards against connections on the address for other instances that use up the descriptors, so that
 /// neither callers nor the log can be reached.
 #[test]
--- a/crates/primrosebay_member/src/metrics.rs
+++ b/crates/primrosebay_member/src/metrics.rs
@@ -205,28 +205,34 @@
         }
     }
 
-    /// Reports the bytes of unfinished requests and the requests that are given up.
-    pub(crate) fn observe_budget(budget: &Arc<Budget>) {
+    /// Reports the bytes of unfinished requests, and the requests that are given up on all servers.
+    pub(crate) fn observe_budgets(budget: &Arc<Budget>, probes: &Arc<Budget>) {
         let meter = global::meter("primrosebay");
-        let observed = Arc::clone(budget);
+        let observed = [Arc::clone(budget), Arc::clone(probes)];
         meter
             .u64_observable_gauge("request_bytes")
             .with_description("Bytes charged for unfinished requests, and their limit, by kind.")
             .with_callback(move |observer| {
-                let values = [("charged", observed.held()), ("limit", observed.limit())];
+                let [budget, probes] = &observed;
+                let values = [
+                    ("charged", budget.held()),
+                    ("limit", budget.limit()),
+                    ("probes_charged", probes.held()),
+                    ("probes_limit", probes.limit()),
+                ];
                 for (kind, bytes) in values {
                     observer.observe(bytes as u64, &[KeyValue::new("kind", kind)]);
                 }
             })
             .build();
-        let observed = Arc::clone(budget);
+        let observed = [Arc::clone(budget), Arc::clone(probes)];
         meter
             .u64_observable_counter("requests_given_up")
-            .with_description("Requests given up before they were received, by cause.")
+            .with_description("Requests given up and connections closed, by cause.")
             .with_callback(move |observer| {
                 for cause in Cause::ALL {
-                    let labels = [KeyValue::new("cause", cause.name())];
-                    observer.observe(observed.given_up(cause), &labels);
+                    let count = observed.iter().map(|b| b.given_up(cause)).sum();
+                    observer.observe(count, &[KeyValue::new("cause", cause.name())]);
                 }
             })
             .build();
--- a/crates/primrosebay_member/src/node.rs
+++ b/crates/primrosebay_member/src/node.rs
@@ -27,12 +27,17 @@
 /// Time at shutdown for completing calls of other instances that are in flight.
 const PEER_GRACE: Duration = Duration::from_millis(200);
 
+/// Bytes that unfinished readiness probes may hold: 42 probes at once. They have a budget of their own,
+/// so that a crowd of callers does not make load balancers take the instance out of rotation.
+const PROBE_BYTES: usize = 1 << 20;
+
 /// A running instance of a cell.
 #[derive(Debug)]
 pub struct Node<P> {
     pub(crate) shared: Arc<Shared<P>>,
     server: Server,
     budget: Arc<Budget>,
+    probe_budget: Arc<Budget>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -74,7 +79,8 @@
             ..Limits::default()
         };
         let budget = Arc::new(Budget::for_memory(shared.settings.memory_bytes));
-        Metrics::observe_budget(&budget);
+        let probe_budget = Arc::new(Budget::new(PROBE_BYTES));
+        Metrics::observe_budgets(&budget, &probe_budget);
         let app = peer::app(Arc::clone(&shared));
         let server = Server::start_with_budget(address, app, limits, Arc::clone(&budget)).await?;
         let bound: Name = server.address().to_string().into();
@@ -93,6 +99,7 @@
             shared,
             server,
             budget,
+            probe_budget,
             tasks,
         })
     }
@@ -146,12 +153,18 @@
         &self.shared.settings
     }
 
-    /// Returns the budget for the unfinished requests on all servers of the process.
+    /// Returns the budget for the unfinished requests of callers and other instances.
     #[must_use]
     pub fn budget(&self) -> Arc<Budget> {
         Arc::clone(&self.budget)
     }
 
+    /// Returns the budget for unfinished readiness probes.
+    #[must_use]
+    pub fn probe_budget(&self) -> Arc<Budget> {
+        Arc::clone(&self.probe_budget)
+    }
+
     /// Returns the metrics of the instance.
     #[must_use]
     pub fn metrics(&self) -> &Metrics {
