Bound the memory of requests on entry instances by their machine

Operators saw an entry instance (primrosebay serve) exceed the 256 MB that a node has for control: 370 to 454 MB with 500 clients that hold bodies of 1 MiB, whole, in pieces or in chunks.

Cause: its budget was the default of the server, 256 MiB, since the settings had no field for the memory. Now limits.memory_bytes (256 MiB; 64 MiB to 1 TiB) gives it, and an eighth is the budget, as for members. A body may take half of the budget at most; a larger limits.body_bytes is reported at the start. The metrics request_bytes and requests_given_up show it.

Evidence: crowds_do_not_fill_the_memory_of_an_entry_instance, debug build, 256 MB allowed. On whole bodies 369,668 kB, short ones 425,244, pieces 453,896, chunks 403,628; endless heads failed on (446,508 kB). Crowds of small chunks, long heads and empty lines failed on neither and were not kept.

--- a/crates/primrosebay/tests/crowds.rs
+++ b/crates/primrosebay/tests/crowds.rs
@@ -7,10 +7,14 @@
 mod beside;
 #[path = "crowds/connections.rs"]
 mod connections;
+#[path = "crowds/entry.rs"]
+mod entry;
 #[expect(dead_code, reason = "shared with tests that use other parts")]
 mod members;
 #[path = "crowds/process.rs"]
 mod process;
+#[expect(dead_code, reason = "shared with tests that use other parts")]
+mod support;
 
 use std::fs;
 use std::net::SocketAddr;
--- a/crates/primrosebay/tests/processes.rs
+++ b/crates/primrosebay/tests/processes.rs
@@ -1,5 +1,6 @@
 //! Tests of whole cells whose parts run as separate processes that are killed and paused.
 
+#[expect(dead_code, reason = "shared with tests that use other parts")]
 mod support;
 
 use std::time::Duration;
--- a/crates/primrosebay/tests/support/mod.rs
+++ b/crates/primrosebay/tests/support/mod.rs
@@ -61,6 +61,16 @@
         read_address(&mut self.stdout, &["serve"])
     }
 
+    /// Returns the identifier of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Sends a signal to the process.
     fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).unwrap();
@@ -114,6 +124,8 @@
     /// Temporary directory for the settings and certificates of entry instances.
     directory: PathBuf,
     authority: DevAuthority,
+    /// Lines that are added to the settings of entry instances.
+    settings: String,
     http: Client,
 }
 
@@ -129,8 +141,17 @@
         Self::start_in(&["a"], workers, entries).await
     }
 
+    /// Starts a cell with the single zone `a`. `settings` is added to those of the entry instances.
+    pub async fn start_with(settings: &str, workers: usize, entries: usize) -> Self {
+        Self::start_zones(settings, &["a"], workers, entries).await
+    }
+
     /// Starts a cell with the given number of workers and entry instances in each zone.
     pub async fn start_in(zones: &[&str], workers: usize, entries: usize) -> Self {
+        Self::start_zones("", zones, workers, entries).await
+    }
+
+    async fn start_zones(settings: &str, zones: &[&str], workers: usize, entries: usize) -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let directory = format!("primrosebay-{}-{number}", std::process::id());
@@ -144,6 +165,7 @@
             workers: Vec::new(),
             minions: Vec::new(),
             entries: Vec::new(),
+            settings: settings.to_owned(),
             http: Client::new(),
         };
         for zone in zones {
@@ -186,10 +208,12 @@
              addresses: {{http: '127.0.0.1:0', peers: '127.0.0.1:0', log: '{}', list: '{}'}}\n\
              operators: {{keys: [{}]}}\n\
              tls: {{certificate: '{certificate}', key: '{key}', authorities: '{authorities}'}}\n\
-             timeouts: {{task_ms: 3000}}\n",
+             timeouts: {{task_ms: 3000}}\n\
+             {}\n",
             self.log.address,
             self.list.address,
             primrosebay_entry::auth::hash(OPERATOR_KEY),
+            self.settings,
         );
         let path = self.write(&format!("{name}.yaml"), &settings);
         let mut process = Process::start(&["serve", "--settings", &path]);
@@ -329,6 +353,11 @@
         Ok(serde_json::from_slice(&bytes).unwrap())
     }
 
+    /// Closes the idle connections to entry instances, so that the next call opens a new one.
+    pub fn reconnect(&mut self) {
+        self.http = Client::new();
+    }
+
     /// Submits a job without retries.
     pub async fn submit(&self, entry: usize, spec: &JobSpec) -> Result<Submitted, CallError> {
         let bytes = self
--- a/crates/primrosebay_entry/src/api/metrics.rs
+++ b/crates/primrosebay_entry/src/api/metrics.rs
@@ -3,6 +3,7 @@
 use opentelemetry::metrics::{Counter, Gauge};
 use opentelemetry::{KeyValue, global};
 use primrosebay_coordination::freshness::Status;
+use primrosebay_transport::budget::Cause;
 use primrosebay_transport::metrics::{install, text};
 use tide::Response;
 
@@ -18,6 +19,8 @@
     status: Gauge<u64>,
     records: Gauge<u64>,
     watchers: Gauge<u64>,
+    request_bytes: Gauge<u64>,
+    given_up: Gauge<u64>,
 }
 
 impl Metrics {
@@ -46,6 +49,14 @@
             status: gauge("config_status", "1 for the present status."),
             records: gauge("config_records", "Configuration records read, by result."),
             watchers: gauge("config_watchers", "Open watches."),
+            request_bytes: gauge(
+                "request_bytes",
+                "Bytes charged for unfinished requests, and their limit, by kind.",
+            ),
+            given_up: gauge(
+                "requests_given_up",
+                "Requests given up and connections closed, by cause.",
+            ),
         }
     }
 
@@ -81,6 +92,16 @@
             let current = u64::from(status == value);
             self.status.record(current, &labelled("status", name));
         }
+        let budget = &shared.budget;
+        for (kind, bytes) in [("charged", budget.held()), ("limit", budget.limit())] {
+            self.request_bytes
+                .record(bytes as u64, &labelled("kind", kind));
+        }
+        for cause in Cause::ALL {
+            let count = budget.given_up(cause);
+            self.given_up
+                .record(count, &labelled("cause", cause.name()));
+        }
         let results = ["done", "conflict", "no_effect"];
         for (count, result) in shared.configuration.outcomes().into_iter().zip(results) {
             self.records.record(count, &labelled("result", result));
--- a/crates/primrosebay_entry/src/instance.rs
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -61,7 +61,9 @@
             Peers::join(&shared, peers).map_err(io::Error::other)?;
         }
         let app = api::app(Arc::clone(&shared));
-        let server = Server::start(shared.setup.address, app, http_limits(&shared)).await?;
+        let (address, limits) = (shared.setup.address, http_limits(&shared));
+        let budget = Arc::clone(&shared.budget);
+        let server = Server::start_with_budget(address, app, limits, budget).await?;
         Zone::start(&shared, &shared.setup.zone);
         task::spawn(configuration::follow(Arc::downgrade(&shared)));
         task::spawn(configuration::watch_status(Arc::downgrade(&shared)));
--- a/crates/primrosebay_entry/src/shared.rs
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -24,6 +24,7 @@
 use crate::publisher::Publisher;
 use crate::requests::{RequestSettings, Requests};
 use crate::zones::Zone;
+use primrosebay_transport::budget::Budget;
 use primrosebay_transport::clock::Clock;
 
 /// Start-up parameters of an entry instance.
@@ -95,6 +96,8 @@
     pub watchers: Watchers,
     /// Metrics of API responses and of the state of the configuration.
     pub metrics: Metrics,
+    /// Bytes of unfinished requests.
+    pub budget: Arc<Budget>,
     /// Routes requests to minions.
     pub requests: Requests<HttpMinions>,
     peers: OnceLock<Arc<Peers>>,
@@ -112,6 +115,7 @@
         let freshness = Freshness::new(&setup.name, &setup.zone, &setup.region);
         let history = usize::try_from(setup.limits.watch_events).unwrap_or(usize::MAX);
         let clock = setup.clock.clone();
+        let budget = Budget::for_memory(setup.limits.memory_bytes);
         // `Metrics::new` installs the meter provider, which must exist before `Requests::new`
         // creates its instruments.
         let metrics = Metrics::new();
@@ -127,6 +131,7 @@
         );
         Self {
             configuration: Configuration::new(history, freshness),
+            budget: Arc::new(budget),
             requests,
             publisher: Publisher::start(Arc::clone(&log), incarnation),
             workers: HttpWorkers::new(setup.call_timeout),
--- a/crates/primrosebay_settings/src/settings.rs
+++ b/crates/primrosebay_settings/src/settings.rs
@@ -37,9 +37,13 @@
     };
 }
 
+/// Part of the memory that the largest body may take: half of the budget for unfinished requests.
+const BODY_FRACTION: u64 = 16;
+
 numbers! {
     /// Limits that keep the memory of an instance below 256 MB.
     Limits, "limits", {
+        memory_bytes = 256 << 20, 64 << 20..=1 << 40, "Memory of the machine for the process, in bytes; an eighth of it is the budget for unfinished requests.";
         body_bytes = 1 << 20, 1024..=64 << 20, "Largest body of a request, in bytes.";
         header_bytes = 16 << 10, 1024..=256 << 10, "Largest head of a request, in bytes.";
         connections = 4096, 16..=65_536, "Open HTTP connections; further ones are refused.";
@@ -196,6 +200,12 @@
             let rule = "all three files unless addresses.peers is a loopback address";
             reader.add_problem("tls", rule);
         }
+        let limits = &self.limits;
+        let most = limits.memory_bytes / BODY_FRACTION;
+        if limits.body_bytes > most {
+            let rule = format!("at most {most}, a sixteenth of limits.memory_bytes");
+            reader.add_problem("limits.body_bytes", rule);
+        }
         let timeouts = &self.timeouts;
         let control = timeouts.control_ms;
         if timeouts.heartbeat_ms * 2 > control {
--- a/crates/primrosebay_settings/tests/settings.rs
+++ b/crates/primrosebay_settings/tests/settings.rs
@@ -73,3 +73,15 @@
 fn invalid_documents_are_refused(#[case] text: &str) {
     assert!(resolve(text, &[]).is_err());
 }
+
+/// Guards against bodies that never fit into the budget for unfinished requests, so that a single one
+/// is refused although the instance is idle.
+#[rstest]
+#[case("{ memory_bytes: 67108864, body_bytes: 4194304 }", true)]
+#[case("{ memory_bytes: 67108864, body_bytes: 4194305 }", false)]
+#[case("{ body_bytes: 16777217 }", false)]
+#[case("{ memory_bytes: 67108863 }", false)]
+fn largest_body_fits_into_the_memory(#[case] limits: &str, #[case] valid: bool) {
+    let result = resolve(&format!("{REQUIRED}limits: {limits}\n"), &[]);
+    assert_eq!(result.is_ok(), valid, "{result:?}");
+}
