Keep refusals of entry instances true

Callers of an entry instance whose body was given up for others were told that it was malformed (400, never to be sent again), although the same call would succeed.

Cause: the handlers knew one error of a body, and the server replaced every 5xx answer of an application. Now bodies given up for others are OVERLOADED (5001), only 422 and 500 are replaced, which tide makes of an error that is passed on, and a refusal with 503 gets Retry-After in all cases. Bytes that are passed on are not charged.

Evidence: answers_of_the_application_stay and bytes_that_are_passed_on_are_not_charged; by reading, 504 was replaced.

--- a/crates/primrosebay_entry/src/api/input.rs
+++ b/crates/primrosebay_entry/src/api/input.rs
@@ -6,14 +6,15 @@
 use primrosebay_protocol::api::Failure;
 use primrosebay_protocol::code::Code;
 use primrosebay_state::job::Problem;
+use primrosebay_transport::budget::Cause;
 
 use super::ApiRequest;
 
 /// Reads the body within the limit `body_bytes` and the timeout `body_ms` of the settings.
 ///
 /// # Errors
-/// Returns [`Code::BODY_TOO_LARGE`], or [`Code::MALFORMED`] if the body is incomplete at its end or
-/// at the timeout.
+/// Returns [`Code::BODY_TOO_LARGE`], [`Code::OVERLOADED`] if the body was given up for others, or
+/// [`Code::MALFORMED`] if it is incomplete at its end or at the timeout.
 pub(crate) async fn read_body(request: &mut ApiRequest) -> Result<Vec<u8>, Failure> {
     let limit = request.state().setup.limits.body_bytes;
     if request.len().is_some_and(|bytes| bytes as u64 > limit) {
@@ -26,8 +27,12 @@
     let time_limit = Duration::from_millis(request.state().setup.timeouts.body_ms);
     let mut body = body.take(limit + 1);
     let result = async_std::future::timeout(time_limit, body.read_to_end(&mut bytes)).await;
-    if !matches!(result, Ok(Ok(_))) {
-        return Err(malformed("", "a complete body within the time-out"));
+    match result {
+        Ok(Ok(_)) => {}
+        Ok(Err(e)) if Cause::of(&e) == Some(Cause::Memory) => {
+            return Err(Failure::new(Code::OVERLOADED));
+        }
+        _ => return Err(malformed("", "a complete body within the time-out")),
     }
     if bytes.len() as u64 > limit {
         return Err(Failure::new(Code::BODY_TOO_LARGE));
--- a/crates/primrosebay_entry/src/requests.rs
+++ b/crates/primrosebay_entry/src/requests.rs
@@ -30,6 +30,7 @@
 use primrosebay_state::Name;
 use primrosebay_state::id::Incarnation;
 use primrosebay_state::time::Time;
+use primrosebay_transport::budget::{Cause, Charge};
 use primrosebay_transport::minion::{ExactReader, MinionLink};
 use primrosebay_transport::trace::Span;
 use tide::http::{Body, Request, Response, StatusCode};
@@ -189,6 +190,10 @@
         let reservation =
             BodyReservation::new(&service, &account, buffered_bytes).ok_or(Code::OVERLOADED)?;
         let payload = self.read_body(request.take_body(), &options).await?;
+        if let (Payload::Stream(..), Some(charge)) = (&payload, request.ext().get::<Arc<Charge>>())
+        {
+            charge.pass_on();
+        }
         let span = Span::start("request", &options.trace);
         span.set("service", &*service.name);
         options.trace = span.context();
@@ -223,6 +228,7 @@
         match result {
             Ok(count) if count as u64 > max_bytes => Err(Code::BODY_TOO_LARGE),
             Ok(_) => Ok(Payload::Whole(bytes.into())),
+            Err(e) if Cause::of(&e) == Some(Cause::Memory) => Err(Code::OVERLOADED),
             Err(_) => Err(Code::MALFORMED),
         }
     }
--- a/crates/primrosebay_transport/src/budget.rs
+++ b/crates/primrosebay_transport/src/budget.rs
@@ -148,6 +148,8 @@
     id: u64,
     bytes: usize,
     stage: Stage,
+    /// Whether further bytes are passed on as they arrive, so that they are not held.
+    passed_on: bool,
     progress: Progress,
     waker: Option<Waker>,
 }
@@ -251,6 +253,7 @@
             id,
             bytes: 0,
             stage: Stage::Arriving,
+            passed_on: false,
             progress: Progress::new(now),
             waker: None,
         });
@@ -322,6 +325,11 @@
     ) -> Result<(), Cause> {
         let limit = self.budget.limit;
         let own = state.position(self.id);
+        let request = &mut state.requests[own];
+        if request.passed_on && request.stage != Stage::GivenUp {
+            request.progress.advance(bytes, now);
+            return Ok(());
+        }
         match state.requests[own].stage {
             Stage::GivenUp => return Err(Cause::Memory),
             // The tasks of given-up requests may not have run yet, so their bytes count as well.
@@ -352,6 +360,13 @@
         Ok(())
     }
 
+    /// Notes that further bytes are passed on as they arrive. They are not charged.
+    pub fn pass_on(&self) {
+        let mut state = self.budget.state();
+        let own = state.position(self.id);
+        state.requests[own].passed_on = true;
+    }
+
     /// Notes that the request was received completely, after which it is never given up.
     ///
     /// # Errors
--- a/crates/primrosebay_transport/src/http_server.rs
+++ b/crates/primrosebay_transport/src/http_server.rs
@@ -271,15 +271,17 @@
 }
 
 /// Replaces the response of an application that has only passed on the error of the body. Others have
-/// answered by themselves.
+/// answered by themselves: they know whether the request has had an effect.
 fn refuse_body(response: &mut Response, cause: Cause) {
-    let status = response.status();
-    let is_passed_on = status == StatusCode::UnprocessableEntity || status.is_server_error();
-    if !is_passed_on || status == cause.status() {
-        return;
+    let passed_on = [
+        StatusCode::UnprocessableEntity,
+        StatusCode::InternalServerError,
+    ];
+    if passed_on.contains(&response.status()) {
+        *response = Response::new(cause.status());
     }
-    *response = Response::new(cause.status());
-    if cause.status() == StatusCode::ServiceUnavailable {
+    let is_refused = response.status() == StatusCode::ServiceUnavailable;
+    if is_refused && response.header("retry-after").is_none() {
         response.insert_header("retry-after", RETRY_AFTER_S.to_string());
     }
 }
--- a/crates/primrosebay_transport/tests/budget.rs
+++ b/crates/primrosebay_transport/tests/budget.rs
@@ -204,6 +204,22 @@
     assert!(!first.is_given_up());
 }
 
+/// Guards against a long request that is passed on while it arrives and is refused once as many bytes
+/// have come as fit into the memory, although they are not held.
+#[test]
+fn bytes_that_are_passed_on_are_not_charged() {
+    let budget = Arc::new(Budget::new(LIMIT));
+    let now = Instant::now();
+    let request = budget.open(now);
+    assert_eq!(request.add(300, now), Ok(()));
+    request.pass_on();
+    for _ in 0..10 {
+        assert_eq!(request.add(300, now), Ok(()));
+    }
+    assert_eq!(budget.used(), 300);
+    assert_eq!(request.finish(), Ok(()));
+}
+
 /// Guards against a budget that does not follow the memory of the machine.
 #[test]
 fn budget_is_a_part_of_the_memory() {
--- a/crates/primrosebay_transport/tests/http_server.rs
+++ b/crates/primrosebay_transport/tests/http_server.rs
@@ -380,3 +380,42 @@
     let _ = released.recv().await;
     Ok("done".into())
 }
+
+/// Guards against an answer of an application that knows that the request may have had an effect, and
+/// that is replaced by a refusal, and against a refusal without the time after which to retry.
+#[rstest]
+#[case("/unknown", "504", false)]
+#[case("/refused", "503", true)]
+fn answers_of_the_application_stay(
+    #[case] path: &str,
+    #[case] status: &str,
+    #[case] has_retry: bool,
+) {
+    block_on(async {
+        let mut app = tide::new();
+        for (path, status) in [("/unknown", 504), ("/refused", 503)] {
+            app.at(path)
+                .post(move |mut request: tide::Request<()>| async move {
+                    let body = request.body_bytes().await;
+                    Ok(tide::Response::new(if body.is_err() {
+                        status
+                    } else {
+                        200
+                    }))
+                });
+        }
+        let budget = Arc::new(Budget::new(160_000));
+        let address = "127.0.0.1:0".parse().unwrap();
+        let limits = Limits::default();
+        let server = Server::start_with_budget(address, app, limits, Arc::clone(&budget));
+        let server = server.await.unwrap();
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        let head = format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: 200000\r\n\r\n");
+        let request = head + &"x".repeat(150_000);
+        let _ = stream.write_all(request.as_bytes()).await;
+        let text = read_to_close(&mut stream).await;
+        assert!(text.starts_with(&format!("HTTP/1.1 {status} ")), "{text}");
+        assert_eq!(text.contains("retry-after: 1"), has_retry, "{text}");
+        server.close().await;
+    });
+}
