Count a new request as progress of a kept connection

A caller that sends a request in two pieces on a connection that it has kept could find it closed between them, while connections without a request that were opened later stayed.

Cause: the time for which a client is behind went on from its last answer, so that the few bytes of a head left a kept connection as far behind as it had been idle. Now it begins anew with the first byte of a request and with its answer.

--- a/crates/primrosebay_transport/src/connection.rs
+++ b/crates/primrosebay_transport/src/connection.rs
@@ -95,14 +95,10 @@
 
     /// Expects the next request.
     pub(crate) fn expect_request(&self) {
-        let now = Instant::now();
-        let mut state = self.state();
-        if state.phase != Phase::Idle {
-            self.slot.restart(now);
-        }
         self.slot.set_busy(false);
+        let mut state = self.state();
         state.phase = Phase::Idle;
-        state.deadline = Some(now + self.limits.idle_timeout);
+        state.deadline = Some(Instant::now() + self.limits.idle_timeout);
         state.charge = None;
         state.received = 0;
         state.matched = 0;
@@ -137,6 +133,7 @@
 
     fn receive_head(&self, state: &mut State, bytes: &[u8], now: Instant) -> Result<(), Cause> {
         if state.phase == Phase::Idle && !bytes.is_empty() {
+            self.slot.restart(now);
             state.phase = Phase::Head;
             state.deadline = Some(now + self.limits.head_timeout);
             state.charge = Some(Arc::new(self.budget.open(now)));
@@ -189,6 +186,7 @@
 
     /// Notes that the application has answered and releases the bytes of the request.
     pub(crate) fn answer(&self, body_read: bool) {
+        self.slot.restart(Instant::now());
         let mut state = self.state();
         state.charge = None;
         state.received = 0;
--- a/crates/primrosebay_transport/src/slots.rs
+++ b/crates/primrosebay_transport/src/slots.rs
@@ -136,7 +136,7 @@
         self.entry.client().progress.advance(bytes, now);
     }
 
-    /// Notes that the client has its answer, so that it counts as making progress up to now.
+    /// Notes that the client begins a request or gets its answer, so that it is not behind.
     pub(crate) fn restart(&self, now: Instant) {
         self.entry.client().progress = Progress::new(now);
     }
--- a/crates/primrosebay_transport/tests/http_server.rs
+++ b/crates/primrosebay_transport/tests/http_server.rs
@@ -291,6 +291,40 @@
     });
 }
 
+/// Guards against a kept connection that gives way while a request arrives on it, because it was idle
+/// before.
+#[test]
+fn kept_connection_with_a_new_request_does_not_give_way() {
+    block_on(async {
+        let mut app = tide::new();
+        app.at("/read")
+            .post(|mut request: tide::Request<()>| async move { request.body_string().await });
+        let budget = Arc::new(Budget::default());
+        let address = "127.0.0.1:0".parse().unwrap();
+        let limits = few_connections(2);
+        let server = Server::start_with_budget(address, app, limits, Arc::clone(&budget));
+        let server = server.await.unwrap();
+        let head = b"POST /read HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n";
+        let mut kept = TcpStream::connect(server.address()).await.unwrap();
+        kept.write_all(head).await.unwrap();
+        kept.write_all(b"body").await.unwrap();
+        read_response(&mut kept, "body").await;
+        // The kept connection has been idle for longer.
+        sleep(Duration::from_millis(500)).await;
+        let mut idle = TcpStream::connect(server.address()).await.unwrap();
+        sleep(Duration::from_millis(50)).await;
+        kept.write_all(head).await.unwrap();
+        while budget.used() == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        ask_until_answered(&server).await;
+        assert_eq!(read_to_close(&mut idle).await, "");
+        kept.write_all(b"body").await.unwrap();
+        read_response(&mut kept, "body").await;
+        server.close().await;
+    });
+}
+
 /// Guards against clients that do not read their answers and keep out callers.
 #[test]
 fn connections_with_unread_answers_give_way_to_new_ones() {
