Give members of tests ports that nothing else holds

Only an address in use, a bad settings file or a failed signal handler end a member so at its start.

Cause: the tests bound port 0 to learn a free port, dropped the listener and started the member. Children that other threads were starting at the same time still held copies of the listener, until they executed their program.

The addresses are now computed from the process, the cell and the member, outside the range from which the operating system takes ports, and no listener is opened for them. The errors of members of the soak are kept and shown when one is not ready.

--- a/crates/primrosebay/tests/members/mod.rs
+++ b/crates/primrosebay/tests/members/mod.rs
@@ -1,7 +1,7 @@
 //! Member processes, which are killed when they are dropped.
 
 use std::fs::{self, File};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 
@@ -55,17 +55,8 @@
         settings: impl FnOnce(&str, MemberAddresses) -> String,
     ) -> Self {
         let (directory, number) = (place.directory, place.number);
-        let octet = |n: u32| u8::try_from(n % 250).unwrap_or(0);
-        let last = octet(u32::try_from(number).unwrap_or(0));
-        let ip = Ipv4Addr::new(127, 1 + octet(std::process::id()), place.net, 1 + last);
-        let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).unwrap());
-        let [front, ready, internal] = listeners.map(|l| l.local_addr().unwrap());
-        let addresses = MemberAddresses {
-            front,
-            ready,
-            internal,
-            store,
-        };
+        let member = u32::try_from(number).unwrap_or(0);
+        let addresses = MemberAddresses::of_test(u32::from(place.net), member, store);
         let settings_file = directory.join(format!("member-{number}"));
         let text = settings(&format!("member-{number}"), addresses);
         fs::write(&settings_file, text).unwrap();
--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -1,10 +1,10 @@
 //! A cell of member processes with a stand-in for the platform.
 
 use std::fs::{self, File};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -123,23 +123,6 @@
     large: bool,
 }
 
-/// Returns free addresses for a member on a loopback address that no other member uses. A member
-/// does not hold its ports before it starts and while it is down. On a shared loopback address,
-/// connections or members of other cells could take the ports; a member whose port is taken exits
-/// and is never ready.
-fn free_addresses(cell: u32, member: usize) -> [SocketAddr; 3] {
-    let octet = |n: u32| u8::try_from(n % 250).unwrap_or(0);
-    let member = u32::try_from(member).unwrap_or(0);
-    let ip = Ipv4Addr::new(
-        127,
-        1 + octet(std::process::id()),
-        octet(cell),
-        1 + octet(member),
-    );
-    let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).unwrap());
-    listeners.map(|l| l.local_addr().unwrap())
-}
-
 /// Waits for a condition for at most `timeout` and returns whether it was met.
 pub async fn wait_until(timeout: Duration, is_met: impl Fn() -> bool) -> bool {
     let deadline = Instant::now() + timeout;
@@ -161,13 +144,8 @@
         large: Option<bool>,
     ) -> Self {
         let proxy = Proxy::start(store.address()).await.unwrap();
-        let [front, ready, internal] = free_addresses(cell, number);
-        let addresses = MemberAddresses {
-            front,
-            ready,
-            internal,
-            store: proxy.address(),
-        };
+        let member = u32::try_from(number).unwrap_or(0);
+        let addresses = MemberAddresses::of_test(cell, member, proxy.address());
         let name = format!("member-{number}");
         let settings_file = directory.join(&name);
         let settings = match large {
@@ -190,16 +168,14 @@
 
     /// Starts a process, which appends to the log file of the member's earlier processes.
     fn start(&mut self) {
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(self.log_file());
+        let open = |file| File::options().create(true).append(true).open(file);
+        let (log, errors) = (open(self.log_file()), open(self.error_file()));
         let program = std::env::var_os("PRIMROSEBAY_SOAK_PROGRAM");
         let child = Command::new(program.unwrap_or(env!("CARGO_BIN_EXE_primrosebay").into()))
             .arg("member")
             .env(BOOT_VARIABLE, &self.settings_file)
             .stdout(log.unwrap())
-            .stderr(Stdio::null())
+            .stderr(errors.unwrap())
             .spawn()
             .unwrap();
         self.child = Some(child);
@@ -211,6 +187,11 @@
         self.settings_file.with_extension("log")
     }
 
+    /// Returns the path of the file with the errors of the member's processes.
+    fn error_file(&self) -> PathBuf {
+        self.settings_file.with_extension("err")
+    }
+
     /// Sends a signal to the process, if there is one.
     fn signal(&mut self, signal: Signal) {
         self.stopping |= signal == Signal::TERM;
@@ -317,8 +298,9 @@
                 let exit_status = member.child.as_mut().map(Child::try_wait);
                 assert!(
                     Instant::now() < deadline,
-                    "{} is not ready, exit status: {exit_status:?}",
-                    member.name
+                    "{} is not ready, exit status: {exit_status:?}, errors: {}",
+                    member.name,
+                    fs::read_to_string(member.error_file()).unwrap_or_default()
                 );
                 task::sleep(Duration::from_millis(100)).await;
             }
