Count answers that are being written in the budget

Answers above 4 KiB are now charged to the budget until they are written. They give way like requests that are arriving: first the one whose bytes times the time for which its client is behind are the most, so a client that reads keeps its answer. Its connection is closed, which the client notices by the length. An answer that does not fit at all is replaced by 503 with Retry-After if the method is safe; otherwise the request has had its effect and no refusal would be true, so the connection is closed.

--- a/crates/primrosebay_transport/src/budget.rs
+++ b/crates/primrosebay_transport/src/budget.rs
@@ -1,8 +1,10 @@
-//! A bound of the bytes that all unfinished requests of a process hold together.
+//! A bound of the bytes that all unfinished requests of a process, and the answers that are being
+//! written, hold together.
 //!
 //! When a byte does not fit any more, unfinished requests are given up: first the one that has held the
 //! most bytes for the longest time without making progress. A request that was received completely is
-//! never given up; its bytes stay charged until it has been answered.
+//! never given up; its bytes stay charged until it has been answered. Answers are given up like requests
+//! that are arriving.
 
 use std::fmt;
 use std::io;
@@ -360,6 +362,13 @@
         Ok(())
     }
 
+    /// Notes that the client took bytes of its answer, which was charged as a whole.
+    pub(crate) fn advance(&self, bytes: usize, now: Instant) {
+        let mut state = self.budget.state();
+        let own = state.position(self.id);
+        state.requests[own].progress.advance(bytes, now);
+    }
+
     /// Notes that further bytes are passed on as they arrive. They are not charged.
     pub fn pass_on(&self) {
         let mut state = self.budget.state();
--- a/crates/primrosebay_transport/src/connection.rs
+++ b/crates/primrosebay_transport/src/connection.rs
@@ -24,6 +24,9 @@
 /// Time for which the rest of a given-up request is read, so that its client gets the refusal.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
+/// Largest answer that is not charged. Answers to submissions and their refusals are smaller.
+const SMALL_ANSWER: usize = 4 * 1_024;
+
 /// The end of a head.
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
 
@@ -44,6 +47,8 @@
     deadline: Option<Instant>,
     /// Bytes of the current request.
     charge: Option<Arc<Charge>>,
+    /// Bytes of the answer that is being written, unless it is small.
+    answer: Option<Charge>,
     /// Reason why the current request is given up.
     failure: Option<Cause>,
     /// Bytes of the head, or bytes discarded after an answer.
@@ -85,6 +90,7 @@
                 phase: Phase::Idle,
                 deadline: None,
                 charge: None,
+                answer: None,
                 failure: None,
                 received: 0,
                 matched: 0,
@@ -100,6 +106,7 @@
         state.phase = Phase::Idle;
         state.deadline = Some(Instant::now() + self.limits.idle_timeout);
         state.charge = None;
+        state.answer = None;
         state.received = 0;
         state.matched = 0;
     }
@@ -178,12 +185,34 @@
         if let Some(bytes) = bytes {
             state.blocked = None;
             self.slot.advance(bytes, now);
+            if let Some(answer) = &state.answer {
+                answer.advance(bytes, now);
+            }
         } else if state.blocked.is_none() {
             state.blocked = Some(now);
             self.slot.set_busy(false);
         }
     }
 
+    /// Charges an answer of this length until it is written. While it is, it may be given up like a
+    /// request that is arriving; the connection is closed then.
+    ///
+    /// # Errors
+    /// Returns an error if the answer does not fit into the budget.
+    pub(crate) fn hold_answer(&self, bytes: usize) -> Result<(), Cause> {
+        if bytes <= SMALL_ANSWER {
+            return Ok(());
+        }
+        let now = Instant::now();
+        let answer = self.budget.open(now);
+        if let Err(cause) = answer.add(bytes, now) {
+            self.budget.record(cause, &self.peer);
+            return Err(cause);
+        }
+        self.state().answer = Some(answer);
+        Ok(())
+    }
+
     /// Notes that the application has answered and releases the bytes of the request.
     pub(crate) fn answer(&self, body_read: bool) {
         self.slot.restart(Instant::now());
@@ -235,9 +264,14 @@
         is_new
     }
 
-    /// Returns whether the connection is closed to make room for another one. If not, wakes `waker`
-    /// when it is.
+    /// Returns whether the connection is closed to make room for another one or for the bytes of
+    /// others. If not, wakes `waker` when it is.
     pub(crate) fn is_closing(&self, waker: &Waker) -> bool {
+        let answer = self.state().answer.as_ref().map(|a| a.watch(waker));
+        if answer == Some(true) {
+            self.budget.record(Cause::Memory, &self.peer);
+            return true;
+        }
         let is_closing = self.slot.is_closing(waker);
         if is_closing {
             self.budget.record(Cause::Connections, &self.peer);
--- a/crates/primrosebay_transport/src/http_server.rs
+++ b/crates/primrosebay_transport/src/http_server.rs
@@ -9,7 +9,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, JoinHandle};
 use futures_lite::io::AsyncWriteExt;
-use http_types::{Request, Response, StatusCode};
+use http_types::{Method, Request, Response, StatusCode};
 
 use crate::budget::{Budget, Cause};
 use crate::connection::{Connection, Phase};
@@ -247,6 +247,7 @@
     connection: Arc<Connection>,
 ) -> http_types::Result<Response> {
     request.set_peer_addr(peer);
+    let is_safe = matches!(request.method(), Method::Get | Method::Head);
     let body_read = track_body(&mut request, &connection);
     connection.begin(body_read.is_some())?;
     if let Some(charge) = connection.charge() {
@@ -258,6 +259,14 @@
     if let Some(cause) = connection.failure() {
         refuse_body(&mut response, cause);
     }
+    if let Err(cause) = connection.hold_answer(response.len().unwrap_or(0)) {
+        if !is_safe {
+            // The request has had its effect, so that no refusal would be true.
+            return Err(http_types::Error::new(cause.status(), cause));
+        }
+        response = Response::new(cause.status());
+        response.insert_header("retry-after", RETRY_AFTER_S.to_string());
+    }
     // If the application has not read the whole body, the decoder may discard the start of the next
     // request together with the rest of the body, so the connection is closed.
     let unread = body_read.is_some_and(|read| !read.load(Ordering::SeqCst));
--- a/crates/primrosebay_transport/tests/http_server.rs
+++ b/crates/primrosebay_transport/tests/http_server.rs
@@ -372,6 +372,63 @@
     });
 }
 
+/// Guards against answers that fill the memory because their clients do not read them, and against a
+/// client that does not get its own because of them.
+#[test]
+fn unread_answers_give_way_to_new_ones() {
+    block_on(async {
+        let budget = Arc::new(Budget::new(3 * LARGE_BYTES));
+        let server = start_with_answers(&budget).await;
+        let mut unread = Vec::new();
+        for _ in 0..8 {
+            let mut stream = TcpStream::connect(server.address()).await.unwrap();
+            let head = b"GET /large HTTP/1.1\r\nhost: a\r\n\r\n";
+            stream.write_all(head).await.unwrap();
+            assert!(stream.read(&mut [0]).await.unwrap() > 0);
+            assert!(budget.held() <= 3 * LARGE_BYTES / 2 * 3);
+            unread.push(stream);
+        }
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        let head = b"GET /large HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+        stream.write_all(head).await.unwrap();
+        let text = read_to_close(&mut stream).await;
+        assert!(text.ends_with("end"), "{} bytes", text.len());
+        assert!(budget.given_up(Cause::Memory) >= 6);
+        drop(unread);
+        server.close().await;
+    });
+}
+
+/// Guards against answers above the budget, and against a refusal of a request that has had its effect.
+#[rstest]
+#[case::without_effect("GET", "HTTP/1.1 503 ")]
+#[case::with_effect("POST", "")]
+fn answer_above_the_budget_is_not_sent(#[case] method: &str, #[case] start: &str) {
+    block_on(async {
+        let budget = Arc::new(Budget::new(LARGE_BYTES / 2));
+        let server = start_with_answers(&budget).await;
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        let head = format!("{method} /large HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let text = read_to_close(&mut stream).await;
+        assert_eq!(text.get(..start.len()), Some(start));
+        assert_eq!(text.contains("retry-after: 1"), !start.is_empty());
+        assert!(text.len() < 1_000, "{} bytes", text.len());
+        assert_eq!(budget.held(), 0);
+        server.close().await;
+    });
+}
+
+/// Starts a server with large answers to requests with and without an effect.
+async fn start_with_answers(budget: &Arc<Budget>) -> Server {
+    let mut app = tide::new();
+    let answer = |_| async { Ok("x".repeat(LARGE_BYTES - 3) + "end") };
+    app.at("/large").get(answer).post(answer);
+    let address = "127.0.0.1:0".parse().unwrap();
+    let server = Server::start_with_budget(address, app, Limits::default(), Arc::clone(budget));
+    server.await.unwrap()
+}
+
 /// Guards against a request that was received and is dropped because there are many connections: it may
 /// have had an effect, and its caller would not know.
 #[test]
