Start pages of jobs after an identifier, not after its text

Callers that read the list of jobs page by page missed jobs: with 18 jobs of one process and five jobs a page, the pages showed the first 15.

Cause: jobs are sorted by their identifiers and a page started after the text in `after`. The number in the text is hexadecimal without leading zeros, so the texts of jobs 16 to 18 ("-10" to "-12") are before that of job 15 ("-f"), and those jobs counted as shown.

`after` is now parsed as an identifier and compared as one, the order of the list.

--- a/crates/primrosebay_entry/src/api/jobs.rs
+++ b/crates/primrosebay_entry/src/api/jobs.rs
@@ -104,9 +104,11 @@
         ("outcome", "/outcome"),
         ("name", "/spec/name"),
     ];
-    let options = ListOptions::new(request, &filters)?;
+    let mut options = ListOptions::new(request, &filters)?;
+    let after: Option<JobId> = options.take_after()?;
     let caller = caller(request, team);
-    let jobs = request.state().all_jobs(&caller).await;
+    let mut jobs = request.state().all_jobs(&caller).await;
+    jobs.retain(|job| after.is_none_or(|after| job.id > after));
     json(200, &options.page(jobs, |job| job.id.to_string())?)
 }
 
--- a/crates/primrosebay_entry/src/api/list.rs
+++ b/crates/primrosebay_entry/src/api/list.rs
@@ -1,7 +1,10 @@
 //! Pagination and filters of list requests.
 
+use std::str::FromStr;
+
 use primrosebay_protocol::api::{Failure, ListPage};
 use primrosebay_protocol::code::Code;
+use primrosebay_state::job::Problem;
 use serde::Serialize;
 use serde_json::Value;
 
@@ -50,6 +53,22 @@
         })
     }
 
+    /// Removes the name after which the page starts and returns it as an identifier; `None` for the
+    /// first page. For items that are not in the order of their names.
+    ///
+    /// # Errors
+    /// Returns [`Code::INVALID`] if it is no identifier of the type.
+    pub(crate) fn take_after<T: FromStr>(&mut self) -> Result<Option<T>, Failure> {
+        let after = std::mem::take(&mut self.after);
+        if after.is_empty() {
+            return Ok(None);
+        }
+        let problem = || Problem::new("query.after", "the value of `next` of a page");
+        let id = after.parse().ok();
+        id.map(Some)
+            .ok_or_else(|| Failure::with_problems(Code::INVALID, vec![problem()]))
+    }
+
     /// Returns the requested page of `items`, which must be sorted by `name`.
     ///
     /// # Errors
--- a/crates/primrosebay_entry/tests/operators.rs
+++ b/crates/primrosebay_entry/tests/operators.rs
@@ -357,6 +357,47 @@
     });
 }
 
+/// Guards against jobs that no page shows because the identifiers are not in the order of their texts,
+/// and against a name that is not an identifier after which a page starts nowhere.
+#[test]
+fn pages_of_jobs_show_each_job_once() {
+    block_on(async {
+        let cell = Cell::start(&["a"]).await;
+        cell.seed().await;
+        let mut submitted = Vec::new();
+        for i in 0..18 {
+            let job = format!(r#"{{"name":"j{i}","resources":{{"cores_milli":1}}}}"#);
+            let (status, body) = cell.call(0, "a-key", Post, "/v1/jobs", &*job).await;
+            assert_eq!(status, 201, "{body}");
+            let answer: primrosebay_protocol::api::Submitted =
+                serde_json::from_str(&body).expect("an id");
+            submitted.push(answer.id);
+        }
+        let all_known = |cell: &Cell| {
+            let zone = cell.nodes[0].shared().zone("a").expect("its own zone");
+            submitted
+                .iter()
+                .all(|id| zone.read(|c| c.job(*id).is_some()))
+        };
+        cell.wait(all_known).await;
+        let (mut shown, mut after) = (Vec::new(), String::new());
+        loop {
+            let path = format!("/v1/jobs?limit=5{after}");
+            let (status, body) = cell.call(0, "a-key", Get, &path, "").await;
+            assert_eq!(status, 200, "{body}");
+            let page: primrosebay_protocol::api::ListPage<primrosebay_protocol::api::JobView> =
+                serde_json::from_str(&body).expect("a page");
+            shown.extend(page.items.iter().map(|job| job.id));
+            let Some(next) = page.next else { break };
+            after = format!("&after={next}");
+        }
+        submitted.sort_unstable();
+        assert_eq!(shown, submitted);
+        let answer = cell.call(0, "a-key", Get, "/v1/jobs?after=j1", "").await;
+        assert_eq!(failure_code(&answer), Code::INVALID);
+    });
+}
+
 /// Guards against an isolated instance that accepts requests with keys, and against instances that
 /// reject them while the log is down for all.
 #[test]
