Bound the memory of the lists of an entry instance

A team with 16 jobs of 10,000 tasks, which is legal, could end an entry instance with ordinary requests: 100 clients that ask for the list of jobs once took 1,709 MB of the 256 MB that it may use (crowd test, debug build, clients that do not read; one run).

Cause: a page had at most 500 items and any number of bytes (7 MB here), each item was converted to a tree of JSON values before it was written, many times its text, and as many lists were built at once as there were threads or, with other zones, connections.

A page now ends before the item with which its items exceed limits.page_bytes (1 MiB, 64 KiB to 4 MiB); a longer item has a page of its own, and `next` leads on as before. Items are written once; the tree is only made for filters. At most limits.list_requests (2, 1 to 64) lists of jobs are collected at a time, since their jobs take as much memory as the state of their coordinators. A further one waits for 1 s and is then refused with 5001 and Retry-After, as other full queues are.

unread_lists_do_not_fill_the_memory_of_an_entry_instance: peak 1,709 MB before, 59 and 62 MB now, bound 256 MB; an ordinary caller then reads all pages.

--- a/crates/primrosebay/tests/crowds/entry.rs
+++ b/crates/primrosebay/tests/crowds/entry.rs
@@ -5,6 +5,8 @@
 
 use async_std::net::TcpStream;
 use async_std::task;
+use primrosebay_protocol::api::{JobView, ListPage};
+use primrosebay_state::job::MAX_TASKS;
 use rstest::rstest;
 
 use super::beside::{count_open, gather};
@@ -17,6 +19,12 @@
 /// Largest body that the default settings allow, in bytes.
 const BODY_BYTES: usize = MB;
 
+/// Number of jobs with the largest number of tasks, of 0.5 MB each in answers.
+const LARGE_JOBS: usize = 16;
+
+/// Number of clients that do not read a list.
+const UNREAD_LISTS: usize = 100;
+
 /// A way in which clients are outside the limits.
 #[derive(Debug, Clone, Copy)]
 enum Kind {
@@ -84,7 +92,10 @@
 /// Runs a crowd of clients against an entry instance. Asserts that it survives within its bounds and
 /// serves an ordinary caller beside the crowd and after it.
 async fn assert_survives(clients: usize, sender: Sender) {
-    let mut cell = Cell::start(1, 1).await;
+    assert_cell_survives(Cell::start(1, 1).await, clients, sender).await;
+}
+
+async fn assert_cell_survives(mut cell: Cell, clients: usize, sender: Sender) -> Cell {
     let address = http(&cell.entries[0]);
     let id = cell.entries[0].id();
     let before = process::peak_kb(id);
@@ -101,6 +112,21 @@
     let most = clients + MAX_OTHER_DESCRIPTORS;
     assert!(descriptors <= most, "{descriptors} descriptors");
     assert!(cell.entries[0].is_running(), "the entry instance ended");
+    cell
+}
+
+/// Returns the number of jobs on all pages of the list of an ordinary caller.
+async fn count_listed(cell: &Cell) -> usize {
+    let (mut count, mut after) = (0, String::new());
+    loop {
+        let path = format!("/v1/jobs{after}");
+        let page: ListPage<JobView> = cell.get(0, TEAM_KEY, &path).await.unwrap();
+        count += page.items.len();
+        let Some(next) = page.next else {
+            return count;
+        };
+        after = format!("?after={next}");
+    }
 }
 
 /// Guards against an entry instance whose clients fill the memory.
@@ -115,6 +141,29 @@
     task::block_on(assert_survives(clients, kind.sender()));
 }
 
+/// Guards against answers that their clients do not read and that fill the memory together.
+#[test]
+fn unread_lists_do_not_fill_the_memory_of_an_entry_instance() {
+    let _lock = lock();
+    task::block_on(async {
+        let cell = Cell::start(1, 1).await;
+        for i in 0..LARGE_JOBS {
+            let job = batch(&format!("large-{i}"), MAX_TASKS, 60_000);
+            let id = cell.submit(0, &job).await.unwrap().id;
+            cell.wait_for_job(0, id, |_| true).await;
+        }
+        let head =
+            format!("GET /v1/jobs HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {TEAM_KEY}\r\n");
+        let sender = Sender {
+            start: format!("{head}\r\n").into_bytes(),
+            piece: Vec::new(),
+            bytes: 0,
+        };
+        let cell = assert_cell_survives(cell, UNREAD_LISTS, sender).await;
+        assert!(count_listed(&cell).await > LARGE_JOBS);
+    });
+}
+
 /// Guards against connections without a request that keep out callers and operators at the limit.
 #[test]
 fn idle_connections_do_not_keep_out_callers_of_an_entry_instance() {
--- a/crates/primrosebay_entry/src/api/jobs.rs
+++ b/crates/primrosebay_entry/src/api/jobs.rs
@@ -1,5 +1,7 @@
 //! Handlers that submit, read, list and cancel jobs.
 
+use std::time::Duration;
+
 use primrosebay_protocol::api::{Failure, JobView};
 use primrosebay_protocol::code::Code;
 use primrosebay_protocol::peer::Caller;
@@ -14,6 +16,9 @@
 use crate::auth;
 use crate::shared::Shared;
 
+/// Longest wait of a list for others that are being collected.
+const LIST_WAIT: Duration = Duration::from_secs(1);
+
 /// Handles `POST /v1/jobs`.
 pub(crate) async fn submit(mut request: ApiRequest) -> tide::Result {
     let parent = request.header(HEADER).map_or("", |v| v.as_str());
@@ -107,6 +112,8 @@
     let mut options = ListOptions::new(request, &filters)?;
     let after: Option<JobId> = options.take_after()?;
     let caller = caller(request, team);
+    let permit = request.state().lists.acquire(LIST_WAIT).await;
+    let _permit = permit.ok_or_else(|| Failure::new(Code::OVERLOADED))?;
     let mut jobs = request.state().all_jobs(&caller).await;
     jobs.retain(|job| after.is_none_or(|after| job.id > after));
     json(200, &options.page(jobs, |job| job.id.to_string())?)
--- a/crates/primrosebay_entry/src/api/list.rs
+++ b/crates/primrosebay_entry/src/api/list.rs
@@ -7,6 +7,7 @@
 use primrosebay_state::job::Problem;
 use serde::Serialize;
 use serde_json::Value;
+use serde_json::value::RawValue;
 
 use super::ApiRequest;
 use super::input::Query;
@@ -16,6 +17,8 @@
 pub(crate) struct ListOptions {
     /// Most items of the page.
     limit: usize,
+    /// Most bytes of the items of the page, unless it has only one.
+    bytes: usize,
     /// Name after which the page starts; empty for the first page.
     after: String,
     /// Prefix of the names to list; empty for all.
@@ -46,6 +49,7 @@
         query.finish()?;
         Ok(Self {
             limit: usize::try_from(limit).unwrap_or(usize::MAX),
+            bytes: usize::try_from(shared.setup.limits.page_bytes).unwrap_or(usize::MAX),
             after,
             prefix,
             filters,
@@ -77,23 +81,26 @@
         &self,
         items: impl IntoIterator<Item = T>,
         name: impl Fn(&T) -> String,
-    ) -> Result<ListPage<Value>, Failure> {
+    ) -> Result<ListPage<Box<RawValue>>, Failure> {
         let mut page = ListPage {
             items: Vec::new(),
             next: None,
             from: self.from,
         };
         let mut last_name = String::new();
+        let mut bytes = 0;
         for item in items {
             let name = name(&item);
             if name <= self.after && !self.after.is_empty() || !name.starts_with(&self.prefix) {
                 continue;
             }
-            let value = serde_json::to_value(&item).map_err(|_| Failure::new(Code::INTERNAL))?;
-            if !self.matches(&value) {
+            if !self.matches(&item)? {
                 continue;
             }
-            if page.items.len() == self.limit {
+            let value = serde_json::value::to_raw_value(&item).map_err(internal)?;
+            bytes += value.get().len();
+            let is_full = page.items.len() == self.limit || bytes > self.bytes;
+            if is_full && !page.items.is_empty() {
                 page.next = Some(last_name);
                 break;
             }
@@ -104,14 +111,26 @@
     }
 
     /// Returns whether all filters match. A field that is not a string is compared as JSON.
-    fn matches(&self, value: &Value) -> bool {
-        self.filters.iter().all(|(pointer, expected)| {
+    ///
+    /// # Errors
+    /// Returns [`Code::INTERNAL`] if the item cannot be serialized as JSON.
+    fn matches(&self, item: &impl Serialize) -> Result<bool, Failure> {
+        if self.filters.is_empty() {
+            return Ok(true);
+        }
+        let value = serde_json::to_value(item).map_err(internal)?;
+        let matches = self.filters.iter().all(|(pointer, expected)| {
             value.pointer(pointer).is_some_and(|actual| match actual {
                 Value::String(actual) => actual == expected,
                 other => {
                     serde_json::from_str::<Value>(expected).is_ok_and(|expected| expected == *other)
                 }
             })
-        })
+        });
+        Ok(matches)
     }
 }
+
+fn internal(_: serde_json::Error) -> Failure {
+    Failure::new(Code::INTERNAL)
+}
--- a/crates/primrosebay_entry/src/jobs.rs
+++ b/crates/primrosebay_entry/src/jobs.rs
@@ -110,7 +110,8 @@
     }
 
     /// Returns the jobs that the caller may read in all zones, sorted by identifier. Jobs of a zone
-    /// whose coordinator is unreachable may be missing.
+    /// whose coordinator is unreachable may be missing. Callers hold a permit of [`Shared::lists`],
+    /// since the jobs take as much memory as the state of their coordinators.
     pub async fn all_jobs(&self, caller: &Caller) -> Vec<JobView> {
         let mut jobs = self.local_jobs(caller, "");
         let mut coordinators: Vec<(Name, Name)> = self
@@ -264,11 +265,11 @@
     /// local coordinators if `zone` is empty.
     fn local_jobs(&self, caller: &Caller, zone: &str) -> Vec<JobView> {
         let zones = self.zones();
+        let is_own = |job: &JobView| caller.operator || job.spec.team == caller.team;
         zones
             .iter()
             .filter(|known| zone.is_empty() || *known.name == *zone)
-            .flat_map(|known| known.read(|coordinator| coordinator.jobs().collect::<Vec<_>>()))
-            .filter(|job| caller.operator || job.spec.team == caller.team)
+            .flat_map(|known| known.read(|c| c.jobs().filter(is_own).collect::<Vec<_>>()))
             .collect()
     }
 
--- a/crates/primrosebay_entry/src/lib.rs
+++ b/crates/primrosebay_entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod jobs;
 pub mod log_reader;
 pub mod peers;
+pub mod permits;
 pub mod publisher;
 pub mod requests;
 pub mod shared;
--- a/crates/primrosebay_entry/src/shared.rs
+++ b/crates/primrosebay_entry/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::configuration::Configuration;
 use crate::jobs::home::RecentJobs;
 use crate::peers::Peers;
+use crate::permits::Permits;
 use crate::publisher::Publisher;
 use crate::requests::{RequestSettings, Requests};
 use crate::zones::Zone;
@@ -98,6 +99,8 @@
     pub metrics: Metrics,
     /// Bytes of unfinished requests.
     pub budget: Arc<Budget>,
+    /// Lists of jobs that are being collected.
+    pub lists: Permits,
     /// Routes requests to minions.
     pub requests: Requests<HttpMinions>,
     peers: OnceLock<Arc<Peers>>,
@@ -116,6 +119,7 @@
         let history = usize::try_from(setup.limits.watch_events).unwrap_or(usize::MAX);
         let clock = setup.clock.clone();
         let budget = Budget::for_memory(setup.limits.memory_bytes);
+        let lists = usize::try_from(setup.limits.list_requests).unwrap_or(usize::MAX);
         // `Metrics::new` installs the meter provider, which must exist before `Requests::new`
         // creates its instruments.
         let metrics = Metrics::new();
@@ -132,6 +136,7 @@
         Self {
             configuration: Configuration::new(history, freshness),
             budget: Arc::new(budget),
+            lists: Permits::new(lists),
             requests,
             publisher: Publisher::start(Arc::clone(&log), incarnation),
             workers: HttpWorkers::new(setup.call_timeout),
--- a/crates/primrosebay_settings/src/settings.rs
+++ b/crates/primrosebay_settings/src/settings.rs
@@ -50,6 +50,8 @@
         watchers = 256, 1..=16_384, "Open watches of the configuration; further ones are refused.";
         watch_events = 4096, 16..=65_536, "Changes of the configuration that are kept for watches.";
         page_items = 500, 1..=5000, "Most items on one page of a list.";
+        page_bytes = 1 << 20, 64 << 10..=4 << 20, "Most bytes of the items on one page of a list; a longer item has a page of its own.";
+        list_requests = 2, 1..=64, "Lists of jobs that are collected at the same time; further ones wait for a second and are then refused.";
         queue_requests = 4096, 1..=1 << 20, "Requests that wait for a minion.";
         queue_bytes = 32 << 20, 64 << 10..=1 << 30, "Bytes of requests that wait for a minion.";
         queue_records = 65_536, 256..=1 << 20, "Records that wait to be appended to the log.";
