Apply the limit of heads that the settings of an entry instance name

Operators who lowered limits.header_bytes saw no change: heads up to 8,191 bytes were served, and the range of the setting went up to 256 KiB, which no head can have.

Cause: nothing read the setting. The server had the limit of async-h1 as a constant.

The limit is now a field of the server's limits and given by the setting, whose range is 1,024 to 8,191 with a default of 8,191: what was served before still is. A settings file with a larger value is refused at the start with the path of the field. heads_are_served_up_to_the_limit fails for the head above the limit if the server uses the constant.

--- a/crates/primrosebay_entry/src/instance.rs
+++ b/crates/primrosebay_entry/src/instance.rs
@@ -114,6 +114,7 @@
     let (limits, timeouts) = (&shared.setup.limits, &shared.setup.timeouts);
     Limits {
         connections: usize::try_from(limits.connections).unwrap_or(usize::MAX),
+        head_bytes: usize::try_from(limits.header_bytes).unwrap_or(usize::MAX),
         grace: Duration::from_millis(timeouts.stop_ms),
         head_timeout: Duration::from_millis(timeouts.header_ms),
         body_timeout: Duration::from_millis(timeouts.body_ms),
--- a/crates/primrosebay_settings/src/settings.rs
+++ b/crates/primrosebay_settings/src/settings.rs
@@ -45,7 +45,7 @@
     Limits, "limits", {
         memory_bytes = 256 << 20, 64 << 20..=1 << 40, "Memory of the machine for the process, in bytes; an eighth of it is the budget for unfinished requests.";
         body_bytes = 1 << 20, 1024..=64 << 20, "Largest body of a request, in bytes.";
-        header_bytes = 16 << 10, 1024..=256 << 10, "Largest head of a request, in bytes.";
+        header_bytes = 8191, 1024..=8191, "Largest head of a request with the empty lines before it, in bytes.";
         connections = 4096, 16..=65_536, "Open HTTP connections; a further one takes the place of the one without progress for the longest time.";
         watchers = 256, 1..=16_384, "Open watches of the configuration; further ones are refused.";
         watch_events = 4096, 16..=65_536, "Changes of the configuration that are kept for watches.";
--- a/crates/primrosebay_transport/src/connection.rs
+++ b/crates/primrosebay_transport/src/connection.rs
@@ -6,13 +6,9 @@
 use std::time::{Duration, Instant};
 
 use crate::budget::{Budget, Cause, Charge};
-use crate::http_server::Limits;
+use crate::http_server::{Limits, MAX_HEAD};
 use crate::slots::Slot;
 
-/// Maximum size of a head with the empty lines before it, in bytes. `async-h1` rejects longer ones as
-/// well, but only at the end of a line.
-const HEAD_BYTES: usize = 8 * 1_024;
-
 /// Memory for each unfinished request beside its bytes: two buffers of 8 KiB in `async-h1` and the
 /// unused part of the application's.
 const REQUEST_BYTES: usize = 24 * 1_024;
@@ -147,7 +143,7 @@
             state.charge(REQUEST_BYTES, now)?;
         }
         state.charge(bytes.len(), now)?;
-        state.scan_head(bytes)
+        state.scan_head(bytes, self.limits.head_bytes.min(MAX_HEAD))
     }
 
     /// Notes that the head has been read.
@@ -323,7 +319,7 @@
 
     /// Checks the bytes of a head up to its end. Header values that are not ASCII make `http-types`
     /// panic.
-    fn scan_head(&mut self, bytes: &[u8]) -> Result<(), Cause> {
+    fn scan_head(&mut self, bytes: &[u8], limit: usize) -> Result<(), Cause> {
         for byte in bytes {
             if self.matched == HEAD_END.len() {
                 return Ok(());
@@ -332,7 +328,7 @@
                 return Err(Cause::HeadText);
             }
             self.received += 1;
-            if self.received >= HEAD_BYTES {
+            if self.received > limit {
                 return Err(Cause::HeadSize);
             }
             self.matched = match byte {
--- a/crates/primrosebay_transport/src/http_server.rs
+++ b/crates/primrosebay_transport/src/http_server.rs
@@ -25,12 +25,18 @@
 /// Time for writing the refusal of a head.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum size of a head with the empty lines before it, in bytes. `async-h1` rejects longer ones as
+/// well, but only at the end of a line.
+pub const MAX_HEAD: usize = 8_191;
+
 /// Connection limit and timeouts of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
     /// Maximum number of open connections. A further one takes the place of the one whose client has
     /// made no progress for the longest time.
     pub connections: usize,
+    /// Maximum size of the head of a request in bytes, at most [`MAX_HEAD`].
+    pub head_bytes: usize,
     /// Time that requests in flight get to finish when the server is closed.
     pub grace: Duration,
     /// Time within which the head of a request must arrive after its first byte.
@@ -47,6 +53,7 @@
     fn default() -> Self {
         Self {
             connections: 4096,
+            head_bytes: MAX_HEAD,
             grace: Duration::from_secs(10),
             // Callers have deadlines of about 3 s, and their links are cut for a few seconds.
             head_timeout: Duration::from_secs(10),
--- a/crates/primrosebay_transport/tests/http_server.rs
+++ b/crates/primrosebay_transport/tests/http_server.rs
@@ -181,6 +181,31 @@
     });
 }
 
+/// Guards against a limit of heads that has no effect.
+#[rstest]
+#[case::at_the_limit(2_000, "HTTP/1.1 200 ")]
+#[case::above_the_limit(2_001, "HTTP/1.1 431 ")]
+fn heads_are_served_up_to_the_limit(#[case] bytes: usize, #[case] start: &str) {
+    block_on(async {
+        let limits = Limits {
+            head_bytes: 2_000,
+            ..Limits::default()
+        };
+        let server = start_limited(limits).await;
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        let (first, last) = (
+            "POST /ignore HTTP/1.1\r\nconnection: close\r\nhost: ",
+            "\r\n\r\n",
+        );
+        let host = "a".repeat(bytes - first.len() - last.len());
+        let head = format!("{first}{host}{last}");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let text = read_to_close(&mut stream).await;
+        assert!(text.starts_with(start), "{text}");
+        server.close().await;
+    });
+}
+
 /// Guards against limits that ordinary callers on slow connections run into.
 #[test]
 fn request_in_slow_pieces_is_served() {
