Give each member of the tests of a process an address of its own

Cause: since addresses are computed from a number that each test names. odd_entries_do_not_disturb_the_cell and odd_messages_between_members_do_not_end_them run at the same time and both named 251; before, their members had bound free ports. The member that started second ended.

The addresses now come from a counter of the test process, so tests no longer name numbers.

--- a/crates/primrosebay/tests/crowds.rs
+++ b/crates/primrosebay/tests/crowds.rs
@@ -146,7 +146,6 @@
         let place = Place {
             directory: &directory,
             number: setup.number,
-            net: 254,
             descriptors: setup.descriptors,
         };
         let member = Member::start_in(&place, store.address(), |name, addresses| {
--- a/crates/primrosebay/tests/job_states.rs
+++ b/crates/primrosebay/tests/job_states.rs
@@ -34,7 +34,7 @@
         store.put_operator_record("config", &config(1));
         let monitor = Arc::new(Mutex::new(RunMonitor::default()));
         let minion = Minion::start("minion-0", &store, monitor).await.unwrap();
-        let member = Member::start(&directory, 0, 253, store.address(), boot_file);
+        let member = Member::start(&directory, 0, store.address(), boot_file);
         let client = Client::new();
         let call = async |method, body| {
             let headers = [("Host", HOST), ("Credential", API_KEY)];
--- a/crates/primrosebay/tests/members/mod.rs
+++ b/crates/primrosebay/tests/members/mod.rs
@@ -22,26 +22,22 @@
     pub directory: &'a Path,
     /// Number of the member in its cell.
     pub number: usize,
-    /// Unique among the tests of the crate that run at the same time.
-    pub net: u8,
     /// Descriptors that the operating system allows the process; `None` for those of the test.
     pub descriptors: Option<u32>,
 }
 
 impl Member {
-    /// Starts a member with a loopback address of its own. `net` is unique among the tests of the
-    /// crate that run at the same time; `settings` returns the text of the settings file.
+    /// Starts a member with a loopback address of its own; `settings` returns the text of the
+    /// settings file.
     pub fn start(
         directory: &Path,
         number: usize,
-        net: u8,
         store: SocketAddr,
         settings: impl FnOnce(&str, MemberAddresses) -> String,
     ) -> Self {
         let place = Place {
             directory,
             number,
-            net,
             descriptors: None,
         };
         Self::start_in(&place, store, settings)
@@ -55,8 +51,7 @@
         settings: impl FnOnce(&str, MemberAddresses) -> String,
     ) -> Self {
         let (directory, number) = (place.directory, place.number);
-        let member = u32::try_from(number).unwrap_or(0);
-        let addresses = MemberAddresses::of_test(u32::from(place.net), member, store);
+        let addresses = MemberAddresses::of_test(store);
         let settings_file = directory.join(format!("member-{number}"));
         let text = settings(&format!("member-{number}"), addresses);
         fs::write(&settings_file, text).unwrap();
--- a/crates/primrosebay/tests/odd_entries.rs
+++ b/crates/primrosebay/tests/odd_entries.rs
@@ -57,13 +57,8 @@
     /// Starts the members with the numbers from `first` on.
     fn start_members(&mut self, first: usize) {
         for number in first..first + MEMBERS {
-            let net = if self.directory.to_string_lossy().contains("large") {
-                252
-            } else {
-                251
-            };
             let store = self.store.address();
-            let member = Member::start(&self.directory, number, net, store, boot_file);
+            let member = Member::start(&self.directory, number, store, boot_file);
             self.members.push(member);
         }
     }
--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -116,8 +116,6 @@
     config_version: u64,
     watch: Arc<Watch>,
     directory: PathBuf,
-    /// Number of the cell, which determines the loopback addresses of its members.
-    number: u32,
     /// Number of members that were replaced.
     replaced: usize,
     large: bool,
@@ -136,16 +134,10 @@
 }
 
 impl MemberProcess {
-    /// Starts the member with a number in a cell. `large` tells whether it is large in a large cell.
-    async fn add(
-        store: &Store,
-        directory: &Path,
-        (cell, number): (u32, usize),
-        large: Option<bool>,
-    ) -> Self {
+    /// Starts the member with this number. `large` tells whether it is large in a large cell.
+    async fn add(store: &Store, directory: &Path, number: usize, large: Option<bool>) -> Self {
         let proxy = Proxy::start(store.address()).await.unwrap();
-        let member = u32::try_from(number).unwrap_or(0);
-        let addresses = MemberAddresses::of_test(cell, member, proxy.address());
+        let addresses = MemberAddresses::of_test(proxy.address());
         let name = format!("member-{number}");
         let settings_file = directory.join(&name);
         let settings = match large {
@@ -248,7 +240,7 @@
         let mut members = Vec::new();
         for i in 0..size.members {
             let large = size.large.then_some(i < LARGE_MEMBERS);
-            members.push(MemberProcess::add(&store, &directory, (number, i), large).await);
+            members.push(MemberProcess::add(&store, &directory, i, large).await);
         }
         let fronts = members.iter().map(|m| Mutex::new(m.addresses.front));
         let callers = Arc::new(Callers {
@@ -275,7 +267,6 @@
         Self {
             callers,
             watch,
-            number,
             replaced: 0,
             large: size.large,
             store,
@@ -646,8 +637,7 @@
                 let number = self.members.len() + self.replaced;
                 self.replaced += 1;
                 let large = self.large.then_some(leader < LARGE_MEMBERS);
-                let id = (self.number, number);
-                let member = MemberProcess::add(&self.store, &self.directory, id, large).await;
+                let member = MemberProcess::add(&self.store, &self.directory, number, large).await;
                 *self.callers.members[leader].lock().unwrap() = member.addresses.front;
                 self.members[leader] = member;
                 self.callers.paused[leader].store(false, Ordering::Relaxed);
