Run the soak beside clients that do not keep to the limits

The soak stopped, killed, restarted and replaced members under ordinary callers only. Its new cases give each of three members 500 clients that send heads above the limit, empty lines, random bytes and many pipelined requests of which they read no answer, or stop just short of the end of a body, whole or chunked. Members have 64 MB and stay within them in each step, next to the invariants of the other cases.

They run one at a time; PRIMROSEBAY_SOAK_CROWD sets the crowd of the runs by hand.

--- a/crates/primrosebay/tests/soak/callers.rs
+++ b/crates/primrosebay/tests/soak/callers.rs
@@ -16,6 +16,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+/// Largest body that the configuration allows, in bytes.
+const BODY_BYTES: usize = 262_144;
+
 /// Timeout of a request, longer than the longest response time of a member.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -298,6 +301,42 @@
         }
     }
 
+    /// Opens connections to one member and sends requests that are outside the limits or never end, or
+    /// reads no answers, until the callers stop.
+    pub async fn misbehave(&self, member: usize, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let post = format!("POST {PATH_PREFIX}{seed:016x} HTTP/1.1\r\nHost: {HOST}\r\n");
+        let get = format!("GET {PATH_PREFIX}{seed:016x} HTTP/1.1\r\nHost: {HOST}\r\n\r\n");
+        while !self.stopping.load(Ordering::Relaxed) {
+            let count = rng.random_range(BODY_BYTES / 2..BODY_BYTES);
+            let bytes = match rng.random_range(0..8) {
+                0 => b"\r\n".repeat(count / 2),
+                1 => [post.as_bytes(), b"X-Long: ", &*vec![b'x'; count]].concat(),
+                2 => get.repeat(200).into_bytes(),
+                3 => (0..1_000).map(|_| rng.random()).collect(),
+                4 | 5 => {
+                    let head = format!("{post}Transfer-Encoding: chunked\r\n\r\n{count:x}\r\n");
+                    [head.as_bytes(), &*vec![b' '; count], b"\r\n"].concat()
+                }
+                _ => {
+                    let head = format!("{post}Content-Length: {BODY_BYTES}\r\n\r\n");
+                    [head.as_bytes(), &*vec![b' '; count]].concat()
+                }
+            };
+            let address = *self.members[member].lock().unwrap();
+            let hold = Duration::from_millis(rng.random_range(500..3_500));
+            // The member may be down or close the connection.
+            let _ = io::timeout(REQUEST_TIMEOUT, async {
+                let mut stream = TcpStream::connect(address).await?;
+                stream.write_all(&bytes).await?;
+                task::sleep(hold).await;
+                io::Result::Ok(())
+            })
+            .await;
+            task::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
     /// Sends a request over a held connection and returns the status of the complete answer. A
     /// member that is being stopped by `SIGTERM` may close the connection only before it has read
     /// the request or at once after the last byte was sent.
--- a/crates/primrosebay/tests/soak/cell.rs
+++ b/crates/primrosebay/tests/soak/cell.rs
@@ -15,7 +15,7 @@
 use primrosebay_platform::BOOT_VARIABLE;
 use primrosebay_platform_standin::{
     CommandKind, Effect, Fault, MemberAddresses, Minion, MinionFault, Proxy, RunMonitor, Store,
-    boot_file, config, job_body, large_cell_boot_file,
+    boot_file, config, job_body, large_cell_boot_file, small_boot_file,
 };
 use primrosebay_transport::http_client::Client;
 use rand::Rng;
@@ -42,8 +42,7 @@
 /// handles them.
 const END_SIGNALS: [Signal; 3] = [Signal::KILL, Signal::TERM, Signal::HUP];
 
-/// Number of the next cell. Distinguishes the temporary directories and the loopback addresses of
-/// the cells of one process.
+/// Number of the next cell. Distinguishes the temporary directories of the cells of one process.
 static NEXT_CELL: AtomicU32 = AtomicU32::new(0);
 
 /// A member and its process.
@@ -61,6 +60,9 @@
     down_until: Instant,
 }
 
+/// Memory of the machine of a member beside a crowd, in MB.
+const MEMORY_MB: u64 = 64;
+
 /// Number of members of a large cell that follow the log.
 const LARGE_MEMBERS: usize = 3;
 
@@ -75,6 +77,9 @@
     pub late_changes: bool,
     /// Whether the run has jobs whose tasks last.
     pub lasting: bool,
+    /// Number of clients of each member that do not keep to the limits of requests. Beside them each
+    /// member has [`MEMORY_MB`] of memory and stays within it.
+    pub crowd: usize,
 }
 
 impl Default for Size {
@@ -85,6 +90,7 @@
             large: false,
             late_changes: false,
             lasting: false,
+            crowd: 0,
         }
     }
 }
@@ -100,6 +106,17 @@
             ..Self::default()
         }
     }
+
+    /// Returns the settings file of the member `name` in the place `place` of the cell.
+    fn settings(self, place: usize, name: &str, addresses: MemberAddresses) -> String {
+        if self.large {
+            large_cell_boot_file(name, addresses, place < LARGE_MEMBERS)
+        } else if self.crowd > 0 {
+            small_boot_file(name, addresses, MEMORY_MB)
+        } else {
+            boot_file(name, addresses)
+        }
+    }
 }
 
 /// Members, minions and a store.
@@ -118,7 +135,7 @@
     directory: PathBuf,
     /// Number of members that were replaced.
     replaced: usize,
-    large: bool,
+    size: Size,
 }
 
 /// Waits for a condition for at most `timeout` and returns whether it was met.
@@ -134,17 +151,18 @@
 }
 
 impl MemberProcess {
-    /// Starts the member with this number. `large` tells whether it is large in a large cell.
-    async fn add(store: &Store, directory: &Path, number: usize, large: Option<bool>) -> Self {
+    /// Starts the member with this number; `settings` returns the text of its settings file.
+    async fn add(
+        store: &Store,
+        directory: &Path,
+        number: usize,
+        settings: impl FnOnce(&str, MemberAddresses) -> String,
+    ) -> Self {
         let proxy = Proxy::start(store.address()).await.unwrap();
         let addresses = MemberAddresses::of_test(proxy.address());
         let name = format!("member-{number}");
         let settings_file = directory.join(&name);
-        let settings = match large {
-            Some(large) => large_cell_boot_file(&name, addresses, large),
-            None => boot_file(&name, addresses),
-        };
-        fs::write(&settings_file, settings).unwrap();
+        fs::write(&settings_file, settings(&name, addresses)).unwrap();
         let mut member = Self {
             name,
             settings_file,
@@ -179,6 +197,14 @@
         self.settings_file.with_extension("log")
     }
 
+    /// Returns the peak memory of the process in kB, `None` if there is none or it has exited.
+    fn peak_kb(&self) -> Option<u64> {
+        let id = self.child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find(|l| l.starts_with("VmHWM:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
     /// Returns the path of the file with the errors of the member's processes.
     fn error_file(&self) -> PathBuf {
         self.settings_file.with_extension("err")
@@ -239,8 +265,8 @@
         fs::create_dir_all(&directory).unwrap();
         let mut members = Vec::new();
         for i in 0..size.members {
-            let large = size.large.then_some(i < LARGE_MEMBERS);
-            members.push(MemberProcess::add(&store, &directory, i, large).await);
+            let settings = |name: &str, addresses| size.settings(i, name, addresses);
+            members.push(MemberProcess::add(&store, &directory, i, settings).await);
         }
         let fronts = members.iter().map(|m| Mutex::new(m.addresses.front));
         let callers = Arc::new(Callers {
@@ -268,7 +294,7 @@
             callers,
             watch,
             replaced: 0,
-            large: size.large,
+            size,
             store,
             minions,
             monitor,
@@ -326,6 +352,16 @@
         }
     }
 
+    /// Starts clients that do not keep to the limits of requests, for the whole run.
+    pub fn start_crowd(&mut self, rng: &mut SmallRng) {
+        for member in (0..self.members.len()).flat_map(|m| vec![m; self.size.crowd]) {
+            let (callers, seed) = (Arc::clone(&self.callers), rng.random());
+            self.tasks.push(task::spawn(async move {
+                callers.misbehave(member, seed).await;
+            }));
+        }
+    }
+
     /// Starts a caller that submits a job and may cancel it.
     pub fn submit(&mut self, rng: &mut SmallRng) {
         let (callers, seed) = (Arc::clone(&self.callers), rng.random());
@@ -636,8 +672,10 @@
                 self.apply(Action::Signal(leader, Signal::KILL));
                 let number = self.members.len() + self.replaced;
                 self.replaced += 1;
-                let large = self.large.then_some(leader < LARGE_MEMBERS);
-                let member = MemberProcess::add(&self.store, &self.directory, number, large).await;
+                let size = self.size;
+                let settings = |name: &str, addresses| size.settings(leader, name, addresses);
+                let member =
+                    MemberProcess::add(&self.store, &self.directory, number, settings).await;
                 *self.callers.members[leader].lock().unwrap() = member.addresses.front;
                 self.members[leader] = member;
                 self.callers.paused[leader].store(false, Ordering::Relaxed);
@@ -725,6 +763,12 @@
             let started = monitor.has_started(key);
             assert!(!started, "seed {seed}: refused job {key} has started");
         }
+        if self.size.crowd > 0 {
+            for member in &self.members {
+                let peak = member.peak_kb().unwrap_or(0);
+                assert!(peak <= MEMORY_MB * 1_024, "seed {seed}: {peak} kB");
+            }
+        }
     }
 
     /// Waits until all accepted jobs whose tasks do not last are completed, or cancelled if their caller
--- a/crates/primrosebay/tests/soak/main.rs
+++ b/crates/primrosebay/tests/soak/main.rs
@@ -13,7 +13,8 @@
 //! These runs have tasks that last and gangs, and end with changes of the leader.
 //! `PRIMROSEBAY_SOAK_MEMBERS` and `PRIMROSEBAY_SOAK_MINIONS` set the size of their cells, and with
 //! `PRIMROSEBAY_SOAK_LARGE=1` the cells work like large ones. With `PRIMROSEBAY_SOAK_LASTING=0` there
-//! are no tasks that last, and with `PRIMROSEBAY_SOAK_PROGRAM` the members run another build of the
+//! are no tasks that last, with `PRIMROSEBAY_SOAK_CROWD=500` each member has 500 clients that do not keep
+//! to the limits of requests, and with `PRIMROSEBAY_SOAK_PROGRAM` the members run another build of the
 //! program.
 
 mod callers;
@@ -21,6 +22,7 @@
 mod faults;
 mod waiting;
 
+use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -59,6 +61,7 @@
     cell.hold_connections(&mut rng);
     // Draws of its own, so that the other steps of a seed stay the same.
     let mut late = SmallRng::seed_from_u64(!seed);
+    cell.start_crowd(&mut late);
     let (mut calm_until, mut stretches) = (Instant::now(), 0);
     for step in 0..STEPS {
         if size.lasting && step % 20 == 0 {
@@ -162,6 +165,23 @@
     }
 }
 
+/// Runs fixed seeds beside clients that do not keep to the limits of requests, one at a time. The
+/// bodies that they hold open exceed the budget of a member, 8 MB, together.
+#[rstest]
+#[case(2)]
+#[case(3)]
+fn invariants_hold_beside_a_crowd(#[case] seed: u64) {
+    static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+    let _guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let size = Size {
+        crowd: 500,
+        ..Size::default()
+    };
+    if std::env::var_os("PRIMROSEBAY_SOAK_SEED").is_none() {
+        task::block_on(run(seed, size));
+    }
+}
+
 /// Guards against tasks that could run and have nothing running after the leader has changed at the
 /// end of the traffic, while minions are lost and answer late. Users saw jobs that waited for 22 s
 /// and more (issue 35).
@@ -398,6 +418,7 @@
         large: read_number("PRIMROSEBAY_SOAK_LARGE").is_some(),
         late_changes: true,
         lasting: read_number("PRIMROSEBAY_SOAK_LASTING") != Some(0),
+        crowd: read_size("PRIMROSEBAY_SOAK_CROWD").unwrap_or(usual.crowd),
     };
     if let Some(seed) = read_number("PRIMROSEBAY_SOAK_SEED") {
         task::block_on(run(seed, size));
