--- a/crates/primrosebay/tests/crowds/entry.rs
+++ b/crates/primrosebay/tests/crowds/entry.rs
@@ -36,6 +36,8 @@
     BodyPieces,
     /// Chunks of 16 KB without a last one, below the largest size of a body.
     LargeChunks,
+    /// Chunks of 8 bytes without a last one, below the largest size of a body.
+    SmallChunks,
     /// Heads without an end.
     EndlessHeads,
 }
@@ -56,6 +58,10 @@
                 let count = bytes / (16 * KB) - 1;
                 (chunked, piece.clone(), count * piece.len())
             }
+            Self::SmallChunks => {
+                let (count, piece) = (bytes / 4 * 3 / (8 * KB), chunk(8).repeat(KB));
+                (chunked, piece.clone(), count * piece.len())
+            }
             Self::EndlessHeads => (endless, vec![b'x'; 16 * KB], 2 * MB),
         };
         Sender {
@@ -135,6 +141,7 @@
 #[case::short_bodies(Kind::ShortBodies, 500)]
 #[case::body_pieces(Kind::BodyPieces, 500)]
 #[case::large_chunks(Kind::LargeChunks, 500)]
+#[case::small_chunks(Kind::SmallChunks, 500)]
 #[case::endless_heads(Kind::EndlessHeads, 200)]
 fn crowds_do_not_fill_the_memory_of_an_entry_instance(#[case] kind: Kind, #[case] clients: usize) {
     let _lock = lock();
