Give up requests of the size that holds the most bytes

Callers whose submission of 100 KB arrives in two pieces, 50 ms apart, were refused with 503 beside 3,000 clients that send one byte, a head, or a head and one byte of a body, and come back when they are refused.

Cause: of all requests the one went first whose bytes times the time for which it is behind are the most. Clients that come back at once are behind only for the time in which the budget turns over, some 40 ms, so half of a body of 100 KB cost more after its pause than any of them.

Requests are now in classes by size, each of twice the sizes of the one before, and the class that holds the most bytes gives way, in the same order as before. A crowd fills its own class, so that it cannot displace requests of other sizes at any rate.

--- a/crates/primrosebay_transport/src/budget.rs
+++ b/crates/primrosebay_transport/src/budget.rs
@@ -1,10 +1,11 @@
 //! A bound of the bytes that all unfinished requests of a process, and the answers that are being
 //! written, hold together.
 //!
-//! When a byte does not fit any more, unfinished requests are given up: first the one that has held the
-//! most bytes for the longest time without making progress. A request that was received completely is
-//! never given up; its bytes stay charged until it has been answered. Answers are given up like requests
-//! that are arriving.
+//! When a byte does not fit any more, unfinished requests are given up. Requests of about the same size
+//! form a class, and the class that holds the most bytes gives way: in it first the request that has held
+//! the most bytes for the longest time without making progress. A request that was received completely
+//! is never given up; its bytes stay charged until it has been answered. Answers are given up like
+//! requests that are arriving.
 
 use std::fmt;
 use std::io;
@@ -15,6 +16,7 @@
 
 use http_types::StatusCode;
 
+use crate::connection::REQUEST_BYTES;
 use crate::log_limit::LogLimit;
 use crate::progress::Progress;
 
@@ -28,6 +30,13 @@
 /// rest stays for ordinary requests that are arriving.
 const FINISHED_PERCENT: usize = 75;
 
+/// Size below which requests are in the smallest class, in bytes: twice that of a request without a body.
+/// Each further class holds sizes up to twice those of the one before.
+const SMALLEST_CLASS: usize = 2 * REQUEST_BYTES;
+
+/// Number of classes of sizes.
+const CLASSES: usize = usize::BITS as usize;
+
 /// Budget of a process without settings of its memory, in bytes. Above the largest body of any process
 /// in this workspace (64 MiB).
 const DEFAULT_BYTES: usize = 256 << 20;
@@ -157,11 +166,22 @@
 }
 
 impl Entry {
+    fn is_arriving(&self) -> bool {
+        self.stage == Stage::Arriving
+    }
+
     /// Returns what it costs to keep the request: its bytes times the microseconds for which it is
     /// behind.
     fn cost(&self, now: Instant) -> u128 {
         self.bytes as u128 * self.progress.behind(now).as_micros()
     }
+
+    /// Returns the class of the request's size, below [`CLASSES`].
+    fn class(&self) -> usize {
+        (2 * (self.bytes / SMALLEST_CLASS))
+            .checked_ilog2()
+            .unwrap_or(0) as usize
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -286,17 +306,27 @@
         request.waker.take()
     }
 
-    /// Gives up the requests that are arriving and cost the most until `limit` is kept or none is left.
-    /// Of those that keep up the largest goes first, of equal ones the newest.
+    /// Gives up requests that are arriving until `limit` is kept or none is left. Each is the one that
+    /// costs the most in the class that holds the most bytes. Of those that keep up the largest goes
+    /// first, of equal ones the newest.
     fn shrink(&mut self, limit: usize, now: Instant) -> Vec<Waker> {
         let mut wakers = Vec::new();
+        if self.used <= limit {
+            return wakers;
+        }
+        let mut held = [0; CLASSES];
+        for request in self.requests.iter().filter(|r| r.is_arriving()) {
+            held[request.class()] += request.bytes;
+        }
         while self.used > limit {
+            let class = (0..CLASSES).max_by_key(|&c| held[c]);
             let arriving = self.requests.iter().enumerate();
-            let arriving = arriving.filter(|(_, r)| r.stage == Stage::Arriving);
+            let arriving = arriving.filter(|(_, r)| r.is_arriving() && Some(r.class()) == class);
             let first = arriving.max_by_key(|(_, r)| (r.cost(now), r.bytes, r.id));
-            let Some((first, _)) = first else {
+            let Some((first, request)) = first else {
                 break;
             };
+            held[request.class()] -= request.bytes;
             wakers.extend(self.give_up(first));
         }
         wakers
--- a/crates/primrosebay_transport/src/connection.rs
+++ b/crates/primrosebay_transport/src/connection.rs
@@ -11,7 +11,7 @@
 
 /// Memory for each unfinished request beside its bytes: two buffers of 8 KiB in `async-h1` and the
 /// unused part of the application's.
-const REQUEST_BYTES: usize = 24 * 1_024;
+pub(crate) const REQUEST_BYTES: usize = 24 * 1_024;
 
 /// Maximum number of bytes that are read after the answer to a request with an unread body. A client
 /// that still sends gets its answer only if the server reads on; four bodies of the usual size suffice.
--- a/crates/primrosebay_transport/tests/budget.rs
+++ b/crates/primrosebay_transport/tests/budget.rs
@@ -232,3 +232,32 @@
     assert_eq!(Budget::for_memory(160 << 20).limit(), 20 << 20);
     assert_eq!(Budget::for_memory(0).limit(), 0);
 }
+
+/// Guards against a large ordinary request in two pieces that is given up for a crowd of small ones
+/// that come back as soon as they are given up, so that each of them is behind only for a moment.
+#[test]
+fn returning_small_requests_do_not_displace_large_ones() {
+    const SMALL: usize = 24 << 10;
+    const PLACES: usize = 100;
+    let budget = Arc::new(Budget::new(PLACES * SMALL));
+    let start = Instant::now();
+    let after = |micros| start + Duration::from_micros(micros);
+    let mut crowd = Vec::new();
+    // Each small request is given up after 40 ms.
+    let mut come_back = |from: u64, to: u64| {
+        for micros in (from..to).step_by(400) {
+            crowd.retain(|c: &Charge| !c.is_given_up());
+            let request = budget.open(after(micros));
+            if request.add(SMALL, after(micros)).is_ok() {
+                crowd.push(request);
+            }
+        }
+    };
+    come_back(0, 200_000);
+    let ordinary = budget.open(after(200_000));
+    assert_eq!(ordinary.add(SMALL, after(200_000)), Ok(()));
+    assert_eq!(ordinary.add(50_000, after(200_000)), Ok(()));
+    come_back(200_000, 250_000);
+    assert_eq!(ordinary.add(50_000, after(250_000)), Ok(()));
+    assert_eq!(ordinary.finish(), Ok(()));
+}
