Test slow clients beside large requests that come back

The class of a size is computed from the size of a request without a body; the classes are the same as before.

--- a/crates/primrosebay_transport/src/budget.rs
+++ b/crates/primrosebay_transport/src/budget.rs
@@ -30,11 +30,7 @@
 /// rest stays for ordinary requests that are arriving.
 const FINISHED_PERCENT: usize = 75;
 
-/// Size below which requests are in the smallest class, in bytes: twice that of a request without a body.
-/// Each further class holds sizes up to twice those of the one before.
-const SMALLEST_CLASS: usize = 2 * REQUEST_BYTES;
-
-/// Number of classes of sizes.
+/// Number of classes of sizes, see [`Entry::class`].
 const CLASSES: usize = usize::BITS as usize;
 
 /// Budget of a process without settings of its memory, in bytes. Above the largest body of any process
@@ -176,11 +172,10 @@
         self.bytes as u128 * self.progress.behind(now).as_micros()
     }
 
-    /// Returns the class of the request's size, below [`CLASSES`].
+    /// Returns the class of the request's size, below [`CLASSES`]. Class 0 holds sizes below twice that of
+    /// a request without a body, and each further class sizes below twice those of the one before.
     fn class(&self) -> usize {
-        (2 * (self.bytes / SMALLEST_CLASS))
-            .checked_ilog2()
-            .unwrap_or(0) as usize
+        (self.bytes / REQUEST_BYTES).checked_ilog2().unwrap_or(0) as usize
     }
 }
 
--- a/crates/primrosebay_transport/tests/budget.rs
+++ b/crates/primrosebay_transport/tests/budget.rs
@@ -233,11 +233,13 @@
     assert_eq!(Budget::for_memory(0).limit(), 0);
 }
 
+/// Bytes that are charged for a request without a body.
+const SMALL: usize = 24 << 10;
+
 /// Guards against a large ordinary request in two pieces that is given up for a crowd of small ones
 /// that come back as soon as they are given up, so that each of them is behind only for a moment.
 #[test]
 fn returning_small_requests_do_not_displace_large_ones() {
-    const SMALL: usize = 24 << 10;
     const PLACES: usize = 100;
     let budget = Arc::new(Budget::new(PLACES * SMALL));
     let start = Instant::now();
@@ -261,3 +263,25 @@
     assert_eq!(ordinary.add(50_000, after(250_000)), Ok(()));
     assert_eq!(ordinary.finish(), Ok(()));
 }
+
+/// Guards against a small request of a slow client that is given up for large ones that come back as soon
+/// as they are given up.
+#[test]
+fn returning_large_requests_do_not_displace_slow_small_ones() {
+    const LARGE: usize = 10 * SMALL;
+    let budget = Arc::new(Budget::new(10 * LARGE));
+    let start = Instant::now();
+    let slow = budget.open(start);
+    assert_eq!(slow.add(SMALL, start), Ok(()));
+    let mut crowd = Vec::new();
+    for ms in (0..5_000).step_by(10) {
+        let now = start + Duration::from_millis(ms);
+        crowd.retain(|c: &Charge| !c.is_given_up());
+        let request = budget.open(now);
+        if request.add(LARGE, now).is_ok() {
+            crowd.push(request);
+        }
+    }
+    assert!(crowd.iter().any(Charge::is_given_up));
+    assert_eq!(slow.finish(), Ok(()));
+}
