--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,102 +1,118 @@
-"""A large job, whose tasks save checkpoints, is handed in beside the work of another tenant."""
+"""A worker leaves a start unanswered and carries it out late, after it has crashed and started again."""
 
 import asyncio
 import os
 import sys
 import time
-import uuid
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib3"))
-from bed import TROUBLE, Minion, run_case  # noqa: E402
+from bed import TROUBLE, CouldNotRun, Minion, run_case  # noqa: E402
 
-SHOPS_KEY = "key-of-the-shops"
-LARGE_KEY = "key-of-the-archive"
-LARGE_TASKS = int(os.environ.get("TASKS", 4_000))
-# Digits of a checkpoint. The pages set no length; 64 digits are a SHA-256 sum.
-CHECKPOINT = int(os.environ.get("CHECKPOINT", 64))
-TRAFFIC_S = 45.0
-FINISH_S = 14.0
-# "for 3 s ... for each task that lasts, from 6 s after its last run"
-LASTING_S = 6.0 + 3.0
-LASTING = "00000000000a5700"
+KEY = "key-of-the-shops"
+MINIONS = 8
+LATE_S = 8.0
+DOWN_S = 1.0
+# Time from the restart until the late start is carried out, and by which a hold is late.
+AFTER_RESTART_S = 0.5
+HOLD_LATE_S = 2.0
+
+
+class Worker(Minion):
+    """A minion that may leave one start, and the holds in the first moments of its next life, unanswered,
+    and carries them out late."""
+
+    is_late = False
+    late_start = None
+    holds_late_until = 0.0
+
+    async def handle(self, request):
+        if self.is_late and self.late_start is None and request.path == "/api/run-start":
+            self.late_start = (time.monotonic(), request.json()["task"])
+            self.postpone(request, LATE_S)
+            await asyncio.sleep(30)
+            return None
+        if request.path == "/api/hold" and time.monotonic() < self.holds_late_until:
+            self.postpone(request, HOLD_LATE_S)
+            await asyncio.sleep(30)
+            return None
+        return await super().handle(request)
+
+    def postpone(self, request, seconds):
+        self.bed.record.note("order left unanswered, carried out later", minion=self.name,
+                             path=request.path, after_s=seconds, body=request.body.decode())
+
+        async def later():
+            await asyncio.sleep(seconds)
+            answer = await Minion.handle(self, request)
+            self.bed.record.note("late order carried out", minion=self.name, path=request.path,
+                                 age_ms=self.clock(), answer=answer)
+
+        self.tasks = getattr(self, "tasks", []) + [asyncio.create_task(later())]
 
 
 async def case(bed):
-    bed.specs["price"] = {"cpu": 1_000, "ms": 800}
-    bed.specs["serve"] = {"cpu": 500, "least_ms": 3_000, "ms": 6_000, "how": "failed"}
-    bed.specs["rebuild"] = {"cpu": 50, "least_ms": 12_000, "ms": 300_000, "saves": True}
+    bed.specs["rebuild"] = {"cpu": 4_000, "ms": 14_000}
+    bed.specs["short"] = {"cpu": 4_000, "ms": 1_000}
+    bed.specs["long"] = {"cpu": 4_000, "ms": 60_000}
+    broken = []
+
+    def watch(event, minion, task, run):
+        others = [m.name for m in bed.minions if m is not minion and task in m.running]
+        if event == "start" and others:
+            bed.record.note("TWICE broken", task=task, run=run.number, minion=minion.name,
+                            beside=",".join(others))
+            broken.append(task)
+
+    bed.watches = [watch]
     await bed.store.start()
-    no_limit = {"cpu": 0, "memMb": 0, "gpu": 0}
-    bed.configure(1, [
-        {"name": "shops", "apiKeys": [SHOPS_KEY], "weight": 100, "maxCount": no_limit},
-        {"name": "archive", "apiKeys": [LARGE_KEY], "weight": 100, "maxCount": no_limit},
-    ])
-    for index in range(8):
-        minion = Minion(bed, str(uuid.UUID(int=0x7f3a91c2 << 96 | index)), bed.zones[index % 3],
-                        {"cpu": 64_000, "memMb": 131_072, "gpu": 0}, ["a", f"r1-{index % 2}"],
-                        CHECKPOINT)
+    bed.configure(1, [{"name": "shops", "apiKeys": [KEY], "weight": 100,
+                       "maxCount": {"cpu": 0, "memMb": 0, "gpu": 0}}])
+    for index in range(MINIONS):
+        minion = Worker(bed, f"i-{index:08x}", bed.zones[index % 3],
+                        {"cpu": 8_000, "memMb": 65_536, "gpu": 0}, ["a", f"r1-{index % 2}"])
         bed.minions.append(minion)
         await minion.start()
     await bed.start_members(3)
+    await asyncio.sleep(2)
 
-    # The time since which each lasting task is not running, and the longest such time.
-    away, longest = {}, {}
+    async def hand_in(job, spec):
+        body = {"spec": spec, "steps": [{"count": 1, "cpu": 4_000, "memMb": 100,
+                                         "estimateMs": bed.specs[spec]["ms"]}]}
+        if await bed.submit(job, KEY, body) != 200:
+            raise CouldNotRun("the job is not accepted")
 
-    def watch(event, minion, task, run):
-        if not task.startswith(LASTING):
-            return
-        if event == "start":
-            longest[task] = max(longest.get(task, 0), time.monotonic() - away.pop(task, time.monotonic()))
-        else:
-            away[task] = time.monotonic()
-
-    bed.watches = [watch]
-    body = {"spec": "serve", "steps": [{"count": 6, "cpu": 500, "memMb": 100, "longRunning": True}]}
-    if await bed.submit(LASTING, SHOPS_KEY, body) != 200:
-        raise RuntimeError("the lasting job is not accepted")
-
-    accepted, refused = {}, []
-
-    async def hand_in(number):
-        job = f"{0xabc00000 + number:016x}"
-        body = {"spec": "price", "steps": [{"count": 2, "cpu": 1_000, "memMb": 100,
-                                            "estimateMs": 800}]}
-        if await bed.submit(job, SHOPS_KEY, body) == 200:
-            accepted[job] = time.monotonic()
-        else:
-            refused.append(job)
-
-    tasks = []
-    if TROUBLE:
-        body = {"spec": "rebuild", "steps": [{
-            "count": LARGE_TASKS, "cpu": 50, "memMb": 10, "estimateMs": 150_000,
-            "checkpointing": True}]}
-        tasks.append(asyncio.create_task(bed.submit("00000000000bad00", LARGE_KEY, body)))
-    until = time.monotonic() + TRAFFIC_S
-    while time.monotonic() < until:
-        tasks.append(asyncio.create_task(hand_in(len(tasks))))
-        await asyncio.sleep(0.25)
-    await asyncio.gather(*tasks)
-    await asyncio.sleep(FINISH_S)
-
-    now = time.monotonic()
-    for task, since in away.items():
-        longest[task] = max(longest.get(task, 0), now - since)
-    begun = {}
-    for at, _, task, _ in bed.starts:
-        begun.setdefault(task.split(".")[0], at)
-    waits = [begun.get(job, now) - at for job, at in accepted.items()]
-    bed.record.note(
-        "summary", jobs_accepted=len(accepted), jobs_without_2xx=len(refused),
-        longest_wait_of_an_accepted_job_s=round(max(waits, default=0), 1),
-        lasting_tasks_away_s=[round(s, 1) for s in sorted(longest.values())],
-        refused_appends=bed.store.rejected)
-    late = [s for s in longest.values() if s > LASTING_S]
-    if late:
-        return (f"LOST: {len(late)} of {len(longest)} lasting tasks were not running for "
-                f"{max(late):.1f} s at most, allowed {LASTING_S} s; "
-                f"{len(refused)} of {len(refused) + len(accepted)} jobs got no 2xx in five attempts")
+    for number in range(1, 5):
+        # A short job beside the one whose start is late, and a long one on another minion, so that the
+        # second run is placed there.
+        await hand_in(f"{0xa000 + number:016x}", "short")
+        await asyncio.sleep(0.2)
+        for minion in bed.minions:
+            minion.is_late, minion.late_start = TROUBLE, None
+        await hand_in(f"{number:016x}", "rebuild")
+        if not TROUBLE:
+            await asyncio.sleep(16)
+            break
+        await bed.until(lambda: any(m.late_start for m in bed.minions), 5, "no start arrives")
+        for minion in bed.minions:
+            minion.is_late = False
+        late = next(m for m in bed.minions if m.late_start)
+        sent, task = late.late_start
+        await hand_in(f"{0xb000 + number:016x}", "long")
+        await bed.until(lambda: any(task in m.running for m in bed.minions), 5, "no second start")
+        if task in late.running:
+            # The second run is on the same minion and would end with it.
+            await asyncio.sleep(LATE_S + 8)
+            continue
+        await asyncio.sleep(sent + LATE_S - AFTER_RESTART_S - DOWN_S - time.monotonic())
+        late.crash()
+        await asyncio.sleep(DOWN_S)
+        late.holds_late_until = time.monotonic() + AFTER_RESTART_S
+        await late.start()
+        await asyncio.sleep(6)
+        break
+    if broken:
+        return f"TWICE: {broken[0]} runs on two minions that are up"
     return None
 
 
